--- a/packages/daemon/src/samphirestackd/interfaces.py
+++ b/packages/daemon/src/samphirestackd/interfaces.py
@@ -95,3 +95,46 @@
         :param kind: name of the event, such as ``request.sent``.
         :param fields: ids and numbers; never keys, tokens or bodies.
         """
+
+
+class Term(msgspec.Struct, frozen=True):
+    """A term of this node as zone leader; times are monotonic seconds."""
+
+    epoch: model.Epoch
+    grant_from: float
+    """Time from which slots may be granted and tasks started."""
+    restart_lost_after: float
+    """Time from which tasks on workers that have not answered since the
+    start of the term can't run any more."""
+
+
+class OwnTerms(Protocol):
+    """When this node starts and ends to lead its zone."""
+
+    def on_term(self, handler: Callable[[Term | None], None]) -> None:
+        """Call ``handler`` with each new term, and ``None`` at its end."""
+
+    def fenced_off(self, epoch: model.Epoch) -> None:
+        """Report that an agent refused this node's epoch for a higher one."""
+
+
+class VmDirectory(Protocol):
+    """The platform's list of VMs as last read, kept during outages."""
+
+    def vms_by_id(self) -> dict[model.VmId, model.Vm]:
+        """Return all VMs of all zones; empty before the first read."""
+
+    def on_vms(
+        self, handler: Callable[[dict[model.VmId, model.Vm]], None]
+    ) -> None:
+        """Call ``handler`` after each read that changed the list."""
+
+
+class Component(Protocol):
+    """A part of the daemon with a life of its own."""
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+
+    async def drain(self) -> None:
+        """Take nothing new and return when nothing is in flight."""
