--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/placement.py
@@ -0,0 +1,240 @@
+"""Selection of workers for tasks.
+
+:class:`BestFitPolicy` is the policy of the design page.  Another policy is
+another class with the methods of :class:`PlacementPolicy`.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Protocol
+
+from samphirestack.internal.decisions import worker_index
+from samphirestack import model
+
+Allowed = Callable[[model.WorkerId], bool]
+"""Tells whether a worker may be selected."""
+
+
+def anywhere(worker_id: model.WorkerId) -> bool:
+    """Allow every worker."""
+    return True
+
+
+class PlacementPolicy(Protocol):
+    """How workers are selected for tasks."""
+
+    def choose(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        allowed: Allowed = anywhere,
+    ) -> model.WorkerId | None:
+        """Return a worker with room for one task, if there is one."""
+
+    def choose_spread(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        replicas_by_rack: Mapping[model.RackId, int],
+        allowed: Allowed = anywhere,
+    ) -> model.WorkerId | None:
+        """Return a worker in a rack with few replicas of the service."""
+
+    def choose_gang(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        count: int,
+        allowed: Allowed = anywhere,
+    ) -> Sequence[model.WorkerId] | None:
+        """Return a worker for each of ``count`` tasks, or ``None``."""
+
+
+class BestFitPolicy:
+    """Tightest fit, with services spread and gangs kept together."""
+
+    def choose(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        allowed: Allowed = anywhere,
+    ) -> model.WorkerId | None:
+        """Return the worker with the least left over of those looked at."""
+        for group in index.groups(need):
+            best = _tightest(group, need, allowed)
+            if best is not None:
+                return best
+        return None
+
+    def choose_spread(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        replicas_by_rack: Mapping[model.RackId, int],
+        allowed: Allowed = anywhere,
+    ) -> model.WorkerId | None:
+        """Return the tightest worker of a rack with the fewest replicas."""
+        racks = sorted(
+            index.rack_free(), key=lambda rack: replicas_by_rack.get(rack, 0)
+        )
+        spare: model.WorkerId | None = None
+        spare_count = 0
+        for rack in racks:
+            replicas = replicas_by_rack.get(rack, 0)
+            if spare is not None and replicas > spare_count:
+                break
+            slots = [s for s in index.in_rack(rack) if need.fits_in(s.free)]
+            plain = [s for s in slots if _keeps_accelerators(s, need)]
+            best = _tightest(plain, need, allowed)
+            if best is not None:
+                return best
+            if spare is None:
+                spare = _tightest(slots, need, allowed)
+                spare_count = replicas
+        return spare
+
+    def choose_gang(
+        self,
+        index: worker_index.WorkerIndex,
+        need: model.Resources,
+        count: int,
+        allowed: Allowed = anywhere,
+    ) -> Sequence[model.WorkerId] | None:
+        """Return workers in one rack if possible, else in the freest ones."""
+        by_room = sorted(
+            (_copies(free, need), rack)
+            for rack, free in index.rack_free().items()
+        )
+        chosen: list[model.WorkerId] = []
+        for copies, rack in by_room:
+            if copies >= count:
+                chosen = _fill(index.in_rack(rack), need, count, allowed)
+                if len(chosen) == count:
+                    return chosen
+        chosen = []
+        for copies, rack in reversed(by_room):
+            if copies == 0 or len(chosen) == count:
+                break
+            missing = count - len(chosen)
+            chosen += _fill(index.in_rack(rack), need, missing, allowed)
+        return chosen if len(chosen) == count else None
+
+
+def _tightest(
+    slots: Iterable[worker_index.Slot], need: model.Resources, allowed: Allowed
+) -> model.WorkerId | None:
+    best: model.WorkerId | None = None
+    best_left = 0.0
+    looked_at = 0
+    for slot in slots:
+        if not allowed(slot.worker_id):
+            continue
+        left = _left_over(slot, need)
+        if best is None or left < best_left:
+            best, best_left = slot.worker_id, left
+        looked_at += 1
+        if looked_at == worker_index.SCAN_LIMIT:
+            break
+    return best
+
+
+def _left_over(slot: worker_index.Slot, need: model.Resources) -> float:
+    capacity = slot.capacity
+    cpus = (slot.free.millicores - need.millicores) / max(
+        1, capacity.millicores
+    )
+    memory = (slot.free.memory_mb - need.memory_mb) / max(
+        1, capacity.memory_mb
+    )
+    return cpus + memory
+
+
+def _keeps_accelerators(
+    slot: worker_index.Slot, need: model.Resources
+) -> bool:
+    return need.accelerators > 0 or slot.capacity.accelerators == 0
+
+
+def _copies(free: model.Resources, need: model.Resources) -> int:
+    counts = [
+        have // wanted
+        for have, wanted in (
+            (free.millicores, need.millicores),
+            (free.memory_mb, need.memory_mb),
+            (free.accelerators, need.accelerators),
+        )
+        if wanted > 0
+    ]
+    return max(0, min(counts)) if counts else 0
+
+
+def _fill(
+    slots: Iterable[worker_index.Slot],
+    need: model.Resources,
+    count: int,
+    allowed: Allowed,
+) -> list[model.WorkerId]:
+    chosen: list[model.WorkerId] = []
+    ordered = sorted(
+        slots,
+        key=lambda s: (
+            not _keeps_accelerators(s, need),
+            -_copies(s.free, need),
+            s.worker_id,
+        ),
+    )
+    for slot in ordered:
+        if len(chosen) == count:
+            break
+        if not allowed(slot.worker_id):
+            continue
+        copies = min(count - len(chosen), _copies(slot.free, need))
+        chosen += [slot.worker_id] * copies
+    return chosen
+
+
+def impossible_reason(
+    job: model.Job, capacities: Collection[model.Resources]
+) -> str | None:
+    """Return why no worker could ever run a task of ``job``, or ``None``.
+
+    :param capacities: of all workers; nothing is impossible while none are
+        known, since the list of VMs lags.
+    """
+    if not capacities:
+        return None
+    fitting = [c for c in capacities if job.resources.fits_in(c)]
+    if not fitting:
+        return (
+            f'a task needs {describe(job.resources)}, but the largest workers '
+            f'have {_largest(capacities)}'
+        )
+    if job.kind is not model.JobKind.GANG:
+        return None
+    room = sum(_copies(c, job.resources) for c in fitting)
+    if job.resources != worker_index.NONE and room < job.tasks:
+        return (
+            f'the gang has {job.tasks} tasks, but an empty fleet has room '
+            f'for {room} of them'
+        )
+    return None
+
+
+def describe(resources: model.Resources) -> str:
+    """Return an amount of resources as text for messages."""
+    return (
+        f'{resources.millicores / 1000:g} cores, {resources.memory_mb} MB '
+        f'and {resources.accelerators} accelerators'
+    )
+
+
+def _largest(capacities: Collection[model.Resources]) -> str:
+    largest = {
+        max(capacities, key=lambda c: c.millicores),
+        max(capacities, key=lambda c: c.memory_mb),
+        max(capacities, key=lambda c: c.accelerators),
+    }
+    return ' or '.join(sorted(describe(c) for c in largest))
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/quarantine.py
@@ -0,0 +1,93 @@
+"""Workers that fail every task are left alone for growing pauses."""
+
+from samphirestack import model
+
+FAILURES_BEFORE_PAUSE = 3
+"""Consecutive failures by different jobs that start a quarantine."""
+
+FIRST_PAUSE_S = 10.0
+LONGEST_PAUSE_S = 600.0
+
+
+class _Health:
+    __slots__ = ('failed_jobs', 'pause_s', 'paused_until', 'probe')
+
+    def __init__(self) -> None:
+        self.failed_jobs: set[model.JobId] = set()
+        self.pause_s = 0.0
+        self.paused_until = 0.0
+        self.probe: model.TaskId | None = None
+
+
+class Quarantine:
+    """Tracks consecutive failures per worker.
+
+    Failures of one job count once, since a broken job fails everywhere.
+    After a pause the worker gets one probe task: a success ends the
+    quarantine and a failure doubles the pause.
+    """
+
+    def __init__(self) -> None:
+        self._health_by_id: dict[model.WorkerId, _Health] = {}
+
+    def failed(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        job_id: model.JobId,
+    ) -> bool:
+        """Count a failure and return whether a pause begins."""
+        health = self._health_by_id.setdefault(worker_id, _Health())
+        health.failed_jobs.add(job_id)
+        health.probe = None
+        in_quarantine = health.pause_s > 0
+        if not in_quarantine:
+            if len(health.failed_jobs) < FAILURES_BEFORE_PAUSE:
+                return False
+            health.pause_s = FIRST_PAUSE_S
+        elif now >= health.paused_until:
+            health.pause_s = min(health.pause_s * 2, LONGEST_PAUSE_S)
+        else:
+            return False
+        health.paused_until = now + health.pause_s
+        return True
+
+    def succeeded(self, worker_id: model.WorkerId) -> None:
+        """Count a success, which clears all failures."""
+        self._health_by_id.pop(worker_id, None)
+
+    def is_suspect(self, worker_id: model.WorkerId) -> bool:
+        """Return whether a worker is in quarantine, paused or probed."""
+        health = self._health_by_id.get(worker_id)
+        return health is not None and health.pause_s > 0
+
+    def accepts(self, now: float, worker_id: model.WorkerId) -> bool:
+        """Return whether a task may be placed on a worker now."""
+        health = self._health_by_id.get(worker_id)
+        if health is None or health.pause_s == 0:
+            return True
+        return now >= health.paused_until and health.probe is None
+
+    def placed(self, worker_id: model.WorkerId, task_id: model.TaskId) -> bool:
+        """Note a placement and return whether it is the one probe."""
+        health = self._health_by_id.get(worker_id)
+        if health is None or health.pause_s == 0:
+            return False
+        health.probe = task_id
+        return True
+
+    def ended_without_result(
+        self, worker_id: model.WorkerId, task_id: model.TaskId
+    ) -> None:
+        """Allow another probe after one that was stopped or never began."""
+        health = self._health_by_id.get(worker_id)
+        if health is not None and health.probe == task_id:
+            health.probe = None
+
+    def paused(self) -> dict[model.WorkerId, float]:
+        """Return when each quarantined worker may be probed."""
+        return {
+            worker_id: health.paused_until
+            for worker_id, health in self._health_by_id.items()
+            if health.pause_s > 0
+        }
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/worker_index.py
@@ -0,0 +1,216 @@
+"""Workers ordered by what is free on them."""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from samphirestack import model
+
+MEMORY_STEPS_PER_DOUBLING = 4
+"""Memory classes per power of two; finer classes shorten the scan of the
+one class in which some workers have too little memory."""
+
+SCAN_LIMIT = 32
+"""Workers looked at in a class before the next class is tried."""
+
+NONE = model.Resources()
+
+
+class Slot:
+    """A worker with its capacity and what is committed on it."""
+
+    __slots__ = ('capacity', 'free', 'place', 'rack', 'usable', 'worker_id')
+
+    def __init__(
+        self,
+        worker_id: model.WorkerId,
+        rack: model.RackId,
+        capacity: model.Resources,
+    ) -> None:
+        self.worker_id = worker_id
+        self.rack = rack
+        self.capacity = capacity
+        self.free = capacity
+        self.usable = False
+        self.place: tuple[_Class, _Entry] | None = None
+
+
+_Class = tuple[bool, int, int]
+_Entry = tuple[int, int, model.WorkerId]
+
+
+class WorkerIndex:
+    """Workers by free resources.
+
+    Usable workers are grouped by whether they have accelerators, by free
+    accelerators and by class of free memory; each group is sorted by free
+    processors.  Commitments are counted for unusable workers too.
+    """
+
+    def __init__(self) -> None:
+        self._slots_by_id: dict[model.WorkerId, Slot] = {}
+        self._groups: dict[tuple[bool, int], dict[int, list[_Entry]]] = {}
+        self._rack_members: dict[model.RackId, dict[model.WorkerId, Slot]] = {}
+        self._rack_free: dict[model.RackId, model.Resources] = {}
+
+    def __contains__(self, worker_id: model.WorkerId) -> bool:
+        return worker_id in self._slots_by_id
+
+    def __len__(self) -> int:
+        return len(self._slots_by_id)
+
+    def put(
+        self,
+        worker_id: model.WorkerId,
+        rack: model.RackId,
+        capacity: model.Resources,
+    ) -> None:
+        """Add a worker, unusable at first, or change its capacity."""
+        old = self._slots_by_id.get(worker_id)
+        if old is None:
+            self._slots_by_id[worker_id] = Slot(worker_id, rack, capacity)
+            return
+        if old.capacity == capacity and old.rack == rack:
+            return
+        usable = old.usable
+        self.set_usable(worker_id, False)
+        old.free = old.free + (capacity - old.capacity)
+        old.capacity = capacity
+        old.rack = rack
+        self.set_usable(worker_id, usable)
+
+    def remove(self, worker_id: model.WorkerId) -> None:
+        """Forget a worker."""
+        self.set_usable(worker_id, False)
+        self._slots_by_id.pop(worker_id, None)
+
+    def set_usable(self, worker_id: model.WorkerId, usable: bool) -> None:
+        """Say whether new tasks may be placed on a worker."""
+        slot = self._slots_by_id.get(worker_id)
+        if slot is None or slot.usable == usable:
+            return
+        slot.usable = usable
+        if usable:
+            self._insert(slot)
+            members = self._rack_members.setdefault(slot.rack, {})
+            members[worker_id] = slot
+            self._add_rack_free(slot.rack, slot.free)
+        else:
+            self._discard(slot)
+            del self._rack_members[slot.rack][worker_id]
+            self._add_rack_free(slot.rack, NONE - slot.free)
+
+    def commit(self, worker_id: model.WorkerId, need: model.Resources) -> None:
+        """Count ``need`` as used, even beyond the capacity.
+
+        Tasks that an agent reports are facts; callers that place new tasks
+        select a worker that has room.
+        """
+        self._change_free(worker_id, NONE - need)
+
+    def release(
+        self, worker_id: model.WorkerId, need: model.Resources
+    ) -> None:
+        """Count ``need`` as free again."""
+        self._change_free(worker_id, need)
+
+    def slot(self, worker_id: model.WorkerId) -> Slot:
+        """Return the entry of a worker."""
+        return self._slots_by_id[worker_id]
+
+    def has_room(
+        self, worker_id: model.WorkerId, need: model.Resources
+    ) -> bool:
+        """Return whether a worker is usable and has ``need`` free."""
+        slot = self._slots_by_id.get(worker_id)
+        return slot is not None and slot.usable and need.fits_in(slot.free)
+
+    def rack_free(self) -> Mapping[model.RackId, model.Resources]:
+        """Return the sum of free resources of the usable workers by rack."""
+        return self._rack_free
+
+    def in_rack(self, rack: model.RackId) -> Iterable[Slot]:
+        """Return the usable workers of a rack."""
+        return self._rack_members.get(rack, {}).values()
+
+    def groups(self, need: model.Resources) -> Iterator[Iterator[Slot]]:
+        """Yield groups of workers with room, the preferred group first.
+
+        Workers without accelerators come first for work that needs none,
+        then those with the fewest free accelerators.  Inside a group the
+        workers with the least free processors of each class come first.
+        """
+        keys = [
+            key
+            for key, classes in self._groups.items()
+            if classes and key[1] >= need.accelerators
+        ]
+        if need.accelerators:
+            keys = [key for key in keys if key[0]]
+        for key in sorted(keys):
+            yield self._in_group(key, need)
+
+    def _in_group(
+        self, key: tuple[bool, int], need: model.Resources
+    ) -> Iterator[Slot]:
+        classes = self._groups[key]
+        lowest = _memory_class(need.memory_mb)
+        for memory_class in sorted(c for c in classes if c >= lowest):
+            yield from self._in_class(classes[memory_class], need, SCAN_LIMIT)
+        if len(classes.get(lowest, ())) > SCAN_LIMIT:
+            yield from self._in_class(
+                classes[lowest], need, len(classes[lowest])
+            )
+
+    def _in_class(
+        self, entries: list[_Entry], need: model.Resources, limit: int
+    ) -> Iterator[Slot]:
+        start = bisect.bisect_left(entries, (need.millicores,))
+        for entry in entries[start : start + limit]:
+            if entry[1] >= need.memory_mb:
+                yield self._slots_by_id[entry[2]]
+
+    def _change_free(
+        self, worker_id: model.WorkerId, change: model.Resources
+    ) -> None:
+        slot = self._slots_by_id[worker_id]
+        if slot.usable:
+            self._discard(slot)
+            self._add_rack_free(slot.rack, change)
+        slot.free = slot.free + change
+        if slot.usable:
+            self._insert(slot)
+
+    def _add_rack_free(
+        self, rack: model.RackId, change: model.Resources
+    ) -> None:
+        self._rack_free[rack] = self._rack_free.get(rack, NONE) + change
+
+    def _insert(self, slot: Slot) -> None:
+        free = slot.free
+        has = slot.capacity.accelerators > 0
+        place = (has, free.accelerators, _memory_class(free.memory_mb))
+        entry = (free.millicores, free.memory_mb, slot.worker_id)
+        classes = self._groups.setdefault(place[:2], {})
+        bisect.insort(classes.setdefault(place[2], []), entry)
+        slot.place = (place, entry)
+
+    def _discard(self, slot: Slot) -> None:
+        if slot.place is None:
+            return
+        place, entry = slot.place
+        classes = self._groups[place[:2]]
+        entries = classes[place[2]]
+        del entries[bisect.bisect_left(entries, entry)]
+        if not entries:
+            del classes[place[2]]
+        slot.place = None
+
+
+def _memory_class(memory_mb: int) -> int:
+    if memory_mb <= 0:
+        return 0
+    exponent = memory_mb.bit_length() - 1
+    rest = (memory_mb - (1 << exponent)) * MEMORY_STEPS_PER_DOUBLING
+    return exponent * MEMORY_STEPS_PER_DOUBLING + (rest >> exponent)
--- a/packages/core/src/samphirestack/model.py
+++ b/packages/core/src/samphirestack/model.py
@@ -219,6 +219,10 @@
     reason: str = ''
     ended: dict[int, TaskState] = {}
     """Final state by the index of the task."""
+    dispatched: dict[int, int] = {}
+    """Highest attempt that may have been sent to a worker, by the index of
+    the task; written before the start, and only for jobs that are not
+    idempotent."""
     schema: int = 1
 
 
