--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_books.py
@@ -0,0 +1,95 @@
+"""Accounts of what is committed on workers and charged to teams.
+
+Every change of a commitment goes through :class:`Books`, so that the index
+of workers, the slices of the teams and their shares agree.
+"""
+
+from samphirestack import configuration
+from samphirestack.internal.decisions import estimates
+from samphirestack.internal.decisions import preemption
+from samphirestack.internal.decisions import quarantine
+from samphirestack.internal.decisions import worker_index
+from samphirestack.internal.leader import task_state
+from samphirestack import model
+
+
+class Books:
+    """Workers, what runs on them and who pays for it."""
+
+    def __init__(
+        self, ledger: task_state.Ledger, shares: task_state.Shares
+    ) -> None:
+        self.index = worker_index.WorkerIndex()
+        self.quarantine = quarantine.Quarantine()
+        self.estimates = estimates.Estimates()
+        self.workers_by_id: dict[model.WorkerId, task_state.WorkerEntry] = {}
+        self._ledger = ledger
+        self._shares = shares
+
+    def try_acquire(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> bool:
+        """Count an amount against the slice of a team, if it has room."""
+        return self._ledger.try_acquire(team, running, resources)
+
+    def commit(
+        self,
+        now: float,
+        task: task_state.Task,
+        worker_id: model.WorkerId,
+        found: bool = False,
+    ) -> None:
+        """Commit a task on a worker.
+
+        :param found: whether an agent reported it, so that its team is
+            charged now, even beyond its slice.
+        """
+        task.worker_id = worker_id
+        self.index.commit(worker_id, task.need)
+        self.workers_by_id[worker_id].tasks_by_id[task.task_id] = task
+        self._shares.charge(now, task.team, 0, task.need)
+        if found:
+            self._ledger.adopt(task.team, 1, task.need)
+
+    def release(self, now: float, task: task_state.Task) -> None:
+        """Give back all that a committed task holds."""
+        worker_id = task.worker_id
+        assert worker_id is not None
+        self.index.release(worker_id, task.need)
+        del self.workers_by_id[worker_id].tasks_by_id[task.task_id]
+        self._shares.refund(now, task.team, 0, task.need)
+        self._ledger.release(task.team, 1, task.need)
+        task.worker_id = None
+        self.quarantine.ended_without_result(worker_id, task.task_id)
+        self.refresh_usable(now, worker_id)
+
+    def refresh_usable(self, now: float, worker_id: model.WorkerId) -> None:
+        """Let the index offer a worker only if it may get tasks now."""
+        worker = self.workers_by_id[worker_id]
+        self.index.set_usable(
+            worker_id,
+            worker.accepts_tasks and self.quarantine.accepts(now, worker_id),
+        )
+
+    def is_limited(self, entry: task_state.JobEntry) -> bool:
+        """Return whether the team of a job has any upper limit."""
+        limit = self._ledger.slice_of(entry.job.team)
+        return limit != configuration.Limit()
+
+    def teams_over_slice(self) -> dict[model.TeamId, preemption.Excess]:
+        """Return by how much teams use more than their slices."""
+        over = {}
+        for usage in self._ledger.used():
+            limit = self._ledger.slice_of(usage.team)
+            excess = preemption.excess_of(usage, limit)
+            if excess is not None:
+                over[usage.team] = excess
+        return over
+
+    def capacities(self) -> set[model.Resources]:
+        """Return the distinct capacities of the workers in the VM list."""
+        return {
+            worker.vm.capacity
+            for worker in self.workers_by_id.values()
+            if worker.listed and worker.vm.state is model.VmState.LIVE
+        }
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_explain.py
@@ -0,0 +1,52 @@
+"""Says in words what a job waits for."""
+
+import collections
+
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_census
+from samphirestack.internal.leader import task_queue
+from samphirestack.internal.leader import task_state
+
+WORKERS_NAMED = 5
+
+
+def explain(
+    now: float,
+    entry: task_state.JobEntry,
+    waiting: task_queue.WaitingWork,
+    census: task_census.Census,
+    books: task_books.Books,
+) -> str:
+    """Return the state of a job and the reason why it does not go on."""
+    phases = collections.Counter(
+        task.phase for task in entry.tasks_by_index.values()
+    )
+    counts = ', '.join(
+        f'{count} {phase.value}'
+        for phase, count in sorted(
+            phases.items(), key=lambda item: item[0].value
+        )
+    )
+    parts = [f'{entry.state.value}: {len(entry.ended)} tasks ended, {counts}']
+    if phases[task_state.Phase.HELD]:
+        silent = census.silent_workers()
+        named = ', '.join(silent[:WORKERS_NAMED])
+        parts.append(
+            f'an earlier leader may have started held tasks, and '
+            f'{len(silent)} workers have not answered yet ({named})'
+        )
+    if phases[task_state.Phase.PREPARED]:
+        parts.append('prepared tasks wait for their row in the table')
+    if phases[task_state.Phase.DELAYED]:
+        parts.append('delayed tasks failed and are tried again later')
+    group = waiting.group_of(entry)
+    if phases[task_state.Phase.QUEUED] and group is not None:
+        waited = now - entry.arrived_at
+        why = group.blocked_by or 'other work is ahead of it'
+        parts.append(f'queued tasks have waited {waited:.1f} s: {why}')
+    paused = books.quarantine.paused()
+    if paused and phases[task_state.Phase.QUEUED]:
+        parts.append(f'{len(paused)} workers are in quarantine')
+    if entry.reason:
+        parts.append(entry.reason)
+    return '; '.join(parts)
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -0,0 +1,347 @@
+"""What follows when an attempt of a task ends, is lost or is cancelled."""
+
+import collections
+
+from samphirestack.internal.decisions import services
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_queue
+from samphirestack.internal.leader import task_state
+from samphirestack import model
+
+FINISHED_KEPT = 100_000
+"""Finished jobs that are remembered, so that a row that was read before
+the final state was written does not bring the job back."""
+
+EARLY_ENDS_KEPT = 50_000
+"""Ends of tasks that are remembered until their job rows are known."""
+
+FIRST_RETRY_DELAY_S = 0.2
+"""Delay before a failed task is started again; doubles with each failure."""
+
+
+class EarlyEnd:
+    """The end of a task whose job row is not known yet."""
+
+    __slots__ = ('attempt', 'reason', 'state')
+
+    def __init__(
+        self, attempt: int, state: model.TaskState, reason: str
+    ) -> None:
+        self.attempt = attempt
+        self.state = state
+        self.reason = reason
+
+
+class Outcomes:
+    """Moves tasks and jobs to their next states."""
+
+    def __init__(
+        self, books: task_books.Books, waiting: task_queue.WaitingWork
+    ) -> None:
+        self._books = books
+        self._waiting = waiting
+        self.jobs_by_id: dict[model.JobId, task_state.JobEntry] = {}
+        self.leaving: dict[int, task_state.Task] = {}
+        """Tasks that are to be taken off their workers, by identity."""
+        self.early_ends: collections.OrderedDict[model.TaskId, EarlyEnd] = (
+            collections.OrderedDict()
+        )
+        self._finished: collections.OrderedDict[model.JobId, None] = (
+            collections.OrderedDict()
+        )
+        self._changed: dict[model.JobId, task_state.JobEntry] = {}
+
+    def is_finished(self, job_id: model.JobId) -> bool:
+        """Return whether a job reached its final state in this term."""
+        return job_id in self._finished
+
+    def changed(self, entry: task_state.JobEntry) -> None:
+        """Note that the row of a job has to be written."""
+        self._changed[entry.job.job_id] = entry
+
+    def take_changed(self) -> list[model.JobRecord]:
+        """Return the rows that have to be written and forget them."""
+        records = [entry.record() for entry in self._changed.values()]
+        self._changed.clear()
+        return records
+
+    def attempt_ended(
+        self,
+        now: float,
+        task: task_state.Task,
+        state: model.TaskState,
+        reason: str,
+    ) -> None:
+        """Handle the end of an attempt that an agent reported."""
+        worker_id = task.worker_id
+        assert worker_id is not None
+        if task.job is None:
+            self.remember_end(task.task_id, task.attempt, state, reason)
+        if state is model.TaskState.SUCCEEDED:
+            self._books.quarantine.succeeded(worker_id)
+            self._learn_run_time(now, task)
+        elif state is model.TaskState.FAILED:
+            self._worker_failed(now, task, worker_id)
+        ran_s = max(0.0, now - min(task.confirmed_at, now))
+        cancelled = task.purpose is task_state.Purpose.CANCEL
+        self._take_off(now, task)
+        if cancelled and task.job is not None:
+            self.end_task(now, task, state, reason)
+        else:
+            self.apply_end(now, task, state, reason, ran_s)
+
+    def apply_end(
+        self,
+        now: float,
+        task: task_state.Task,
+        state: model.TaskState,
+        reason: str,
+        ran_s: float = 0.0,
+    ) -> None:
+        """Decide what follows an end for a task that holds nothing."""
+        entry = task.job
+        if entry is None:
+            return
+        if entry.state.is_final:
+            self.end_task(now, task, state, reason)
+        elif state is model.TaskState.SUCCEEDED and not entry.is_service:
+            self.end_task(now, task, state, '')
+        elif state is model.TaskState.CHECKPOINTED:
+            task.may_have_run = False
+            self.requeue(now, task, 0.0)
+        elif state in (model.TaskState.FAILED, model.TaskState.SUCCEEDED):
+            self._failed(now, task, entry, reason, ran_s)
+        else:
+            self.lost(now, task, reason or 'it was stopped')
+
+    def lost(self, now: float, task: task_state.Task, reason: str) -> None:
+        """Handle a task that is gone without a result; it holds nothing."""
+        entry = task.job
+        if entry is None:
+            return
+        if entry.state.is_final:
+            self.end_task(now, task, model.TaskState.STOPPED, reason)
+        elif task.may_have_run and not entry.job.idempotent:
+            self.end_task(
+                now,
+                task,
+                model.TaskState.FAILED,
+                f'task {task.index} may have run and has no result: '
+                f'{reason}; the job is not idempotent, so it is not started '
+                f'again',
+            )
+        else:
+            self.requeue(now, task, 0.0)
+
+    def drop(self, now: float, task: task_state.Task, reason: str) -> None:
+        """Handle a committed task that is certainly not running."""
+        cancelled = task.purpose is task_state.Purpose.CANCEL
+        self._take_off(now, task)
+        if cancelled and task.job is not None:
+            self.end_task(now, task, model.TaskState.STOPPED, reason)
+        else:
+            self.lost(now, task, reason)
+
+    def withdraw(self, now: float, task: task_state.Task) -> None:
+        """Take back a placement whose start was certainly not accepted."""
+        if task.phase is not task_state.Phase.PREPARED:
+            task.attempt -= 1
+            task.may_have_run = False
+        self.drop(now, task, '')
+
+    def postpone(
+        self, now: float, task: task_state.Task, delay_s: float
+    ) -> None:
+        """Take back a placement that has not led to a start in time."""
+        self._take_off(now, task)
+        self.requeue(now, task, delay_s)
+
+    def requeue(
+        self, now: float, task: task_state.Task, delay_s: float
+    ) -> None:
+        """Queue a task again that holds nothing."""
+        entry = task.job
+        assert entry is not None
+        if entry.is_gang:
+            task.phase = task_state.Phase.QUEUED
+            self.regroup(now, entry)
+        elif delay_s > 0:
+            self._waiting.add_later(task, now + delay_s)
+        else:
+            self._waiting.add_task(task)
+
+    def regroup(self, now: float, entry: task_state.JobEntry) -> None:
+        """Queue what waits of a gang, after what runs of it has stopped.
+
+        Started tasks of a gang that is not idempotent are never stopped;
+        the others of such a gang are started next to them.
+        """
+        for task in entry.committed():
+            if task.phase is task_state.Phase.PREPARED:
+                self._take_off(now, task)
+                task.phase = task_state.Phase.QUEUED
+            elif entry.job.idempotent:
+                self.send_off(task, task_state.Purpose.REGROUP)
+        if not entry.job.idempotent or not entry.committed():
+            self._waiting.add_gang(entry)
+
+    def send_off(
+        self,
+        task: task_state.Task,
+        purpose: task_state.Purpose,
+        checkpoint: bool = False,
+    ) -> None:
+        """Ask for a task to be taken off its worker."""
+        if task.purpose is None or purpose is task_state.Purpose.CANCEL:
+            task.purpose = purpose
+            task.checkpointing = checkpoint
+            task.asked_at = -task_state.NEVER_S
+            self.leaving[id(task)] = task
+
+    def end_task(
+        self,
+        now: float,
+        task: task_state.Task,
+        state: model.TaskState,
+        reason: str,
+    ) -> None:
+        """End a task for good; it holds nothing."""
+        entry = task.job
+        assert entry is not None
+        task.phase = task_state.Phase.ENDED
+        entry.tasks_by_index.pop(task.index, None)
+        if not entry.state.is_final:
+            entry.ended[task.index] = state
+            if state is model.TaskState.FAILED and not entry.reason:
+                entry.reason = reason
+            self.changed(entry)
+            if entry.is_gang and state is model.TaskState.FAILED:
+                self._abandon_gang(now, entry)
+        self._finish_if_done(entry)
+
+    def finish(
+        self,
+        now: float,
+        entry: task_state.JobEntry,
+        state: model.JobState,
+        reason: str,
+        write: bool,
+    ) -> None:
+        """Give a job its final state and take all its tasks down.
+
+        :param write: whether the row does not say so already.
+        """
+        if entry.state.is_final:
+            return
+        entry.state = state
+        entry.reason = reason or entry.reason
+        if write:
+            self.changed(entry)
+        self._take_down(now, entry, spare_started=False)
+        self._finish_if_done(entry)
+
+    def finish_known(self, entry: task_state.JobEntry) -> None:
+        """Note a job whose row was already final when it was read."""
+        entry.tasks_by_index.clear()
+        self._finish_if_done(entry)
+
+    def remember_end(
+        self,
+        task_id: model.TaskId,
+        attempt: int,
+        state: model.TaskState,
+        reason: str,
+    ) -> None:
+        """Keep the end of a task until its job row is known."""
+        self.early_ends[task_id] = EarlyEnd(attempt, state, reason)
+        self.early_ends.move_to_end(task_id)
+        if len(self.early_ends) > EARLY_ENDS_KEPT:
+            self.early_ends.popitem(last=False)
+
+    def _take_off(self, now: float, task: task_state.Task) -> None:
+        self._books.release(now, task)
+        self.leaving.pop(id(task), None)
+        task.clear_attempt()
+        task.phase = task_state.Phase.QUEUED
+
+    def _abandon_gang(self, now: float, entry: task_state.JobEntry) -> None:
+        self._take_down(now, entry, spare_started=not entry.job.idempotent)
+
+    def _take_down(
+        self,
+        now: float,
+        entry: task_state.JobEntry,
+        spare_started: bool,
+    ) -> None:
+        """End waiting tasks of a job and have the running ones stopped."""
+        entry.queued_gang = False
+        for task in list(entry.tasks_by_index.values()):
+            if task.phase is task_state.Phase.PREPARED:
+                self._take_off(now, task)
+            if not task.is_committed:
+                task.phase = task_state.Phase.ENDED
+                entry.tasks_by_index.pop(task.index, None)
+                if not entry.state.is_final:
+                    entry.ended[task.index] = model.TaskState.STOPPED
+            elif not spare_started:
+                self.send_off(task, task_state.Purpose.CANCEL)
+
+    def _finish_if_done(self, entry: task_state.JobEntry) -> None:
+        if entry.tasks_by_index:
+            return
+        if not entry.state.is_final:
+            succeeded = all(
+                state is model.TaskState.SUCCEEDED
+                for state in entry.ended.values()
+            )
+            entry.state = (
+                model.JobState.SUCCEEDED
+                if succeeded
+                else model.JobState.FAILED
+            )
+        self.jobs_by_id.pop(entry.job.job_id, None)
+        self._finished[entry.job.job_id] = None
+        if len(self._finished) > FINISHED_KEPT:
+            self._finished.popitem(last=False)
+
+    def _failed(
+        self,
+        now: float,
+        task: task_state.Task,
+        entry: task_state.JobEntry,
+        reason: str,
+        ran_s: float,
+    ) -> None:
+        if entry.is_service:
+            task.failures = services.failures_after(task.failures, ran_s)
+        else:
+            task.failures += 1
+        if not entry.job.idempotent:
+            why = f'task {task.index} failed: {reason or "no reason given"}'
+            self.end_task(now, task, model.TaskState.FAILED, why)
+        elif entry.is_service:
+            delay_s = services.restart_delay_s(task.failures)
+            self.requeue(now, task, delay_s)
+        elif task.failures >= entry.profile.max_attempts:
+            why = (
+                f'task {task.index} failed {task.failures} times, at last: '
+                f'{reason or "no reason given"}'
+            )
+            self.end_task(now, task, model.TaskState.FAILED, why)
+        else:
+            delay_s = FIRST_RETRY_DELAY_S * float(2 ** (task.failures - 1))
+            self.requeue(now, task, delay_s)
+
+    def _worker_failed(
+        self, now: float, task: task_state.Task, worker_id: model.WorkerId
+    ) -> None:
+        task.avoid.add(worker_id)
+        job_id = model.JobId(task.task_id.rpartition('/')[0])
+        self._books.quarantine.failed(now, worker_id, job_id)
+
+    def _learn_run_time(self, now: float, task: task_state.Task) -> None:
+        if task.job is None or task.throttled:
+            return
+        ran_s = now - task.confirmed_at
+        if ran_s > 0:
+            self._books.estimates.ended(task.job.job, ran_s)
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_planner.py
@@ -0,0 +1,369 @@
+"""Placement of waiting tasks and gangs on workers."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from samphirestack.internal.decisions import gangs
+from samphirestack.internal.decisions import placement
+from samphirestack.internal.decisions import services
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_queue
+from samphirestack.internal.leader import task_state
+from samphirestack import model
+
+MAX_PLACEMENTS_PER_PLAN = 256
+"""Bound that keeps a call short; the rest is placed by the next one."""
+
+WORKERS_PER_BATCH = 150
+"""Workers per task that a team may start before the order is computed
+again; large fleets amortize the order over several starts."""
+
+HOLD_S = 15.0
+"""How long room made for urgent work is kept for it."""
+
+PLANS_AHEAD = 16
+"""Blocked urgent tasks for which room is made in one call."""
+
+NO_ROOM = 'no worker has room for it now'
+NO_CENSUS = (
+    'its team has a limit, and not all workers have told what they run since '
+    'the zone leader changed'
+)
+NO_SLICE = 'the limit slice of the team is used up'
+NO_GANG_ROOM = 'the workers have no room for all its tasks at once'
+
+
+class Blocked(msgspec.Struct):
+    """Work of high rank that found no room in a planning call."""
+
+    urgent_items: list[task_queue.Item] = []
+    gang: task_queue.Item | None = None
+
+
+class Planner:
+    """Chooses workers; the caller turns placements into starts."""
+
+    def __init__(
+        self,
+        books: task_books.Books,
+        waiting: task_queue.WaitingWork,
+        shares: task_state.Shares,
+        policy: placement.PlacementPolicy,
+    ) -> None:
+        self._books = books
+        self._waiting = waiting
+        self._shares = shares
+        self._policy = policy
+        self._urgent_in_row = 0
+        self._reservations: dict[str, gangs.Reservation] = {}
+        self._by_worker: dict[model.WorkerId, list[gangs.Reservation]] = {}
+        self._capacities: set[model.Resources] = set()
+
+    def place(
+        self, now: float, census_complete: bool
+    ) -> tuple[list[task_state.Task], Blocked]:
+        """Commit waiting work in order until nothing more can start.
+
+        Returns the tasks in the order of placement, those of a gang next
+        to each other, and what could not start for lack of room.
+
+        :param census_complete: whether all running work is known; until
+            then teams with a limit get nothing, since what they run on
+            silent workers is not counted.
+        """
+        self._capacities = self._books.capacities()
+        self._drop_old_reservations(now)
+        batch = 1 + len(self._books.workers_by_id) // WORKERS_PER_BATCH
+        placed: list[task_state.Task] = []
+        blocked = Blocked()
+        urgent, patient = self._ranked(now, census_complete)
+        while len(placed) < MAX_PLACEMENTS_PER_PLAN:
+            if not urgent and not patient:
+                break
+            ranked = self._next_class(urgent, patient)
+            team = self._shares.order(now, list(ranked))[0]
+            group = ranked[team][0]
+            done = self._place_some(now, group, batch, placed)
+            if not done:
+                self._note_blocked(now, group, blocked)
+            self._rerank(now, ranked, team, done)
+            self._count_class(ranked is urgent, done)
+        return placed, blocked
+
+    def reserve(self, reservation: gangs.Reservation) -> None:
+        """Keep room for a holder, replacing what was kept for it."""
+        self.drop_reservation(reservation.holder)
+        self._reservations[reservation.holder] = reservation
+        for worker_id in reservation.needs_by_worker:
+            self._by_worker.setdefault(worker_id, []).append(reservation)
+
+    def reservation(self, holder: str) -> gangs.Reservation | None:
+        """Return what is kept for a holder."""
+        return self._reservations.get(holder)
+
+    def reservations(self) -> Sequence[gangs.Reservation]:
+        """Return all reservations."""
+        return tuple(self._reservations.values())
+
+    def drop_reservation(self, holder: str) -> None:
+        """Keep nothing for a holder any longer."""
+        old = self._reservations.pop(holder, None)
+        if old is None:
+            return
+        for worker_id in old.needs_by_worker:
+            self._by_worker[worker_id].remove(old)
+
+    def need(self, job: model.Job) -> model.Resources:
+        """Return what to commit for a task, learned or as declared.
+
+        The tasks of a gang keep the declared size, since a larger one could
+        make the gang impossible.
+        """
+        if job.kind is model.JobKind.GANG:
+            return job.resources
+        for capacity in self._capacities:
+            if job.resources.fits_in(capacity):
+                need = self._books.estimates.need(job, capacity)
+                if need.fits_in(capacity):
+                    return need
+        return job.resources
+
+    def _drop_old_reservations(self, now: float) -> None:
+        for holder, reservation in list(self._reservations.items()):
+            if now >= reservation.made_at + HOLD_S:
+                self.drop_reservation(holder)
+
+    def _ranked(
+        self, now: float, census_complete: bool
+    ) -> tuple['_Ranked', '_Ranked']:
+        urgent: _Ranked = {}
+        patient: _Ranked = {}
+        for group in self._waiting.groups():
+            head = group.head()
+            if head is None:
+                continue
+            if not census_complete and self._books.is_limited(head.job):
+                group.blocked_by = NO_CENSUS
+                continue
+            ranked = urgent if _is_urgent(now, head) else patient
+            ranked.setdefault(group.key.team, []).append(group)
+        for ranked in (urgent, patient):
+            for groups in ranked.values():
+                groups.sort(key=_rank)
+        return urgent, patient
+
+    def _next_class(self, urgent: '_Ranked', patient: '_Ranked') -> '_Ranked':
+        if not urgent:
+            return patient
+        due = self._urgent_in_row >= task_queue.URGENT_STARTS_PER_PATIENT
+        return patient if due and patient else urgent
+
+    def _count_class(self, urgent: bool, done: int) -> None:
+        if not urgent:
+            self._urgent_in_row = 0
+        else:
+            self._urgent_in_row += done
+
+    def _rerank(
+        self, now: float, ranked: '_Ranked', team: model.TeamId, done: int
+    ) -> None:
+        """Move a group to its new rank, or out if it can't go on."""
+        groups = ranked[team]
+        group = groups[0]
+        if not done or group.head() is None:
+            groups.pop(0)
+        elif len(groups) > 1:
+            groups.sort(key=_rank)
+        if not groups:
+            del ranked[team]
+
+    def _place_some(
+        self,
+        now: float,
+        group: task_queue.Group,
+        batch: int,
+        placed: list[task_state.Task],
+    ) -> int:
+        """Place up to ``batch`` items of a group and return their number."""
+        done = 0
+        while done < batch and len(placed) < MAX_PLACEMENTS_PER_PLAN:
+            item = group.head()
+            if item is None:
+                break
+            if item.task is None:
+                tasks = self._place_gang(now, group, item)
+            else:
+                tasks = self._place_task(now, group, item.job, item.task)
+            if not tasks:
+                break
+            group.blocked_by = ''
+            group.pop()
+            placed += tasks
+            done += 1
+        return done
+
+    def _place_task(
+        self,
+        now: float,
+        group: task_queue.Group,
+        entry: task_state.JobEntry,
+        task: task_state.Task,
+    ) -> list[task_state.Task]:
+        needs = [self.need(entry.job)]
+        if needs[0] != entry.job.resources:
+            needs.append(entry.job.resources)
+        for need in needs:
+            worker_id = self._choose(now, entry, task, need)
+            if worker_id is None:
+                group.blocked_by = NO_ROOM
+                continue
+            if not self._books.try_acquire(task.team, 1, need):
+                group.blocked_by = NO_SLICE
+                continue
+            task.need = need
+            self._commit(now, task, worker_id)
+            self.drop_reservation(task.task_id)
+            return [task]
+        return []
+
+    def _choose(
+        self,
+        now: float,
+        entry: task_state.JobEntry,
+        task: task_state.Task,
+        need: model.Resources,
+    ) -> model.WorkerId | None:
+        ends_at = now + self._books.estimates.run_time_s(entry.job)
+        allowed = self._allowed(task.task_id, need, ends_at)
+        if not task.avoid:
+            return self._choose_one(entry, need, allowed)
+        avoid = task.avoid
+        return self._choose_one(
+            entry, need, lambda w: w not in avoid and allowed(w)
+        ) or self._choose_one(entry, need, allowed)
+
+    def _choose_one(
+        self,
+        entry: task_state.JobEntry,
+        need: model.Resources,
+        allowed: placement.Allowed,
+    ) -> model.WorkerId | None:
+        index = self._books.index
+        if not entry.is_service:
+            return self._policy.choose(index, need, allowed)
+        replicas = services.replicas_by_rack(
+            index.slot(task.worker_id).rack
+            for task in entry.committed()
+            if task.worker_id is not None
+        )
+        return self._policy.choose_spread(index, need, replicas, allowed)
+
+    def _allowed(
+        self, holder: str, need: model.Resources, ends_at: float
+    ) -> placement.Allowed:
+        if not self._reservations:
+            return placement.anywhere
+        index = self._books.index
+        by_worker = self._by_worker
+
+        def allowed(worker_id: model.WorkerId) -> bool:
+            others = by_worker.get(worker_id)
+            if not others:
+                return True
+            free = index.slot(worker_id).free
+            for other in others:
+                if other.holder == holder or ends_at <= other.start_at:
+                    continue
+                free = free - other.needs_by_worker[worker_id]
+            return need.fits_in(free)
+
+        return allowed
+
+    def _place_gang(
+        self,
+        now: float,
+        group: task_queue.Group,
+        item: task_queue.Item,
+    ) -> list[task_state.Task]:
+        entry = item.job
+        tasks = [
+            task
+            for task in entry.tasks_by_index.values()
+            if task.phase is task_state.Phase.QUEUED
+        ]
+        need = entry.job.resources
+        ends_at = now + self._books.estimates.run_time_s(entry.job)
+        allowed = self._allowed(entry.job.job_id, need, ends_at)
+        quarantine = self._books.quarantine
+        workers = self._policy.choose_gang(
+            self._books.index,
+            need,
+            len(tasks),
+            lambda w: not quarantine.is_suspect(w) and allowed(w),
+        )
+        if workers is None:
+            group.blocked_by = NO_GANG_ROOM
+            return []
+        team = entry.job.team
+        if not self._books.try_acquire(team, len(tasks), need * len(tasks)):
+            group.blocked_by = NO_SLICE
+            return []
+        for task, worker_id in zip(tasks, workers, strict=True):
+            task.need = need
+            self._commit(now, task, worker_id)
+        entry.queued_gang = False
+        self.drop_reservation(entry.job.job_id)
+        return tasks
+
+    def _commit(
+        self, now: float, task: task_state.Task, worker_id: model.WorkerId
+    ) -> None:
+        task.phase = task_state.Phase.PREPARED
+        task.clear_attempt()
+        self._note_backfill(now, task, worker_id)
+        self._books.commit(now, task, worker_id)
+        if self._books.quarantine.placed(worker_id, task.task_id):
+            self._books.refresh_usable(now, worker_id)
+
+    def _note_backfill(
+        self, now: float, task: task_state.Task, worker_id: model.WorkerId
+    ) -> None:
+        for reservation in self._by_worker.get(worker_id, ()):
+            if reservation.holder in (task.task_id, _job_id(task)):
+                continue
+            kept = reservation.needs_by_worker[worker_id]
+            free = self._books.index.slot(worker_id).free
+            if not (task.need + kept).fits_in(free):
+                task.backfill_until = reservation.start_at
+
+    def _note_blocked(
+        self, now: float, group: task_queue.Group, blocked: Blocked
+    ) -> None:
+        head = group.head()
+        if head is None or group.blocked_by == NO_SLICE:
+            return
+        if head.task is None:
+            if blocked.gang is None:
+                blocked.gang = head
+        elif _is_urgent(now, head):
+            room = PLANS_AHEAD - len(blocked.urgent_items)
+            blocked.urgent_items += group.first(room) if room > 0 else []
+
+
+_Ranked = dict[model.TeamId, list[task_queue.Group]]
+
+
+def _is_urgent(now: float, item: task_queue.Item) -> bool:
+    return task_queue.is_urgent(now, item.job)
+
+
+def _rank(group: task_queue.Group) -> tuple[float, int]:
+    head = group.head()
+    if head is None:
+        return (task_state.NEVER_S, 0)
+    return (task_queue.deadline(head.job), head.number)
+
+
+def _job_id(task: task_state.Task) -> str:
+    return '' if task.job is None else task.job.job.job_id
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_preemption.py
@@ -0,0 +1,303 @@
+"""Room for blocked urgent work and for the gang at the head."""
+
+from collections.abc import Iterator
+
+from samphirestack.internal.decisions import gangs
+from samphirestack.internal.decisions import preemption
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_outcomes
+from samphirestack.internal.leader import task_planner
+from samphirestack.internal.leader import task_queue
+from samphirestack.internal.leader import task_state
+from samphirestack import model
+
+WORKERS_TRIED = 64
+"""Workers compared for one urgent task; the next call goes on after them."""
+
+RELIEF_INTERVAL_S = 1.0
+"""Time between checks for teams above their slices."""
+
+RETRY_S = 2.0
+"""Age at which a stop or checkpoint that had no effect is sent again."""
+
+
+class Preemption:
+    """Takes running tasks off their workers and keeps the room."""
+
+    def __init__(
+        self,
+        books: task_books.Books,
+        outcomes: task_outcomes.Outcomes,
+        planner: task_planner.Planner,
+    ) -> None:
+        self._books = books
+        self._outcomes = outcomes
+        self._planner = planner
+        self._next_worker = 0
+        self._gang: str | None = None
+        self._throttles: list[task_state.Task] = []
+        self._throttled: dict[int, task_state.Task] = {}
+        self._relieved_at = -task_state.NEVER_S
+
+    def make_room(self, now: float, blocked: task_planner.Blocked) -> None:
+        """Choose the tasks that have to leave."""
+        for item in blocked.urgent_items:
+            if item.task is not None and _is_urgent(item.job):
+                self._room_for_task(now, item.job, item.task)
+        self._reserve_for_gang(now, blocked.gang)
+        self._relieve_teams(now)
+
+    def take_actions(self, now: float) -> list[actions.Action]:
+        """Return the calls that are due for tasks that have to leave."""
+        due: list[actions.Action] = []
+        for task in self._outcomes.leaving.values():
+            worker_id = task.worker_id
+            if worker_id is None or now < task.asked_at + RETRY_S:
+                continue
+            if not self._books.workers_by_id[worker_id].reachable:
+                continue
+            task.asked_at = now
+            kind = (
+                actions.CheckpointTask
+                if task.checkpointing
+                else actions.StopTask
+            )
+            due.append(kind(worker_id, task.task_id))
+        for task in self._throttles:
+            if task.worker_id is not None:
+                due.append(
+                    actions.ThrottleTask(
+                        task.worker_id,
+                        task.task_id,
+                        preemption.THROTTLE_PERCENT if task.throttled else 100,
+                    )
+                )
+        self._throttles.clear()
+        return due
+
+    def _room_for_task(
+        self,
+        now: float,
+        entry: task_state.JobEntry,
+        task: task_state.Task,
+    ) -> None:
+        if self._planner.reservation(task.task_id) is not None:
+            return
+        need = self._planner.need(entry.job)
+        plan = preemption.cheapest(self._plans(now, need))
+        if plan is None:
+            return
+        self._carry_out(plan)
+        self._planner.reserve(
+            gangs.Reservation(task.task_id, now, now, {plan.worker_id: need})
+        )
+
+    def _plans(
+        self, now: float, need: model.Resources
+    ) -> Iterator[preemption.Plan]:
+        workers = list(self._books.workers_by_id)
+        held = {
+            worker_id
+            for reservation in self._planner.reservations()
+            for worker_id in reservation.needs_by_worker
+        }
+        first = self._next_worker
+        tried = 0
+        for step in range(len(workers)):
+            worker_id = workers[(first + step) % len(workers)]
+            slot = self._books.index.slot(worker_id)
+            usable = slot.usable and worker_id not in held
+            if not usable or not need.fits_in(slot.capacity):
+                continue
+            plan = preemption.make_room(
+                worker_id, slot.free, need, self._candidates(now, worker_id)
+            )
+            if plan is None:
+                continue
+            yield plan
+            tried += 1
+            if tried == WORKERS_TRIED:
+                self._next_worker = (first + step + 1) % len(workers)
+                return
+
+    def _candidates(
+        self, now: float, worker_id: model.WorkerId
+    ) -> Iterator[preemption.Candidate]:
+        tasks_by_id = self._books.workers_by_id[worker_id].tasks_by_id
+        for task in tasks_by_id.values():
+            entry = task.job
+            running = task.phase is task_state.Phase.RUNNING
+            if entry is None or not running or task.purpose is not None:
+                continue
+            yield _candidate(now, entry, task)
+
+    def _carry_out(self, plan: preemption.Plan) -> None:
+        tasks_by_id = self._books.workers_by_id[plan.worker_id].tasks_by_id
+        for step in plan.steps:
+            self._outcomes.send_off(
+                tasks_by_id[step.task_id],
+                task_state.Purpose.PREEMPT,
+                step.means is preemption.Means.CHECKPOINT,
+            )
+
+    def _reserve_for_gang(
+        self, now: float, item: task_queue.Item | None
+    ) -> None:
+        holder = None if item is None else str(item.job.job.job_id)
+        if self._gang is not None and holder != self._gang:
+            self._planner.drop_reservation(self._gang)
+        self._gang = holder
+        if item is None or holder is None:
+            return
+        old = self._planner.reservation(holder)
+        if old is None or now >= old.made_at + gangs.REFRESH_S:
+            self._planner.drop_reservation(holder)
+            new = gangs.reserve(
+                now,
+                holder,
+                item.job.job.resources,
+                len(item.job.tasks_by_index) - len(item.job.committed()),
+                self._loads(now, _is_urgent(item.job)),
+            )
+            if new is not None:
+                self._planner.reserve(new)
+        reservation = self._planner.reservation(holder)
+        if reservation is not None:
+            self._clear_reserved(now, reservation, _is_urgent(item.job))
+
+    def _loads(
+        self, now: float, by_preemption: bool
+    ) -> Iterator[gangs.WorkerLoad]:
+        for worker_id, worker in self._books.workers_by_id.items():
+            slot = self._books.index.slot(worker_id)
+            if not slot.usable:
+                continue
+            endings = tuple(
+                gangs.Ending(
+                    self._ends_at(now, task, by_preemption), task.need
+                )
+                for task in worker.tasks_by_id.values()
+            )
+            yield gangs.WorkerLoad(worker_id, slot.free, endings)
+
+    def _ends_at(
+        self, now: float, task: task_state.Task, by_preemption: bool
+    ) -> float:
+        entry = task.job
+        if entry is None:
+            return task_state.NEVER_S
+        if task.purpose is not None:
+            return now
+        if by_preemption:
+            means = preemption.means_to_free(_candidate(now, entry, task))
+            if means is not None:
+                return now
+        began = min(task.sent_at, task.confirmed_at, now)
+        expected = began + self._books.estimates.run_time_s(entry.job)
+        return max(now, expected)
+
+    def _clear_reserved(
+        self, now: float, reservation: gangs.Reservation, urgent: bool
+    ) -> None:
+        """Preempt overdue backfill, or what an urgent gang displaces."""
+        for worker_id, kept in reservation.needs_by_worker.items():
+            worker = self._books.workers_by_id.get(worker_id)
+            if worker is None:
+                continue
+            if urgent:
+                plan = preemption.make_room(
+                    worker_id,
+                    self._books.index.slot(worker_id).free,
+                    kept,
+                    self._candidates(now, worker_id),
+                )
+                if plan is not None:
+                    self._carry_out(plan)
+                continue
+            for task in list(worker.tasks_by_id.values()):
+                until = task.backfill_until
+                if until is not None and now > until:
+                    self._preempt(now, task)
+
+    def _preempt(self, now: float, task: task_state.Task) -> bool:
+        entry = task.job
+        if entry is None or task.phase is not task_state.Phase.RUNNING:
+            return False
+        means = preemption.means_to_free(_candidate(now, entry, task))
+        if means is None:
+            return False
+        self._outcomes.send_off(
+            task,
+            task_state.Purpose.PREEMPT,
+            means is preemption.Means.CHECKPOINT,
+        )
+        return True
+
+    def _relieve_teams(self, now: float) -> None:
+        """Reduce what teams run beyond slices that were lowered.
+
+        What may not be taken off is throttled until the slice has room.
+        """
+        if now < self._relieved_at + RELIEF_INTERVAL_S:
+            return
+        self._relieved_at = now
+        over = self._books.teams_over_slice()
+        for task in list(self._throttled.values()):
+            if task.team not in over:
+                task.throttled = False
+                del self._throttled[id(task)]
+                self._throttles.append(task)
+        for team, excess in over.items():
+            tasks_by_id = self._tasks_of(team)
+            steps = preemption.reduce(
+                excess,
+                [
+                    _candidate(now, task.job, task)
+                    for task in tasks_by_id.values()
+                    if task.job is not None
+                ],
+            )
+            for step in steps:
+                self._reduce(tasks_by_id[step.task_id], step.means)
+
+    def _tasks_of(
+        self, team: model.TeamId
+    ) -> dict[model.TaskId, task_state.Task]:
+        return {
+            task.task_id: task
+            for worker in self._books.workers_by_id.values()
+            for task in worker.tasks_by_id.values()
+            if task.team == team and task.phase is task_state.Phase.RUNNING
+        }
+
+    def _reduce(self, task: task_state.Task, means: preemption.Means) -> None:
+        if means is not preemption.Means.THROTTLE:
+            self._outcomes.send_off(
+                task,
+                task_state.Purpose.PREEMPT,
+                means is preemption.Means.CHECKPOINT,
+            )
+        elif not task.throttled:
+            task.throttled = True
+            self._throttled[id(task)] = task
+            self._throttles.append(task)
+
+
+def _is_urgent(entry: task_state.JobEntry) -> bool:
+    return entry.profile.urgency is model.Urgency.URGENT
+
+
+def _candidate(
+    now: float, entry: task_state.JobEntry, task: task_state.Task
+) -> preemption.Candidate:
+    return preemption.Candidate(
+        task.task_id,
+        task.need,
+        entry.profile.urgency,
+        entry.profile.preemptible,
+        entry.profile.checkpoint,
+        entry.job.idempotent,
+        max(0.0, now - min(task.confirmed_at, now)),
+        task.purpose is not None,
+    )
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -0,0 +1,311 @@
+"""What the task scheduler of a zone leader knows of jobs and workers."""
+
+import enum
+from typing import Protocol
+
+from samphirestack import configuration
+from samphirestack.internal import messages
+from samphirestack import model
+
+NEVER_S = float('inf')
+
+
+class Ledger(Protocol):
+    """Counts what teams use against their slices of the limits."""
+
+    def try_acquire(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> bool:
+        """Count an amount unless the slice would be exceeded."""
+
+    def adopt(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> None:
+        """Count work that was found running, even beyond the slice."""
+
+    def release(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> None:
+        """Give an amount back."""
+
+    def used(self) -> list[messages.TeamUsage]:
+        """Return the use of every team that uses anything."""
+
+    def slice_of(self, team: model.TeamId) -> configuration.Limit:
+        """Return the slice of a team; ``None`` fields are unlimited."""
+
+
+class Shares(Protocol):
+    """Orders teams by how far they are below their shares."""
+
+    def charge(
+        self,
+        now: float,
+        team: model.TeamId,
+        slots: int,
+        resources: model.Resources,
+    ) -> None:
+        """Count resources that a team begins to use."""
+
+    def refund(
+        self,
+        now: float,
+        team: model.TeamId,
+        slots: int,
+        resources: model.Resources,
+    ) -> None:
+        """Count resources that a team has given back."""
+
+    def order(
+        self, now: float, teams: list[model.TeamId]
+    ) -> list[model.TeamId]:
+        """Return the teams, the one that is served next first."""
+
+
+class Phase(enum.Enum):
+    """Where a task is from the scheduler's point of view."""
+
+    HELD = 'held'
+    """An earlier leader may have started it; not all workers are heard."""
+
+    QUEUED = 'queued'
+    DELAYED = 'delayed'
+    """It waits out a delay after a failure."""
+
+    PREPARED = 'prepared'
+    """It has a worker, but the row that allows the start is not written."""
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+    ENDED = 'ended'
+
+
+COMMITTED = frozenset({Phase.PREPARED, Phase.STARTING, Phase.RUNNING})
+
+
+class Purpose(enum.Enum):
+    """Why a task is taken off its worker."""
+
+    CANCEL = 'cancel'
+    PREEMPT = 'preempt'
+    REGROUP = 'regroup'
+    """Another task of its gang is gone, so the gang starts over."""
+
+    STRAY = 'stray'
+    """It runs where the scheduler did not expect it."""
+
+
+class Task:
+    """One task, over all its attempts.
+
+    ``job`` is ``None`` for a task that an agent reports and whose job row
+    is not known yet.
+    """
+
+    __slots__ = (
+        'asked_at',
+        'attempt',
+        'avoid',
+        'backfill_until',
+        'checkpointing',
+        'confirmed_at',
+        'failures',
+        'index',
+        'job',
+        'may_have_run',
+        'missing_at_event',
+        'need',
+        'not_before',
+        'phase',
+        'purpose',
+        'refused',
+        'sent_at',
+        'task_id',
+        'team',
+        'throttled',
+        'unknown',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        task_id: model.TaskId,
+        index: int,
+        team: model.TeamId,
+        need: model.Resources,
+        job: 'JobEntry | None',
+    ) -> None:
+        self.task_id = task_id
+        self.index = index
+        self.team = team
+        self.need = need
+        self.job = job
+        self.phase = Phase.QUEUED
+        self.worker_id: model.WorkerId | None = None
+        self.attempt = 0
+        self.failures = 0
+        self.avoid: set[model.WorkerId] = set()
+        self.may_have_run = False
+        self.not_before = 0.0
+        self.clear_attempt()
+
+    def clear_attempt(self) -> None:
+        """Forget what belongs to one attempt only."""
+        self.sent_at = NEVER_S
+        self.confirmed_at = NEVER_S
+        self.unknown = False
+        """Whether the start got no clear answer."""
+        self.refused = False
+        """Whether the agent refused the start."""
+        self.missing_at_event: int | None = None
+        self.purpose: Purpose | None = None
+        self.checkpointing = False
+        self.asked_at = 0.0
+        self.backfill_until: float | None = None
+        self.throttled = False
+
+    @property
+    def is_committed(self) -> bool:
+        """Whether it holds resources of a worker."""
+        return self.phase in COMMITTED
+
+
+class JobEntry:
+    """A job with the tasks that have not ended."""
+
+    __slots__ = (
+        'arrived_at',
+        'dispatched',
+        'ended',
+        'fresh',
+        'job',
+        'profile',
+        'queued_gang',
+        'reason',
+        'regrouping',
+        'saved',
+        'started',
+        'state',
+        'tasks_by_index',
+    )
+
+    def __init__(
+        self,
+        now: float,
+        record: model.JobRecord,
+        profile: configuration.Profile,
+        fresh: bool,
+    ) -> None:
+        self.job = record.job
+        self.profile = profile
+        self.arrived_at = now
+        self.fresh = fresh
+        self.state = record.state
+        self.reason = record.reason
+        self.ended = dict(record.ended)
+        self.dispatched = dict(record.dispatched)
+        self.saved = dict(record.dispatched)
+        self.started = record.state is model.JobState.RUNNING
+        self.regrouping = False
+        self.queued_gang = False
+        self.tasks_by_index: dict[int, Task] = {}
+        for index in range(record.job.tasks):
+            if index not in self.ended:
+                self.tasks_by_index[index] = self._new_task(index)
+
+    @property
+    def is_gang(self) -> bool:
+        """Whether its tasks start together."""
+        return self.job.kind is model.JobKind.GANG
+
+    @property
+    def is_service(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return self.job.kind is model.JobKind.SERVICE
+
+    def committed(self) -> list[Task]:
+        """Return the tasks that hold resources."""
+        return [t for t in self.tasks_by_index.values() if t.is_committed]
+
+    def record(self) -> model.JobRecord:
+        """Return the row as it should be in the table."""
+        succeeded = sum(
+            state is model.TaskState.SUCCEEDED for state in self.ended.values()
+        )
+        failed = sum(
+            state is model.TaskState.FAILED for state in self.ended.values()
+        )
+        return model.JobRecord(
+            self.job,
+            self.state,
+            succeeded,
+            failed,
+            self.reason,
+            dict(self.ended),
+            dict(self.dispatched),
+        )
+
+    def _new_task(self, index: int) -> Task:
+        job = self.job
+        task = Task(
+            model.task_id(job.job_id, index),
+            index,
+            job.team,
+            job.resources,
+            self,
+        )
+        task.attempt = self.dispatched.get(index, 0)
+        task.may_have_run = task.attempt > 0
+        return task
+
+
+class WorkerEntry:
+    """A worker as the scheduler sees it."""
+
+    __slots__ = (
+        'event_at',
+        'events_seen',
+        'heard',
+        'listed',
+        'lost',
+        'lost_after',
+        'lost_at',
+        'reachable',
+        'suspect',
+        'tasks_by_id',
+        'vm',
+        'worker_id',
+    )
+
+    def __init__(self, vm: model.Vm) -> None:
+        self.worker_id = model.WorkerId(vm.vm_id)
+        self.vm = vm
+        self.listed = True
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget what was learned in an earlier term."""
+        self.heard = False
+        """Whether it has told its tasks in this term."""
+        self.reachable = False
+        self.suspect = False
+        """Whether its list of tasks should be read again."""
+        self.lost = False
+        """Whether its tasks certainly ended with its lease."""
+        self.lost_after: float | None = None
+        self.lost_at = -NEVER_S
+        self.events_seen = 0
+        self.event_at = -NEVER_S
+        """When the last event was handled."""
+        self.tasks_by_id: dict[model.TaskId, Task] = {}
+
+    @property
+    def accepts_tasks(self) -> bool:
+        """Whether new tasks may be sent to it."""
+        return (
+            self.listed
+            and self.heard
+            and self.reachable
+            and not self.suspect
+            and self.vm.state is model.VmState.LIVE
+        )
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/tasks.py
@@ -0,0 +1,478 @@
+"""The scheduler of tasks that runs at the zone leader."""
+
+from collections.abc import Collection
+
+from samphirestack import configuration as configurations
+from samphirestack.internal.decisions import placement
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_census
+from samphirestack.internal.leader import task_explain
+from samphirestack.internal.leader import task_outcomes
+from samphirestack.internal.leader import task_planner
+from samphirestack.internal.leader import task_preemption
+from samphirestack.internal.leader import task_queue
+from samphirestack.internal.leader import task_starts
+from samphirestack.internal.leader import task_state
+from samphirestack import model
+from samphirestack import platform
+
+END_STATES = frozenset(
+    {
+        model.TaskState.SUCCEEDED,
+        model.TaskState.FAILED,
+        model.TaskState.CHECKPOINTED,
+        model.TaskState.STOPPED,
+        model.TaskState.LOST,
+    }
+)
+
+_DEFAULT_PROFILE = configurations.Profile(model.ProfileId('default'))
+
+
+def impossible_reason(
+    job: model.Job, workers: Collection[model.Vm]
+) -> str | None:
+    """Return why a job can never run on any of ``workers``, or ``None``.
+
+    :param workers: of the home zone; while none are known nothing is
+        reported as impossible.
+    """
+    return placement.impossible_reason(job, [vm.capacity for vm in workers])
+
+
+class TaskScheduler:
+    """Places the tasks of the zone's jobs on the zone's workers.
+
+    :param ledger: counts against the slices of the limits.
+    :param shares: orders the teams.
+    :param worker_ttl_s: duration of a worker's lease.  A call to a worker
+        takes effect within this time after it was sent or never.
+    """
+
+    def __init__(
+        self,
+        ledger: task_state.Ledger,
+        shares: task_state.Shares,
+        worker_ttl_s: float,
+        policy: placement.PlacementPolicy | None = None,
+    ) -> None:
+        self._ledger = ledger
+        self._shares = shares
+        self._worker_ttl_s = worker_ttl_s
+        self._policy = policy or placement.BestFitPolicy()
+        self._configuration = configurations.Configuration()
+        self._listed: list[model.Vm] = []
+        self._cancelled: set[model.JobId] = set()
+        self._in_term = False
+        self._restart_lost_after = 0.0
+        self._reset()
+
+    def configure(
+        self, now: float, configuration: configurations.Configuration
+    ) -> None:
+        """Take over a new configuration.
+
+        Waiting tasks in a queue that was retired are refused.
+        """
+        old, self._configuration = self._configuration, configuration
+        for entry in list(self._outcomes.jobs_by_id.values()):
+            queue = entry.job.queue
+            entry.profile = self._profile(queue)
+            retired = queue in old.queues_by_id
+            if retired and queue not in configuration.queues_by_id:
+                self._refuse_waiting(now, entry)
+
+    def set_workers(self, now: float, vms: list[model.Vm]) -> None:
+        """Take over the list of the zone's workers."""
+        self._listed = list(vms)
+        listed = {model.WorkerId(vm.vm_id): vm for vm in vms}
+        for worker_id, vm in listed.items():
+            self._put_worker(now, worker_id, vm)
+        for worker_id, worker in list(self._books.workers_by_id.items()):
+            if worker_id in listed:
+                continue
+            worker.listed = False
+            self._books.refresh_usable(now, worker_id)
+            if worker.lost and not worker.tasks_by_id:
+                del self._books.workers_by_id[worker_id]
+                self._books.index.remove(worker_id)
+
+    def start_term(
+        self, now: float, epoch: model.Epoch, restart_lost_after: float
+    ) -> None:
+        """Begin to schedule for the zone.
+
+        :param restart_lost_after: when tasks of earlier leaders on workers
+            that do not answer can't run any more.
+        """
+        self.end_term(now)
+        self._in_term = True
+        self._restart_lost_after = restart_lost_after
+        self.set_workers(now, self._listed)
+
+    def end_term(self, now: float) -> None:
+        """Forget all jobs and give back what they were charged for."""
+        for worker in self._books.workers_by_id.values():
+            for task in list(worker.tasks_by_id.values()):
+                self._books.release(now, task)
+        self._in_term = False
+        self._cancelled.clear()
+        self._reset()
+
+    def job_changed(
+        self, now: float, record: model.JobRecord, fresh: bool = False
+    ) -> None:
+        """Take over a job row that was read from the table.
+
+        :param fresh: whether the row was certainly inserted after earlier
+            leaders had stopped starting tasks; otherwise its tasks wait
+            until all workers were asked what they run.
+        """
+        job_id = record.job.job_id
+        if not self._in_term or self._outcomes.is_finished(job_id):
+            return
+        entry = self._outcomes.jobs_by_id.get(job_id)
+        if entry is not None:
+            if record.state.is_final:
+                self._outcomes.finish(
+                    now, entry, record.state, record.reason, write=False
+                )
+            return
+        entry = task_state.JobEntry(
+            now, record, self._profile(record.job.queue), fresh
+        )
+        self._outcomes.jobs_by_id[job_id] = entry
+        self._admit(now, entry)
+
+    def cancel(self, now: float, job_id: model.JobId) -> None:
+        """Cancel a job, also one whose row has not been read yet."""
+        entry = self._outcomes.jobs_by_id.get(job_id)
+        if entry is None:
+            if self._in_term and not self._outcomes.is_finished(job_id):
+                self._cancelled.add(job_id)
+            return
+        self._outcomes.finish(
+            now,
+            entry,
+            model.JobState.CANCELLED,
+            'cancelled by the caller',
+            write=True,
+        )
+
+    def worker_status(
+        self,
+        now: float,
+        status: platform.WorkerStatus,
+        asked_at: float | None = None,
+    ) -> None:
+        """Take over the answer to a successful lease call.
+
+        The events up to ``status.last_event`` should have been handled
+        before, so that ends are not taken for losses.
+
+        :param asked_at: when the call was sent; now if omitted.
+        """
+        worker = self._books.workers_by_id.get(status.worker_id)
+        if worker is None or not self._in_term:
+            return
+        worker.lost_after = None
+        self._books.index.put(
+            status.worker_id, worker.vm.rack, status.capacity
+        )
+        self._census.status(now, status, now if asked_at is None else asked_at)
+
+    def worker_unreachable(
+        self, now: float, worker_id: model.WorkerId
+    ) -> None:
+        """Note that lease calls to a worker get no answer.
+
+        The caller sends it no lease call from now on, or reports it again
+        after each that fails.  The tasks stay committed until the lease
+        must have lapsed: a renewal may be on its way for one duration of a
+        lease and then lasts another.
+        """
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None or worker.lost:
+            return
+        worker.reachable = False
+        lapsed = now + 2 * self._worker_ttl_s
+        if not worker.heard:
+            lapsed = max(lapsed, self._restart_lost_after)
+        worker.lost_after = max(lapsed, worker.lost_after or 0.0)
+        self._books.refresh_usable(now, worker_id)
+        for task in list(worker.tasks_by_id.values()):
+            if task.phase is task_state.Phase.PREPARED:
+                self._outcomes.withdraw(now, task)
+
+    def task_event(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        event: platform.TaskEvent,
+    ) -> None:
+        """Take over an event of an agent."""
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None or not self._in_term:
+            return
+        task = worker.tasks_by_id.get(event.task_id)
+        if task is None or task.phase is task_state.Phase.PREPARED:
+            self._past_event(now, worker, event)
+        elif event.attempt >= task.attempt:
+            if event.state in END_STATES:
+                self._outcomes.attempt_ended(
+                    now, task, event.state, event.reason
+                )
+            elif event.state is model.TaskState.RUNNING:
+                self._census.confirm(now, task, now)
+        self._census.events_read(now, worker, event.number)
+
+    def events_read(
+        self, now: float, worker_id: model.WorkerId, number: int
+    ) -> None:
+        """Note that all events of an agent up to a number were given."""
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is not None:
+            self._census.events_read(now, worker, number)
+
+    def usage(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        reports: list[platform.Usage],
+    ) -> None:
+        """Learn from lagging usage reports."""
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        for report in reports:
+            task = worker.tasks_by_id.get(report.task_id)
+            if task is not None and task.job is not None:
+                self._books.estimates.used(task.job.job, report.peak)
+
+    def start_accepted(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+    ) -> None:
+        """Note that an agent accepted a start."""
+        task = self._starting(worker_id, task_id, attempt)
+        if task is not None:
+            self._census.confirm(now, task, now)
+
+    def start_failed(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+        may_have_started: bool,
+    ) -> None:
+        """Note that a start got an error or no answer.
+
+        A task that may have started stays committed on the worker until its
+        agent lists it, or does not list it after the duration of a lease.
+        """
+        task = self._starting(worker_id, task_id, attempt)
+        if task is None:
+            return
+        if may_have_started:
+            task.unknown = True
+        else:
+            self._outcomes.withdraw(now, task)
+
+    def start_refused(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+    ) -> None:
+        """Note that an agent refused a start.
+
+        It may be running an earlier attempt, so the task stays committed
+        until the agent's list of tasks has been read.
+        """
+        task = self._starting(worker_id, task_id, attempt)
+        if task is None:
+            return
+        task.unknown = True
+        task.refused = True
+        task.sent_at = -task_state.NEVER_S
+        self._books.workers_by_id[worker_id].suspect = True
+        job_id = model.JobId(task_id.rpartition('/')[0])
+        self._books.quarantine.failed(now, worker_id, job_id)
+        self._books.refresh_usable(now, worker_id)
+
+    def workers_to_query(self, now: float) -> list[model.WorkerId]:
+        """Return the workers whose list of tasks should be read now."""
+        return [
+            worker.worker_id
+            for worker in self._books.workers_by_id.values()
+            if worker.suspect
+            or any(task.unknown for task in worker.tasks_by_id.values())
+        ]
+
+    def plan(self, now: float) -> list[actions.Action]:
+        """Return the calls to make now: starts, stops and checkpoints.
+
+        One call places a bounded number of tasks; call it again at once if
+        it returned starts.
+        """
+        if not self._in_term:
+            return []
+        self._tidy(now)
+        placed, blocked = self._planner.place(now, self._census.is_complete())
+        for task in placed:
+            self._starts.prepare(now, task)
+        self._preemption.make_room(now, blocked)
+        starts = self._starts.take(now)
+        return starts + self._preemption.take_actions(now)
+
+    def take_updates(self, now: float) -> list[model.JobRecord]:
+        """Return the job rows that have to be written."""
+        return self._outcomes.take_changed()
+
+    def update_saved(self, now: float, record: model.JobRecord) -> None:
+        """Note that a row of :meth:`take_updates` is in the table.
+
+        Tasks that are not idempotent start only after the row that says so
+        is written.
+        """
+        entry = self._outcomes.jobs_by_id.get(record.job.job_id)
+        if entry is not None:
+            entry.saved.update(record.dispatched)
+
+    def explain(self, now: float, job_id: model.JobId) -> str:
+        """Return in words what a job waits for or does."""
+        entry = self._outcomes.jobs_by_id.get(job_id)
+        if entry is None:
+            if self._outcomes.is_finished(job_id):
+                return 'The job has ended.'
+            return 'The job is not known to the leader of this zone.'
+        return task_explain.explain(
+            now, entry, self._waiting, self._census, self._books
+        )
+
+    def _reset(self) -> None:
+        self._books = task_books.Books(self._ledger, self._shares)
+        self._waiting = task_queue.WaitingWork()
+        self._outcomes = task_outcomes.Outcomes(self._books, self._waiting)
+        self._census = task_census.Census(
+            self._books, self._outcomes, self._worker_ttl_s
+        )
+        self._planner = task_planner.Planner(
+            self._books, self._waiting, self._shares, self._policy
+        )
+        self._preemption = task_preemption.Preemption(
+            self._books, self._outcomes, self._planner
+        )
+        self._starts = task_starts.Starts(self._outcomes)
+
+    def _put_worker(
+        self, now: float, worker_id: model.WorkerId, vm: model.Vm
+    ) -> None:
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None:
+            worker = task_state.WorkerEntry(vm)
+            worker.lost_after = self._restart_lost_after
+            self._books.workers_by_id[worker_id] = worker
+            self._books.index.put(worker_id, vm.rack, vm.capacity)
+        worker.vm = vm
+        worker.listed = True
+        self._books.refresh_usable(now, worker_id)
+
+    def _profile(self, queue_id: model.QueueId) -> configurations.Profile:
+        queue = self._configuration.queues_by_id.get(queue_id)
+        if queue is None:
+            return _DEFAULT_PROFILE
+        return self._configuration.profile_of(queue)
+
+    def _admit(self, now: float, entry: task_state.JobEntry) -> None:
+        job = entry.job
+        if entry.state.is_final:
+            self._outcomes.finish_known(entry)
+            self._census.link(now, entry)
+            return
+        if not entry.fresh:
+            self._census.hold(entry)
+        self._census.link(now, entry)
+        if job.job_id in self._cancelled:
+            self._cancelled.discard(job.job_id)
+            self.cancel(now, job.job_id)
+            return
+        size_reason = placement.impossible_reason(
+            job, self._books.capacities()
+        )
+        if size_reason and not entry.started and not entry.is_gang:
+            self._outcomes.finish(
+                now, entry, model.JobState.FAILED, size_reason, write=True
+            )
+        elif entry.fresh:
+            for task in list(entry.tasks_by_index.values()):
+                if not task.is_committed:
+                    self._outcomes.lost(now, task, task_census.NOT_FOUND)
+
+    def _refuse_waiting(self, now: float, entry: task_state.JobEntry) -> None:
+        why = f'queue {entry.job.queue!r} was retired'
+        for task in list(entry.tasks_by_index.values()):
+            if task.phase is task_state.Phase.PREPARED:
+                self._outcomes.withdraw(now, task)
+            if not task.is_committed and not entry.state.is_final:
+                self._outcomes.end_task(now, task, model.TaskState.FAILED, why)
+
+    def _past_event(
+        self,
+        now: float,
+        worker: task_state.WorkerEntry,
+        event: platform.TaskEvent,
+    ) -> None:
+        """Handle an event of a task that is not committed on the worker."""
+        if event.state not in END_STATES:
+            worker.suspect = worker.heard
+            self._books.refresh_usable(now, worker.worker_id)
+            return
+        job_id = event.task_id.rpartition('/')[0]
+        entry = self._outcomes.jobs_by_id.get(model.JobId(job_id))
+        if entry is None:
+            if not self._outcomes.is_finished(model.JobId(job_id)):
+                self._outcomes.remember_end(
+                    event.task_id, event.attempt, event.state, event.reason
+                )
+            return
+        task = entry.tasks_by_index.get(task_census.index_of(event.task_id))
+        if task is None or task.is_committed or entry.state.is_final:
+            return
+        self._census.apply_history(
+            now, task, event.attempt, event.state, event.reason
+        )
+
+    def _starting(
+        self,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+    ) -> task_state.Task | None:
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None:
+            return None
+        task = worker.tasks_by_id.get(task_id)
+        if task is None or task.attempt != attempt:
+            return None
+        if task.phase is not task_state.Phase.STARTING:
+            return None
+        return task
+
+    def _tidy(self, now: float) -> None:
+        for worker in self._books.workers_by_id.values():
+            if worker.lost_after is not None and now >= worker.lost_after:
+                self._census.lose_worker(now, worker)
+        for worker_id in self._books.quarantine.paused():
+            if worker_id in self._books.workers_by_id:
+                self._books.refresh_usable(now, worker_id)
+        if self._census.is_complete():
+            self._census.release_held(now)
+        for task in self._waiting.take_due(now):
+            self._waiting.add_task(task)
