Add fake agents and a zone in simulated time

The zone drives TaskScheduler like the controllers do, with lost and late calls, cut-off and restarted workers, a table that is down and changes of leader.

--- /dev/null
+++ b/packages/testing/src/samphirestack_testing/task_world.py
@@ -0,0 +1,353 @@
+"""A zone in simulated time: fake agents, a table and changing leaders.
+
+Calls to agents can get lost, lose their answers or arrive late; workers
+can be cut off or restarted; the table can be down.  The driver does what
+the daemon's controllers do, in the same order.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+from typing import TypeVar
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import tasks
+from samphirestack import model
+from samphirestack_testing import fakes
+
+WORKER_TTL_S = 10.0
+LEADER_TTL_S = 1.5
+RENEW_S = 2.0
+LIST_S = 30.0
+SCAN_S = 2.0
+STEP_S = 0.25
+
+LONGEST_DELAY_S = 0.95 * WORKER_TTL_S
+"""Calls arrive before the duration of a lease has passed, or never."""
+
+ZONE = model.ZoneId('arree')
+
+_T = TypeVar('_T')
+
+
+class Unanswered(Exception):
+    """A call got no answer; it may take effect."""
+
+
+class Link:
+    """What a leader knows of its connection to one worker."""
+
+    def __init__(self, epoch: model.Epoch) -> None:
+        self.epoch = epoch
+        self.since = 0
+        self.renew_at = 0.0
+        self.list_at = 0.0
+        self.failures = 0
+        self.silent = False
+
+
+class Leader:
+    """Drives one TaskScheduler for one term."""
+
+    def __init__(self, world: 'World', name: str, epoch: int) -> None:
+        self._world = world
+        self.name = model.VmId(name)
+        self.epoch = model.Epoch(epoch)
+        self.scheduler = tasks.TaskScheduler(
+            world.ledger, fakes.FakeShares(), WORKER_TTL_S
+        )
+        self._links: dict[model.WorkerId, Link] = {}
+        self._scan_at = 0.0
+        self._old_rows: set[model.JobId] | None = None
+        self._updates: dict[model.JobId, model.JobRecord] = {}
+        now = world.now
+        lost_after = now + LEADER_TTL_S + 2 * WORKER_TTL_S
+        self.scheduler.configure(now, world.configuration)
+        self.scheduler.set_workers(now, list(world.vms_by_id.values()))
+        self.scheduler.start_term(now, self.epoch, lost_after)
+
+    def step(self) -> None:
+        """Do what is due now."""
+        now = self._world.now
+        for worker_id in self._world.vms_by_id:
+            link = self._links.setdefault(worker_id, Link(self.epoch))
+            self._serve(now, worker_id, link)
+        for worker_id in self.scheduler.workers_to_query(now):
+            if not self._links[worker_id].silent:
+                self._links[worker_id].list_at = now
+                self._lease(now, worker_id, self._links[worker_id])
+        self._scan(now)
+        for _ in range(2):
+            # The second call starts what the first one wrote rows for.
+            for action in self.scheduler.plan(now):
+                self._carry_out(now, action)
+            self._write(now)
+
+    def _serve(
+        self, now: float, worker_id: model.WorkerId, link: Link
+    ) -> None:
+        if not link.silent:
+            self._read_events(now, worker_id, link)
+        if now < link.renew_at:
+            return
+        if link.silent:
+            link.renew_at = now + 1.0
+            if not self._read_events(now, worker_id, link):
+                return
+            link.list_at = now
+        self._lease(now, worker_id, link)
+
+    def _lease(
+        self, now: float, worker_id: model.WorkerId, link: Link
+    ) -> None:
+        link.renew_at = now + RENEW_S
+        with_tasks = now >= link.list_at
+        world = self._world
+        agent = world.agents_by_id[worker_id]
+        try:
+            status = world.call(
+                worker_id,
+                lambda: agent.lease(
+                    world.now, self.name, link.epoch, WORKER_TTL_S, with_tasks
+                ),
+            )
+        except Unanswered:
+            link.failures += 1
+            if link.failures >= 2 or link.silent:
+                link.silent = True
+                self.scheduler.worker_unreachable(now, worker_id)
+            return
+        except errors.FencedOff as error:
+            link.epoch = model.Epoch(error.epoch + 1)
+            link.renew_at = link.list_at = now
+            return
+        link.failures = 0
+        if status.last_event < link.since:
+            link.since = 0
+            link.list_at = link.renew_at = now
+        if status.tasks is None:
+            self.scheduler.worker_status(now, status, now)
+        elif self._read_events(now, worker_id, link):
+            link.silent = False
+            link.list_at = now + LIST_S
+            self.scheduler.worker_status(now, status, now)
+
+    def _read_events(
+        self, now: float, worker_id: model.WorkerId, link: Link
+    ) -> bool:
+        agent = self._world.agents_by_id[worker_id]
+        try:
+            found = self._world.call(
+                worker_id, lambda: agent.events[link.since :], delays=False
+            )
+        except Unanswered:
+            return False
+        for event in found:
+            link.since = event.number
+            self.scheduler.task_event(now, worker_id, event)
+        self.scheduler.events_read(now, worker_id, link.since)
+        return True
+
+    def _scan(self, now: float) -> None:
+        if now < self._scan_at or not self._world.table_up:
+            return
+        self._scan_at = now + SCAN_S
+        rows = self._world.rows_by_id
+        if self._old_rows is None:
+            self._old_rows = set(rows)
+        for job_id, row in rows.items():
+            fresh = job_id not in self._old_rows
+            self.scheduler.job_changed(now, row, fresh)
+            if job_id in self._world.cancelled:
+                self.scheduler.cancel(now, job_id)
+
+    def _write(self, now: float) -> None:
+        for record in self.scheduler.take_updates(now):
+            self._updates[record.job.job_id] = record
+        if not self._world.table_up:
+            return
+        for job_id, record in self._updates.items():
+            self._world.write(job_id, record)
+            self.scheduler.update_saved(now, record)
+        self._updates.clear()
+
+    def _carry_out(self, now: float, action: actions.Action) -> None:
+        world = self._world
+        worker_id = action.worker_id
+        agent = world.agents_by_id[worker_id]
+        epoch = self._links[worker_id].epoch
+        if isinstance(action, actions.StartTask):
+            self._start(now, action)
+            return
+        if isinstance(action, actions.ThrottleTask):
+            return
+        method = agent.stop
+        if isinstance(action, actions.CheckpointTask):
+            method = agent.checkpoint
+        task_id = action.task_id
+        try:
+            world.call(worker_id, lambda: method(world.now, epoch, task_id))
+        except (Unanswered, errors.SamphireError):
+            return
+
+    def _start(self, now: float, action: actions.StartTask) -> None:
+        world = self._world
+        task = action.task
+        worker_id = action.worker_id
+        agent = world.agents_by_id[worker_id]
+        epoch = self._links[worker_id].epoch
+        world.asked.append(action)
+        args = (now, worker_id, task.task_id, task.attempt)
+        try:
+            world.call(worker_id, lambda: agent.start(world.now, epoch, task))
+        except Unanswered:
+            self.scheduler.start_failed(*args, True)
+        except errors.FencedOff:
+            self.scheduler.start_failed(*args, False)
+        except errors.WorkerRefused:
+            self.scheduler.start_refused(*args)
+        else:
+            self.scheduler.start_accepted(*args)
+
+
+class World:
+    """The zone with everything that can go wrong in it."""
+
+    def __init__(
+        self,
+        seed: int,
+        vms: list[model.Vm],
+        published: configuration.Configuration,
+        running_by_team: dict[str, int] | None = None,
+    ) -> None:
+        self.now = 0.0
+        self.configuration = published
+        self.vms_by_id = {model.WorkerId(vm.vm_id): vm for vm in vms}
+        self.ledger = fakes.FakeLedger(running_by_team)
+        self.entries: list[fakes.Entry] = []
+        failures: collections.Counter[model.TaskId] = collections.Counter()
+        self.agents_by_id = {
+            worker_id: fakes.FakeAgent(vm, self.entries, failures)
+            for worker_id, vm in self.vms_by_id.items()
+        }
+        self.cut_off: set[model.WorkerId] = set()
+        self.loss = 0.0
+        self.table_up = True
+        self.rows_by_id: dict[model.JobId, model.JobRecord] = {}
+        self.states_by_id: dict[model.JobId, list[model.JobState]] = {}
+        self.cancelled: set[model.JobId] = set()
+        self.asked: list[actions.StartTask] = []
+        self._random = random.Random(seed)
+        self._late: list[tuple[float, int, Callable[[], object]]] = []
+        self._numbers = itertools.count(1)
+        self._term = 1
+        self.leader = Leader(self, 'entry-1', 1)
+
+    def submit(
+        self,
+        kind: model.JobKind,
+        count: int,
+        resources: model.Resources,
+        plan: fakes.Plan,
+        *,
+        queue: str,
+        team: str = 'gritting',
+        idempotent: bool = True,
+        declared_s: float = 5.0,
+    ) -> model.JobId:
+        """Insert the row of a job."""
+        job_id = model.JobId(f'job-{next(self._numbers)}')
+        job = model.Job(
+            job_id,
+            model.QueueId(queue),
+            model.TeamId(team),
+            kind,
+            count,
+            resources,
+            declared_s,
+            idempotent,
+            ZONE,
+            0.0,
+            plan,
+        )
+        self.rows_by_id[job_id] = model.JobRecord(job)
+        self.states_by_id[job_id] = [model.JobState.WAITING]
+        return job_id
+
+    def write(self, job_id: model.JobId, record: model.JobRecord) -> None:
+        """Write a row unless it is final."""
+        present = self.rows_by_id[job_id]
+        if present.state.is_final:
+            return
+        self.rows_by_id[job_id] = record
+        if record.state is not present.state:
+            self.states_by_id[job_id].append(record.state)
+
+    def run(self, seconds: float) -> None:
+        """Let simulated time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self._late and self._late[0][0] <= self.now:
+                self._arrive(heapq.heappop(self._late)[2])
+            for agent in self.agents_by_id.values():
+                agent.advance(self.now)
+            self.leader.step()
+
+    def change_leader(self) -> None:
+        """Let another entry take over; its term has a higher epoch."""
+        self._term += 1
+        now = self.now
+        self.leader.scheduler.end_term(now)
+        # Epochs of single workers that were claimed again may be higher.
+        highest = max(agent.epoch for agent in self.agents_by_id.values())
+        epoch = max(highest, self.leader.epoch) + 1
+        self.leader = Leader(self, f'entry-{self._term}', epoch)
+
+    def call(
+        self,
+        worker_id: model.WorkerId,
+        function: Callable[[], _T],
+        delays: bool = True,
+    ) -> _T:
+        """Call an agent through the unreliable network."""
+        if worker_id in self.cut_off:
+            raise Unanswered
+        if self._random.random() >= self.loss:
+            return function()
+        fate = self._random.randrange(3)
+        if fate == 1:
+            self._arrive(function)
+        elif fate == 2 and delays:
+            at = self.now + self._random.uniform(0.1, LONGEST_DELAY_S)
+            heapq.heappush(self._late, (at, next(self._numbers), function))
+        raise Unanswered
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.cut_off.clear()
+        self.loss = 0.0
+        self.table_up = True
+        for agent in self.agents_by_id.values():
+            agent.fails_all = False
+
+    def _arrive(self, function: Callable[[], object]) -> None:
+        try:
+            function()
+        except errors.SamphireError:
+            return
+
+
+def worker(name: str, rack: str, resources: model.Resources) -> model.Vm:
+    """Return a worker of the zone."""
+    return msgspec.structs.replace(
+        model.Vm(model.VmId(name), '', model.VmRole.WORKER, ZONE),
+        rack=model.RackId(rack),
+        capacity=resources,
+    )
