Fix faults of the task scheduler that random runs in simulated time found

A gang with members held by a takeover was started in part; its rest was not queued again when the last running member succeeded; a backfilled gang was started and preempted over and over; a found task lost the time of its confirmation and was never given up.

--- a/packages/core/src/samphirestack/internal/leader/task_census.py
+++ b/packages/core/src/samphirestack/internal/leader/task_census.py
@@ -60,8 +60,9 @@
                 self._outcomes.send_off(stray, task_state.Purpose.STRAY)
                 continue
             running = _as_reported(stray)
+            confirmed_at = stray.confirmed_at
             self._outcomes.drop(now, stray, '')
-            self._adopt(now, worker_id, task, running, stray.confirmed_at)
+            self._adopt(now, worker_id, task, running, confirmed_at)
         self._apply_early_ends(now, entry)
 
     def release_held(self, now: float) -> None:
--- a/packages/core/src/samphirestack/internal/leader/task_outcomes.py
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -182,7 +182,10 @@
                 task.phase = task_state.Phase.QUEUED
             elif entry.job.idempotent:
                 self.send_off(task, task_state.Purpose.REGROUP)
-        if not entry.job.idempotent or not entry.committed():
+        phases = {task.phase for task in entry.tasks_by_index.values()}
+        if task_state.Phase.HELD in phases:
+            return
+        if not entry.job.idempotent or not phases & task_state.COMMITTED:
             self._waiting.add_gang(entry)
 
     def send_off(
@@ -217,6 +220,8 @@
             self.changed(entry)
             if entry.is_gang and state is model.TaskState.FAILED:
                 self._abandon_gang(now, entry)
+            elif entry.is_gang:
+                self._regroup_rest(now, entry)
         self._finish_if_done(entry)
 
     def finish(
@@ -264,6 +269,12 @@
         task.clear_attempt()
         task.phase = task_state.Phase.QUEUED
 
+    def _regroup_rest(self, now: float, entry: task_state.JobEntry) -> None:
+        """Queue the rest of a gang that waited for the end of a task."""
+        phases = [task.phase for task in entry.tasks_by_index.values()]
+        if task_state.Phase.QUEUED in phases:
+            self.regroup(now, entry)
+
     def _abandon_gang(self, now: float, entry: task_state.JobEntry) -> None:
         self._take_down(now, entry, spare_started=not entry.job.idempotent)
 
--- a/packages/core/src/samphirestack/internal/leader/task_planner.py
+++ b/packages/core/src/samphirestack/internal/leader/task_planner.py
@@ -234,7 +234,7 @@
         task: task_state.Task,
         need: model.Resources,
     ) -> model.WorkerId | None:
-        ends_at = now + self._books.estimates.run_time_s(entry.job)
+        ends_at = self._ends_at(now, entry)
         allowed = self._allowed(task.task_id, need, ends_at)
         if not task.avoid:
             return self._choose_one(entry, need, allowed)
@@ -243,6 +243,11 @@
             entry, need, lambda w: w not in avoid and allowed(w)
         ) or self._choose_one(entry, need, allowed)
 
+    def _ends_at(self, now: float, entry: task_state.JobEntry) -> float:
+        if not entry.backfills:
+            return task_state.NEVER_S
+        return now + self._books.estimates.run_time_s(entry.job)
+
     def _choose_one(
         self,
         entry: task_state.JobEntry,
@@ -293,15 +298,9 @@
             if task.phase is task_state.Phase.QUEUED
         ]
         need = entry.job.resources
-        ends_at = now + self._books.estimates.run_time_s(entry.job)
+        ends_at = self._ends_at(now, entry)
         allowed = self._allowed(entry.job.job_id, need, ends_at)
-        quarantine = self._books.quarantine
-        workers = self._policy.choose_gang(
-            self._books.index,
-            need,
-            len(tasks),
-            lambda w: not quarantine.is_suspect(w) and allowed(w),
-        )
+        workers = self._choose_gang(need, len(tasks), allowed)
         if workers is None:
             group.blocked_by = NO_GANG_ROOM
             return []
@@ -316,6 +315,16 @@
         self.drop_reservation(entry.job.job_id)
         return tasks
 
+    def _choose_gang(
+        self, need: model.Resources, count: int, allowed: placement.Allowed
+    ) -> Sequence[model.WorkerId] | None:
+        """Choose workers for a gang, those in quarantine only if needed."""
+        index = self._books.index
+        is_suspect = self._books.quarantine.is_suspect
+        return self._policy.choose_gang(
+            index, need, count, lambda w: not is_suspect(w) and allowed(w)
+        ) or self._policy.choose_gang(index, need, count, allowed)
+
     def _commit(
         self, now: float, task: task_state.Task, worker_id: model.WorkerId
     ) -> None:
--- a/packages/core/src/samphirestack/internal/leader/task_preemption.py
+++ b/packages/core/src/samphirestack/internal/leader/task_preemption.py
@@ -195,7 +195,9 @@
                 return now
         began = min(task.sent_at, task.confirmed_at, now)
         expected = began + self._books.estimates.run_time_s(entry.job)
-        return max(now, expected)
+        # What has outlived its estimate is expected to run half as long
+        # again, so that a reservation does not rest on a wrong estimate.
+        return max(expected, now + (now - began) / 2)
 
     def _clear_reserved(
         self, now: float, reservation: gangs.Reservation, urgent: bool
@@ -205,7 +207,7 @@
             worker = self._books.workers_by_id.get(worker_id)
             if worker is None:
                 continue
-            if urgent:
+            if urgent and now >= reservation.start_at:
                 plan = preemption.make_room(
                     worker_id,
                     self._books.index.slot(worker_id).free,
@@ -214,11 +216,12 @@
                 )
                 if plan is not None:
                     self._carry_out(plan)
-                continue
             for task in list(worker.tasks_by_id.values()):
                 until = task.backfill_until
-                if until is not None and now > until:
-                    self._preempt(now, task)
+                if until is None or now <= until or task.job is None:
+                    continue
+                task.job.backfills = False
+                self._preempt(now, task)
 
     def _preempt(self, now: float, task: task_state.Task) -> bool:
         entry = task.job
--- a/packages/core/src/samphirestack/internal/leader/task_state.py
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -175,6 +175,7 @@
 
     __slots__ = (
         'arrived_at',
+        'backfills',
         'dispatched',
         'ended',
         'fresh',
@@ -200,6 +201,8 @@
         self.profile = profile
         self.arrived_at = now
         self.fresh = fresh
+        self.backfills = True
+        """Whether its run times may be trusted next to a reservation."""
         self.state = record.state
         self.reason = record.reason
         self.ended = dict(record.ended)
--- a/packages/testing/src/samphirestack_testing/fakes.py
+++ b/packages/testing/src/samphirestack_testing/fakes.py
@@ -16,6 +16,10 @@
 from samphirestack import platform
 
 
+FAILING_S = 0.01
+"""Run time of a task on a worker that fails every task."""
+
+
 class Entry(msgspec.Struct, frozen=True):
     """One line of a fake agent's ledger."""
 
@@ -140,7 +144,7 @@
         state = model.TaskState.SUCCEEDED
         if fails or self.fails_all:
             state = model.TaskState.FAILED
-        run_s = 0.0 if self.fails_all else plan.run_s
+        run_s = FAILING_S if self.fails_all else plan.run_s
         if not start.run_time_s and not fails and not self.fails_all:
             run_s = float('inf')
         task = _Running(start, now + run_s, state)
--- a/packages/testing/src/samphirestack_testing/task_world.py
+++ b/packages/testing/src/samphirestack_testing/task_world.py
@@ -28,6 +28,11 @@
 SCAN_S = 2.0
 STEP_S = 0.25
 
+LAPSED_EPOCH_STEP = 1_000_000
+"""Added to the epoch of one worker whose lease lapsed.  A step of 1 could
+equal the epoch of the next term, and a restarted agent that forgot its
+epoch would then take a late start of the earlier leader."""
+
 LONGEST_DELAY_S = 0.95 * WORKER_TTL_S
 """Calls arrive before the duration of a lease has passed, or never."""
 
@@ -124,7 +129,7 @@
                 self.scheduler.worker_unreachable(now, worker_id)
             return
         except errors.FencedOff as error:
-            link.epoch = model.Epoch(error.epoch + 1)
+            link.epoch = model.Epoch(error.epoch + LAPSED_EPOCH_STEP)
             link.renew_at = link.list_at = now
             return
         link.failures = 0
@@ -202,7 +207,7 @@
         worker_id = action.worker_id
         agent = world.agents_by_id[worker_id]
         epoch = self._links[worker_id].epoch
-        world.asked.append(action)
+        world.asked.append((now, action))
         args = (now, worker_id, task.task_id, task.attempt)
         try:
             world.call(worker_id, lambda: agent.start(world.now, epoch, task))
@@ -242,7 +247,7 @@
         self.rows_by_id: dict[model.JobId, model.JobRecord] = {}
         self.states_by_id: dict[model.JobId, list[model.JobState]] = {}
         self.cancelled: set[model.JobId] = set()
-        self.asked: list[actions.StartTask] = []
+        self.asked: list[tuple[float, actions.StartTask]] = []
         self._random = random.Random(seed)
         self._late: list[tuple[float, int, Callable[[], object]]] = []
         self._numbers = itertools.count(1)
