--- a/packages/core/src/samphirestack/internal/decisions/placement.py
+++ b/packages/core/src/samphirestack/internal/decisions/placement.py
@@ -76,25 +76,12 @@
         replicas_by_rack: Mapping[model.RackId, int],
         allowed: Allowed = anywhere,
     ) -> model.WorkerId | None:
-        """Return the tightest worker of a rack with the fewest replicas."""
-        racks = sorted(
-            index.rack_free(), key=lambda rack: replicas_by_rack.get(rack, 0)
-        )
-        spare: model.WorkerId | None = None
-        spare_count = 0
-        for rack in racks:
-            replicas = replicas_by_rack.get(rack, 0)
-            if spare is not None and replicas > spare_count:
-                break
-            slots = [s for s in index.in_rack(rack) if need.fits_in(s.free)]
-            plain = [s for s in slots if _keeps_accelerators(s, need)]
-            best = _tightest(plain, need, allowed)
+        """Return a tight worker in a rack with the fewest replicas."""
+        for group in index.groups(need):
+            best = _least_used_rack(group, need, replicas_by_rack, allowed)
             if best is not None:
                 return best
-            if spare is None:
-                spare = _tightest(slots, need, allowed)
-                spare_count = replicas
-        return spare
+        return None
 
     def choose_gang(
         self,
@@ -141,6 +128,29 @@
     return best
 
 
+def _least_used_rack(
+    slots: Iterable[worker_index.Slot],
+    need: model.Resources,
+    replicas_by_rack: Mapping[model.RackId, int],
+    allowed: Allowed,
+) -> model.WorkerId | None:
+    """Look on beyond the usual bound until a rack without replicas is met."""
+    best: model.WorkerId | None = None
+    best_rank = (0, 0.0)
+    looked_at = 0
+    for slot in slots:
+        if not allowed(slot.worker_id):
+            continue
+        replicas = replicas_by_rack.get(slot.rack, 0)
+        rank = (replicas, _left_over(slot, need))
+        if best is None or rank < best_rank:
+            best, best_rank = slot.worker_id, rank
+        looked_at += 1
+        if looked_at >= worker_index.SCAN_LIMIT and best_rank[0] == 0:
+            break
+    return best
+
+
 def _left_over(slot: worker_index.Slot, need: model.Resources) -> float:
     capacity = slot.capacity
     cpus = (slot.free.millicores - need.millicores) / max(
--- a/packages/core/src/samphirestack/internal/leader/task_books.py
+++ b/packages/core/src/samphirestack/internal/leader/task_books.py
@@ -23,6 +23,7 @@
         self.quarantine = quarantine.Quarantine()
         self.estimates = estimates.Estimates()
         self.workers_by_id: dict[model.WorkerId, task_state.WorkerEntry] = {}
+        self.capacities: set[model.Resources] = set()
         self._ledger = ledger
         self._shares = shares
 
@@ -86,9 +87,9 @@
                 over[usage.team] = excess
         return over
 
-    def capacities(self) -> set[model.Resources]:
-        """Return the distinct capacities of the workers in the VM list."""
-        return {
+    def note_capacities(self) -> None:
+        """Collect the distinct capacities of the workers in the VM list."""
+        self.capacities = {
             worker.vm.capacity
             for worker in self.workers_by_id.values()
             if worker.listed and worker.vm.state is model.VmState.LIVE
--- a/packages/core/src/samphirestack/internal/leader/task_planner.py
+++ b/packages/core/src/samphirestack/internal/leader/task_planner.py
@@ -58,7 +58,6 @@
         self._urgent_in_row = 0
         self._reservations: dict[str, gangs.Reservation] = {}
         self._by_worker: dict[model.WorkerId, list[gangs.Reservation]] = {}
-        self._capacities: set[model.Resources] = set()
 
     def place(
         self, now: float, census_complete: bool
@@ -72,7 +71,6 @@
             then teams with a limit get nothing, since what they run on
             silent workers is not counted.
         """
-        self._capacities = self._books.capacities()
         self._drop_old_reservations(now)
         batch = 1 + len(self._books.workers_by_id) // WORKERS_PER_BATCH
         placed: list[task_state.Task] = []
@@ -122,7 +120,7 @@
         """
         if job.kind is model.JobKind.GANG:
             return job.resources
-        for capacity in self._capacities:
+        for capacity in self._books.capacities:
             if job.resources.fits_in(capacity):
                 need = self._books.estimates.need(job, capacity)
                 if need.fits_in(capacity):
--- a/packages/core/src/samphirestack/internal/leader/tasks.py
+++ b/packages/core/src/samphirestack/internal/leader/tasks.py
@@ -97,6 +97,7 @@
             if worker.lost and not worker.tasks_by_id:
                 del self._books.workers_by_id[worker_id]
                 self._books.index.remove(worker_id)
+        self._books.note_capacities()
 
     def start_term(
         self, now: float, epoch: model.Epoch, restart_lost_after: float
@@ -403,9 +404,7 @@
             self._cancelled.discard(job.job_id)
             self.cancel(now, job.job_id)
             return
-        size_reason = placement.impossible_reason(
-            job, self._books.capacities()
-        )
+        size_reason = placement.impossible_reason(job, self._books.capacities)
         if size_reason and not entry.started and not entry.is_gang:
             self._outcomes.finish(
                 now, entry, model.JobState.FAILED, size_reason, write=True
--- a/packages/testing/src/samphirestack_testing/task_oracle.py
+++ b/packages/testing/src/samphirestack_testing/task_oracle.py
@@ -115,11 +115,10 @@
         if job.kind is model.JobKind.GANG:
             ids = asked.setdefault((job.job_id, at), set())
             ids.add(action.task.task_id)
-    succeeded = {
-        entry.task_id: entry.at
-        for entry in world.entries
-        if entry.state is model.TaskState.SUCCEEDED
-    }
+    succeeded: dict[model.TaskId, float] = {}
+    for entry in _in_order(world.entries):
+        if entry.state is model.TaskState.SUCCEEDED:
+            succeeded.setdefault(entry.task_id, entry.at)
     for (job_id, at), ids in asked.items():
         job = world.rows_by_id[job_id].job
         done = sum(
