--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/fairshare.py
@@ -0,0 +1,374 @@
+"""Fair shares between teams: dominant-resource fairness with a deficit.
+
+The share of a team is its largest fraction of any resource of the fleet;
+slots of upstreams are one resource among the others.  Use in other zones
+counts as they last reported it.  What a team got too little or too much
+recently is kept as a decaying deficit.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import enum
+import math
+
+import msgspec
+
+from samphirestack.internal import messages
+from samphirestack import model
+
+DEFICIT_HALF_LIFE_S = 10.0
+DEFICIT_WINDOW_S = 10.0
+"""A deficit is at most what the team is entitled to in this time."""
+
+REFRESH_INTERVAL_S = 0.1
+"""Deficits drift slowly, so that ranks of teams without a change of use
+are recomputed only this often."""
+
+WANTING_FOR_S = 1.0
+"""A team that was not in the order for this long has no waiting work."""
+
+AUDIT_RECORDS = 1000
+"""Audit records that are kept; each takes about 1 KB."""
+
+PASSED_OVER_PER_RECORD = 8
+"""Teams that one audit record names."""
+
+_Amounts = tuple[int, int, int, int]
+_ZERO: _Amounts = (0, 0, 0, 0)
+_NO_RESOURCES = model.Resources()
+_RESOURCE_NAMES = ('slots', 'millicores', 'memory_mb', 'accelerators')
+
+
+class Reason(enum.Enum):
+    """Why a team did not get a start."""
+
+    LIMIT = 'limit'
+    """Its slice of its upper limit is used up."""
+    SHARE = 'share'
+    """It already has more of its share than the team that was chosen."""
+    PATIENT = 'patient'
+    """Only patient work waits, and urgent work goes first."""
+    AVOIDED = 'avoided'
+    """Only upstreams that its requests avoid have free slots."""
+
+
+class PassedOver(msgspec.Struct, frozen=True):
+    """A team that was not chosen in a decision."""
+
+    team: model.TeamId
+    reason: Reason
+    rank: float
+    """Dominant share less deficit, over the weight; lower goes first."""
+
+
+class AuditRecord(msgspec.Struct, frozen=True):
+    """One decision: a start, or a refusal because of share or limit."""
+
+    at: float
+    """Monotonic time."""
+    team: model.TeamId
+    subject: str
+    """Id of the request or task."""
+    granted: bool
+    reason: str
+    rank: float
+    passed_over: tuple[PassedOver, ...] = ()
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """Why a team stands where it stands."""
+
+    team: model.TeamId
+    weight: float
+    entitled: float
+    """Fraction of the fleet that its weight gives it at present."""
+    dominant_share: float
+    dominant_resource: str
+    deficit_s: float
+    """Fleet-seconds that it is owed; negative if it had too much."""
+    rank: float
+    records: tuple[AuditRecord, ...]
+
+
+class _Account:
+    """Use and deficit of one team."""
+
+    __slots__ = (
+        'deficit',
+        'last_start',
+        'local',
+        'remote',
+        'settled_at',
+        'wanted_at',
+        'weight',
+    )
+
+    def __init__(self, now: float) -> None:
+        self.weight = 1.0
+        self.local = _ZERO
+        self.remote = _ZERO
+        self.deficit = 0.0
+        self.settled_at = now
+        self.wanted_at = -math.inf
+        self.last_start = 0
+
+
+class ShareTracker:
+    """Orders teams by how far they are below their fair share."""
+
+    def __init__(self) -> None:
+        self._accounts_by_team: dict[model.TeamId, _Account] = {}
+        self._ranks_by_team: dict[model.TeamId, tuple[float, int]] = {}
+        self._remote_by_zone: dict[
+            model.ZoneId, dict[model.TeamId, _Amounts]
+        ] = {}
+        self._capacity_by_zone: dict[model.ZoneId, _Amounts] = {}
+        self._own_capacity = _ZERO
+        self._capacity = _ZERO
+        self._starts = 0
+        self._active_weight = 1.0
+        self._refreshed_at = -math.inf
+        self._audit: collections.deque[AuditRecord] = collections.deque(
+            maxlen=AUDIT_RECORDS
+        )
+
+    def set_weight(self, team: model.TeamId, share: float) -> None:
+        """Set the weight of ``team`` against the other teams."""
+        self._account(team).weight = share
+        self._refreshed_at = -math.inf
+
+    def forget(self, team: model.TeamId) -> None:
+        """Drop a retired team that uses nothing any more."""
+        account = self._accounts_by_team.get(team)
+        if account is not None and not any(account.local):
+            del self._accounts_by_team[team]
+            del self._ranks_by_team[team]
+
+    def set_capacity(
+        self,
+        resources: model.Resources | None = None,
+        slots: int | None = None,
+    ) -> None:
+        """Set what this zone has; ``None`` keeps the present value."""
+        present = self._own_capacity
+        self._own_capacity = (
+            present[0] if slots is None else slots,
+            *(present[1:] if resources is None else _tail(resources)),
+        )
+        self._sum_capacity()
+
+    def own_capacity(self) -> model.Resources:
+        """Return the resources of this zone's workers."""
+        return model.Resources(*self._own_capacity[1:])
+
+    def charge(
+        self,
+        now: float,
+        team: model.TeamId,
+        slots: int,
+        resources: model.Resources,
+    ) -> None:
+        """Count work that starts."""
+        self._starts += 1
+        self._account(team).last_start = self._starts
+        self._change(now, team, (slots, *_tail(resources)), 1)
+
+    def refund(
+        self,
+        now: float,
+        team: model.TeamId,
+        slots: int,
+        resources: model.Resources,
+    ) -> None:
+        """Count work that ended; what it held meanwhile stays charged."""
+        self._change(now, team, (slots, *_tail(resources)), -1)
+
+    def set_remote(
+        self,
+        now: float,
+        zone: model.ZoneId,
+        usages: Sequence[messages.TeamUsage],
+        resources: model.Resources = _NO_RESOURCES,
+        slots: int = 0,
+    ) -> None:
+        """Replace the use that another zone reported, and its capacity."""
+        self._settle_all(now)
+        teams = set(self._remote_by_zone.get(zone, ()))
+        self._remote_by_zone[zone] = {
+            usage.team: (usage.slots, *_tail(usage.resources))
+            for usage in usages
+        }
+        self._capacity_by_zone[zone] = (slots, *_tail(resources))
+        teams.update(self._remote_by_zone[zone])
+        for team in teams:
+            self._sum_remote(team)
+        self._sum_capacity()
+
+    def drop_remote(self, now: float, zone: model.ZoneId) -> None:
+        """Forget a zone that an operator declared lost."""
+        if zone not in self._remote_by_zone:
+            return
+        self.set_remote(now, zone, ())
+        del self._remote_by_zone[zone]
+        del self._capacity_by_zone[zone]
+
+    def slots_of(self, team: model.TeamId) -> int:
+        """Return the slots that ``team`` holds in this zone."""
+        account = self._accounts_by_team.get(team)
+        return account.local[0] if account else 0
+
+    def order(
+        self, now: float, teams: Iterable[model.TeamId]
+    ) -> list[model.TeamId]:
+        """Return the teams with waiting work, the next to be served first.
+
+        Teams of equal rank take turns.
+        """
+        wanting = list(teams)
+        for team in wanting:
+            self._account(team).wanted_at = now
+        if not 0 <= now - self._refreshed_at < REFRESH_INTERVAL_S:
+            self._refresh(now)
+        return sorted(wanting, key=self._ranks_by_team.__getitem__)
+
+    def rank(self, team: model.TeamId) -> float:
+        """Return the rank that the last order was based on."""
+        self._account(team)
+        return self._ranks_by_team[team][0]
+
+    def record(self, record: AuditRecord) -> None:
+        """Keep a decision; the oldest one is dropped."""
+        self._audit.append(record)
+
+    def records(self) -> list[AuditRecord]:
+        """Return the kept decisions, oldest first."""
+        return list(self._audit)
+
+    def explain(self, now: float, team: model.TeamId) -> Explanation:
+        """Return the standing of ``team`` and decisions that name it."""
+        self._refresh(now)
+        account = self._account(team)
+        share, resource = self._dominant(account)
+        records = tuple(
+            record
+            for record in self._audit
+            if record.team == team
+            or any(item.team == team for item in record.passed_over)
+        )
+        return Explanation(
+            team,
+            account.weight,
+            self._entitled(account),
+            share,
+            resource,
+            account.deficit,
+            self.rank(team),
+            records,
+        )
+
+    def _account(self, team: model.TeamId) -> _Account:
+        account = self._accounts_by_team.get(team)
+        if account is None:
+            account = _Account(self._refreshed_at)
+            self._accounts_by_team[team] = account
+            self._ranks_by_team[team] = (0.0, 0)
+        return account
+
+    def _change(
+        self, now: float, team: model.TeamId, amounts: _Amounts, sign: int
+    ) -> None:
+        account = self._account(team)
+        self._settle(now, account)
+        account.local = _added(account.local, amounts, sign)
+        self._rank_again(team, account)
+
+    def _refresh(self, now: float) -> None:
+        self._settle_all(now)
+        self._active_weight = sum(
+            account.weight
+            for account in self._accounts_by_team.values()
+            if _is_active(now, account)
+        )
+        for team, account in self._accounts_by_team.items():
+            self._rank_again(team, account)
+        self._refreshed_at = now
+
+    def _settle_all(self, now: float) -> None:
+        for account in self._accounts_by_team.values():
+            self._settle(now, account)
+
+    def _settle(self, now: float, account: _Account) -> None:
+        """Bring the deficit up to ``now`` under the present use."""
+        elapsed = now - account.settled_at
+        account.settled_at = now
+        if not 0 < elapsed < math.inf:
+            return
+        entitled = self._entitled(account)
+        owed = entitled - self._dominant(account)[0]
+        if now - account.wanted_at > WANTING_FOR_S:
+            # A team that asks for nothing is not owed anything.
+            owed = min(owed, 0.0)
+        kept = 0.5 ** (elapsed / DEFICIT_HALF_LIFE_S)
+        gained = owed * (1 - kept) * DEFICIT_HALF_LIFE_S / math.log(2)
+        bound = entitled * DEFICIT_WINDOW_S
+        deficit = account.deficit * kept + gained
+        account.deficit = max(-bound, min(bound, deficit))
+
+    def _rank_again(self, team: model.TeamId, account: _Account) -> None:
+        share = self._dominant(account)[0]
+        rank = share - account.deficit / DEFICIT_WINDOW_S
+        self._ranks_by_team[team] = (
+            rank / account.weight,
+            account.last_start,
+        )
+
+    def _entitled(self, account: _Account) -> float:
+        return account.weight / max(self._active_weight, account.weight)
+
+    def _dominant(self, account: _Account) -> tuple[float, str]:
+        largest = 0.0
+        name = _RESOURCE_NAMES[0]
+        for index, capacity in enumerate(self._capacity):
+            used = account.local[index] + account.remote[index]
+            if used and capacity:
+                fraction = used / capacity
+                if fraction > largest:
+                    largest = fraction
+                    name = _RESOURCE_NAMES[index]
+        return largest, name
+
+    def _sum_remote(self, team: model.TeamId) -> None:
+        account = self._account(team)
+        account.remote = _ZERO
+        for by_team in self._remote_by_zone.values():
+            amounts = by_team.get(team, _ZERO)
+            account.remote = _added(account.remote, amounts, 1)
+
+    def _sum_capacity(self) -> None:
+        self._capacity = self._own_capacity
+        for amounts in self._capacity_by_zone.values():
+            self._capacity = _added(self._capacity, amounts, 1)
+        self._refreshed_at = -math.inf
+
+
+def _is_active(now: float, account: _Account) -> bool:
+    wanting = now - account.wanted_at <= WANTING_FOR_S
+    return wanting or any(account.local) or any(account.remote)
+
+
+def _tail(resources: model.Resources) -> tuple[int, int, int]:
+    return (
+        resources.millicores,
+        resources.memory_mb,
+        resources.accelerators,
+    )
+
+
+def _added(left: _Amounts, right: _Amounts, sign: int) -> _Amounts:
+    return (
+        left[0] + sign * right[0],
+        left[1] + sign * right[1],
+        left[2] + sign * right[2],
+        left[3] + sign * right[3],
+    )
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/limits.py
@@ -0,0 +1,367 @@
+"""Upper limits of teams: what a zone uses of its slice of each limit.
+
+The limit of a team is split into one slice per availability zone.  A
+:class:`TeamLedger` counts the use of one zone against its slices.  The
+functions of this module compute new slices; none of them returns slices
+whose sum exceeds the limit, or a larger sum than it was given.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack.internal import messages
+from samphirestack import model
+
+DIMENSIONS = ('running', 'millicores', 'memory_mb', 'accelerators')
+"""Fields of :class:`configuration.Limit`."""
+
+_Amounts = tuple[int, int, int, int]
+_Slice = tuple[int | None, int | None, int | None, int | None]
+
+Slices = Mapping[model.ZoneId, configuration.Limit]
+
+
+class Shortage(msgspec.Struct, frozen=True):
+    """How much work of a team was held back by its slice."""
+
+    team: model.TeamId
+    dimension: str
+    amount: int
+    """Lacking units of the dimension; at least 1."""
+
+
+class Transfer(msgspec.Struct, frozen=True):
+    """Slices of two zones after a part of one was moved to the other."""
+
+    donor: configuration.Limit
+    receiver: configuration.Limit
+
+
+class TeamLedger:
+    """Counts what each team has running in this zone against its slice.
+
+    A request counts as one unit of ``running``; a task uses resources as
+    well.  A team whose slice is not known gets nothing.
+    """
+
+    def __init__(self) -> None:
+        self._slices_by_team: dict[model.TeamId, _Slice] = {}
+        self._used_by_team: dict[model.TeamId, _Amounts] = {}
+        self._shortages: dict[tuple[model.TeamId, str], int] = {}
+
+    def configure(self, teams_by_id: Mapping[str, configuration.Team]) -> None:
+        """Take over which teams exist and which dimensions are limited.
+
+        A dimension that becomes limited starts at 0 until
+        :meth:`set_slice` gives the slice; a slice never exceeds the limit
+        of the whole fleet.
+        """
+        known: dict[model.TeamId, _Slice] = {}
+        for team in teams_by_id.values():
+            present = self._slices_by_team.get(team.name, _NOTHING)
+            known[team.name] = _clamped(present, _as_tuple(team.limit))
+        self._slices_by_team = known
+
+    def set_slice(
+        self, team: model.TeamId, limit: configuration.Limit
+    ) -> None:
+        """Replace the slice of ``team``; ``None`` fields are unlimited.
+
+        Use above a lowered slice stays until it is released.
+        """
+        self._slices_by_team[team] = _as_tuple(limit)
+
+    def slice_of(self, team: model.TeamId) -> configuration.Limit:
+        """Return the slice of ``team``, zero if it is not known."""
+        return _as_limit(self._slices_by_team.get(team, _NOTHING))
+
+    def try_acquire(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> bool:
+        """Charge ``team`` if its slice allows it and return whether it does.
+
+        A refusal is remembered for :meth:`take_shortages`.
+        """
+        limits = self._slices_by_team.get(team, _NOTHING)
+        used = self._used_by_team.get(team, _ZERO)
+        asked = _amounts(running, resources)
+        allowed = True
+        for index, limit in enumerate(limits):
+            if limit is None or not asked[index]:
+                continue
+            lacking = used[index] + asked[index] - limit
+            if lacking > 0:
+                self._note_shortage(team, DIMENSIONS[index], lacking)
+                allowed = False
+        if allowed:
+            self._used_by_team[team] = _sum(used, asked)
+        return allowed
+
+    def adopt(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> None:
+        """Charge ``team`` for work that was found running already."""
+        used = self._used_by_team.get(team, _ZERO)
+        self._used_by_team[team] = _sum(used, _amounts(running, resources))
+
+    def release(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> None:
+        """Give back what was acquired or adopted.
+
+        :raises ValueError: more would be released than is in use.
+        """
+        used = self._used_by_team.get(team, _ZERO)
+        asked = _amounts(running, resources)
+        rest = (
+            used[0] - asked[0],
+            used[1] - asked[1],
+            used[2] - asked[2],
+            used[3] - asked[3],
+        )
+        if min(rest) < 0:
+            raise ValueError(
+                f'team {team!r} uses {used}, but {asked} is released'
+            )
+        if any(rest):
+            self._used_by_team[team] = rest
+        else:
+            self._used_by_team.pop(team, None)
+
+    def headroom(self, team: model.TeamId) -> configuration.Limit:
+        """Return what the slice still allows; ``None`` if not limited."""
+        limits = self._slices_by_team.get(team, _NOTHING)
+        used = self._used_by_team.get(team, _ZERO)
+        free = [
+            None if limit is None else max(0, limit - amount)
+            for limit, amount in zip(limits, used, strict=True)
+        ]
+        return configuration.Limit(*free)
+
+    def usage(self, team: model.TeamId) -> messages.TeamUsage:
+        """Return the present use of ``team`` in this zone."""
+        used = self._used_by_team.get(team, _ZERO)
+        return messages.TeamUsage(team, used[0], model.Resources(*used[1:]), 0)
+
+    def used(self) -> list[messages.TeamUsage]:
+        """Return the use of every team that uses anything."""
+        return [self.usage(team) for team in self._used_by_team]
+
+    def take_shortages(self) -> list[Shortage]:
+        """Return and forget what :meth:`try_acquire` refused since."""
+        taken = [
+            Shortage(team, dimension, amount)
+            for (team, dimension), amount in self._shortages.items()
+        ]
+        self._shortages.clear()
+        return taken
+
+    def _note_shortage(
+        self, team: model.TeamId, dimension: str, amount: int
+    ) -> None:
+        key = (team, dimension)
+        self._shortages[key] = max(amount, self._shortages.get(key, 0))
+
+
+_ZERO: _Amounts = (0, 0, 0, 0)
+_NOTHING: _Slice = (0, 0, 0, 0)
+
+
+def _amounts(running: int, resources: model.Resources) -> _Amounts:
+    return (
+        running,
+        resources.millicores,
+        resources.memory_mb,
+        resources.accelerators,
+    )
+
+
+def _sum(left: _Amounts, right: _Amounts) -> _Amounts:
+    return (
+        left[0] + right[0],
+        left[1] + right[1],
+        left[2] + right[2],
+        left[3] + right[3],
+    )
+
+
+def _as_tuple(limit: configuration.Limit) -> _Slice:
+    return (
+        limit.running,
+        limit.millicores,
+        limit.memory_mb,
+        limit.accelerators,
+    )
+
+
+def _as_limit(values: Sequence[int | None]) -> configuration.Limit:
+    return configuration.Limit(*values)
+
+
+def _clamped(present: _Slice, limits: _Slice) -> _Slice:
+    values = [
+        None if limit is None else min(value or 0, limit)
+        for value, limit in zip(present, limits, strict=True)
+    ]
+    return (values[0], values[1], values[2], values[3])
+
+
+def is_limited(limit: configuration.Limit) -> bool:
+    """Return whether any dimension has a bound."""
+    return any(value is not None for value in _as_tuple(limit))
+
+
+def total(slices_by_zone: Slices, dimension: str) -> int:
+    """Return the sum of the slices; a missing value counts as 0."""
+    return sum(
+        getattr(item, dimension) or 0 for item in slices_by_zone.values()
+    )
+
+
+def split_evenly(
+    limit: configuration.Limit, zones: Collection[model.ZoneId]
+) -> dict[model.ZoneId, configuration.Limit]:
+    """Return slices that differ by at most one unit and sum to ``limit``."""
+    empty = {zone: configuration.Limit() for zone in zones}
+    return raised(empty, limit)
+
+
+def raised(
+    slices_by_zone: Slices, limit: configuration.Limit
+) -> dict[model.ZoneId, configuration.Limit]:
+    """Share out what the limit allows above the sum of the slices.
+
+    Zones get equal parts; the remainder goes to the first ones by name.
+    Dimensions that are not limited become ``None``.
+    """
+    result = _cleaned(slices_by_zone, limit)
+    zones = sorted(result)
+    for dimension in DIMENSIONS:
+        bound = getattr(limit, dimension)
+        if bound is None or not zones:
+            continue
+        spare = max(0, bound - total(result, dimension))
+        each, rest = divmod(spare, len(zones))
+        for index, zone in enumerate(zones):
+            _add(result, zone, dimension, each + (index < rest))
+    return result
+
+
+def lowered(
+    slices_by_zone: Slices,
+    limit: configuration.Limit,
+    reachable: Collection[model.ZoneId],
+) -> dict[model.ZoneId, configuration.Limit]:
+    """Take what exceeds the limit from the zones that can be reached.
+
+    The whole difference is taken from them, in proportion to their slices
+    and down to 0; slices of other zones keep their size.  The sum can stay
+    above the limit only by what unreachable zones hold.
+    """
+    result = _cleaned(slices_by_zone, limit)
+    zones = sorted(zone for zone in result if zone in reachable)
+    for dimension in DIMENSIONS:
+        bound = getattr(limit, dimension)
+        if bound is None:
+            continue
+        sizes = [getattr(result[zone], dimension) for zone in zones]
+        excess = total(result, dimension) - bound
+        for zone, cut in zip(zones, _cuts(sizes, excess), strict=True):
+            _add(result, zone, dimension, -cut)
+    return result
+
+
+def _cuts(sizes: Sequence[int], excess: int) -> list[int]:
+    """Return what to take from each size so that ``excess`` is removed."""
+    whole = sum(sizes)
+    excess = min(max(excess, 0), whole)
+    cuts = [size * excess // whole if whole else 0 for size in sizes]
+    missing = excess - sum(cuts)
+    for index, size in enumerate(sizes):
+        more = min(missing, size - cuts[index])
+        cuts[index] += more
+        missing -= more
+    return cuts
+
+
+def moved(
+    donor: configuration.Limit,
+    receiver: configuration.Limit,
+    dimension: str,
+    amount: int,
+) -> Transfer:
+    """Return both slices after ``amount`` went from donor to receiver.
+
+    :raises ValueError: the donor's slice is smaller than ``amount``, or
+        ``amount`` is negative.
+    """
+    held = getattr(donor, dimension) or 0
+    if not 0 <= amount <= held:
+        raise ValueError(
+            f'{amount} of {dimension} can not be taken from a slice of {held}'
+        )
+    return Transfer(
+        _with(donor, dimension, held - amount),
+        _with(
+            receiver, dimension, (getattr(receiver, dimension) or 0) + amount
+        ),
+    )
+
+
+def spare(
+    held: configuration.Limit,
+    usage: messages.TeamUsage,
+    dimension: str,
+    asked: int,
+) -> int:
+    """Return how much a zone gives up of its slice when it is asked.
+
+    At most half of what is unused (rounded up), so that two zones with
+    waiting work do not send the same units back and forth.
+    """
+    size: int | None = getattr(held, dimension)
+    if size is None:
+        return 0
+    if dimension == 'running':
+        used: int = usage.running
+    else:
+        used = getattr(usage.resources, dimension)
+    unused = max(0, size - used)
+    return max(0, min(asked, (unused + 1) // 2))
+
+
+def _cleaned(
+    slices_by_zone: Slices, limit: configuration.Limit
+) -> dict[model.ZoneId, configuration.Limit]:
+    """Set limited dimensions to a number and the others to ``None``."""
+    bounds = _as_tuple(limit)
+    return {
+        zone: _as_limit(
+            [
+                None if bound is None else value or 0
+                for value, bound in zip(_as_tuple(item), bounds, strict=True)
+            ]
+        )
+        for zone, item in slices_by_zone.items()
+    }
+
+
+def _add(
+    slices_by_zone: dict[model.ZoneId, configuration.Limit],
+    zone: model.ZoneId,
+    dimension: str,
+    amount: int,
+) -> None:
+    present = slices_by_zone[zone]
+    value = getattr(present, dimension) + amount
+    slices_by_zone[zone] = _with(present, dimension, value)
+
+
+def _with(
+    limit: configuration.Limit, dimension: str, value: int
+) -> configuration.Limit:
+    return msgspec.structs.replace(limit, **{dimension: value})
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/retries.py
@@ -0,0 +1,63 @@
+"""Retry budgets: retries are bounded by a fraction of recent requests.
+
+Without a bound, retries multiply the load of an upstream service that is
+already failing.
+"""
+
+import math
+
+from samphirestack import model
+
+BUDGET_FRACTION = 0.1
+"""Retries allowed per recent request."""
+
+WINDOW_S = 10.0
+"""Time in which the weight of a counted request falls to 1/e."""
+
+MINIMUM_BUDGET = 1.0
+"""Retries that are allowed in a window even with hardly any requests."""
+
+
+class _Counts:
+    """Decaying numbers of requests and retries of one service."""
+
+    __slots__ = ('at', 'requests', 'retries')
+
+    def __init__(self, now: float) -> None:
+        self.requests = 0.0
+        self.retries = 0.0
+        self.at = now
+
+    def decay(self, now: float) -> None:
+        kept = math.exp(-max(0.0, now - self.at) / WINDOW_S)
+        self.requests *= kept
+        self.retries *= kept
+        self.at = max(now, self.at)
+
+
+class RetryBudget:
+    """Counts requests and retries per service."""
+
+    def __init__(self) -> None:
+        self._counts_by_service: dict[model.ServiceId, _Counts] = {}
+
+    def record_request(self, now: float, service: model.ServiceId) -> None:
+        """Count a first attempt."""
+        self._counts(now, service).requests += 1
+
+    def try_retry(self, now: float, service: model.ServiceId) -> bool:
+        """Count a retry and return true if the budget allows it."""
+        counts = self._counts(now, service)
+        budget = max(MINIMUM_BUDGET, counts.requests * BUDGET_FRACTION)
+        if counts.retries >= budget:
+            return False
+        counts.retries += 1
+        return True
+
+    def _counts(self, now: float, service: model.ServiceId) -> _Counts:
+        counts = self._counts_by_service.get(service)
+        if counts is None:
+            counts = _Counts(now)
+            self._counts_by_service[service] = counts
+        counts.decay(now)
+        return counts
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/decisions/routing.py
@@ -0,0 +1,358 @@
+"""Selection of an upstream: exact slot counts and circuit breakers.
+
+:class:`UpstreamPool` knows the upstreams of one zone.  Each held slot is
+counted with :meth:`UpstreamPool.take` and :meth:`UpstreamPool.give_back`,
+whether it belongs to a grant or to a request that the upstream lists
+without one.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+import enum
+
+import msgspec
+
+from samphirestack import model
+from samphirestack import platform
+
+FAILURES_TO_OPEN = 5
+"""Failures in a row after which an upstream gets no more requests."""
+
+FIRST_OPEN_S = 1.0
+LONGEST_OPEN_S = 30.0
+"""The pause of an open breaker doubles from the first to the longest."""
+
+MISSED_POLLS = 2
+"""Status calls in a row without an answer that exclude an upstream; a
+single one can be lost to a busy moment."""
+
+
+class BreakerState(enum.Enum):
+    """State of the circuit breaker of one upstream."""
+
+    CLOSED = 'closed'
+    OPEN = 'open'
+    HALF_OPEN = 'half_open'
+    """One request is let through to see whether it succeeds."""
+
+
+class Breaker:
+    """Circuit breaker of one upstream."""
+
+    __slots__ = ('_failures', '_pause_s', 'open_until', 'state')
+
+    def __init__(self) -> None:
+        self.state = BreakerState.CLOSED
+        self.open_until = 0.0
+        self._failures = 0
+        self._pause_s = FIRST_OPEN_S
+
+    def record(self, now: float, failed: bool) -> None:
+        """Take over how an attempt ended."""
+        if not failed:
+            self.state = BreakerState.CLOSED
+            self._failures = 0
+            self._pause_s = FIRST_OPEN_S
+            return
+        self._failures += 1
+        if self.state is BreakerState.HALF_OPEN or (
+            self.state is BreakerState.CLOSED
+            and self._failures >= FAILURES_TO_OPEN
+        ):
+            self._open(now)
+
+    def elapse(self, now: float) -> bool:
+        """Half-open after the pause; return whether the state changed."""
+        if self.state is BreakerState.OPEN and now >= self.open_until:
+            self.state = BreakerState.HALF_OPEN
+            return True
+        return False
+
+    def _open(self, now: float) -> None:
+        self.state = BreakerState.OPEN
+        self.open_until = now + self._pause_s
+        self._pause_s = min(2 * self._pause_s, LONGEST_OPEN_S)
+
+
+class _Upstream:
+    """What is known of one upstream."""
+
+    __slots__ = (
+        'breaker',
+        'listed',
+        'listed_leaving',
+        'missed',
+        'offered',
+        'ready',
+        'said_leaving',
+        'slots',
+        'unlisted_since',
+        'used',
+        'vm',
+    )
+
+    def __init__(self, vm: model.Vm) -> None:
+        self.vm = vm
+        self.slots = vm.slots
+        self.used = 0
+        self.listed = True
+        self.listed_leaving = False
+        self.unlisted_since = 0.0
+        self.said_leaving = False
+        self.missed = 0
+        self.ready = False
+        self.offered = 0
+        self.breaker = Breaker()
+
+    @property
+    def is_healthy(self) -> bool:
+        """Whether it may get new requests once a slot is free."""
+        return (
+            self.listed
+            and not self.listed_leaving
+            and not self.said_leaving
+            and self.missed < MISSED_POLLS
+            and self.breaker.state is not BreakerState.OPEN
+        )
+
+    def offer(self) -> int:
+        """Return the slots that new requests may use."""
+        if not (self.ready and self.is_healthy):
+            return 0
+        free = max(0, self.slots - self.used)
+        if self.breaker.state is BreakerState.HALF_OPEN:
+            return min(free, 1) if not self.used else 0
+        return free
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """Slots of all upstreams of a zone."""
+
+    slots: int
+    free: int
+
+
+class UpstreamPool:
+    """All upstreams of one zone with exact counts of their slots."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[model.UpstreamId, _Upstream] = {}
+        self._offers_by_service: dict[
+            model.ServiceId, dict[int, dict[model.UpstreamId, None]]
+        ] = {}
+        self._open: set[model.UpstreamId] = set()
+        self._listed_services: set[model.ServiceId] | None = None
+
+    def set_upstreams(self, now: float, vms: Iterable[model.Vm]) -> None:
+        """Take over the platform's list of VMs; others are ignored.
+
+        An upstream that is not listed any more keeps its counts until
+        :meth:`forget`, in case the list is wrong for a moment.
+        """
+        present = {
+            model.UpstreamId(vm.vm_id): vm
+            for vm in vms
+            if vm.role is model.VmRole.UPSTREAM
+        }
+        self._listed_services = {vm.service for vm in present.values()}
+        for upstream_id, vm in present.items():
+            self._update(upstream_id, vm)
+        for upstream_id, upstream in self._by_id.items():
+            if upstream_id not in present and upstream.listed:
+                upstream.listed = False
+                upstream.unlisted_since = now
+            self._offer_again(upstream_id)
+
+    def upstream_status(
+        self,
+        upstream_id: model.UpstreamId,
+        status: platform.UpstreamStatus | None,
+        is_current: bool,
+    ) -> None:
+        """Take over a status; ``None`` means that no answer came.
+
+        :param is_current: whether the status was asked for late enough to
+            show everything that a former leader granted.
+        """
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None:
+            return
+        if status is None:
+            upstream.missed += 1
+        else:
+            upstream.missed = 0
+            upstream.slots = status.slots
+            upstream.said_leaving = status.leaving
+            upstream.ready = upstream.ready or is_current
+        self._offer_again(upstream_id)
+
+    def require_status(self) -> None:
+        """Offer no slot of an upstream before its next current status."""
+        for upstream_id, upstream in self._by_id.items():
+            upstream.ready = False
+            self._offer_again(upstream_id)
+
+    def mark_leaving(self, upstream_id: model.UpstreamId) -> None:
+        """Offer no slot of an upstream that said that it is leaving."""
+        upstream = self._by_id.get(upstream_id)
+        if upstream is not None:
+            upstream.said_leaving = True
+            self._offer_again(upstream_id)
+
+    def record_result(
+        self, now: float, upstream_id: model.UpstreamId, failed: bool
+    ) -> None:
+        """Tell the circuit breaker how an attempt ended."""
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None:
+            return
+        upstream.breaker.record(now, failed)
+        if upstream.breaker.state is BreakerState.OPEN:
+            self._open.add(upstream_id)
+        self._offer_again(upstream_id)
+
+    def elapse(self, now: float) -> None:
+        """Half-open the breakers whose pause is over."""
+        for upstream_id in list(self._open):
+            if self._by_id[upstream_id].breaker.elapse(now):
+                self._open.discard(upstream_id)
+                self._offer_again(upstream_id)
+
+    def take(self, upstream_id: model.UpstreamId) -> None:
+        """Count a slot as used, even beyond what is offered."""
+        if upstream_id not in self._by_id:
+            self._by_id[upstream_id] = _Upstream(_placeholder(upstream_id))
+            self._by_id[upstream_id].listed = False
+        self._by_id[upstream_id].used += 1
+        self._offer_again(upstream_id)
+
+    def give_back(self, upstream_id: model.UpstreamId) -> None:
+        """Count a slot as free again."""
+        self._by_id[upstream_id].used -= 1
+        self._offer_again(upstream_id)
+
+    def choose(
+        self,
+        service: model.ServiceId,
+        avoid: Collection[model.UpstreamId] = (),
+        excluded: Collection[model.UpstreamId] = (),
+    ) -> model.UpstreamId | None:
+        """Return the upstream with the most free slots.
+
+        :param avoid: not used while the service has another healthy
+            upstream, even if that one has no free slot now.
+        :param excluded: never used.
+        """
+        fallback = None
+        offers = self._offers_by_service.get(service, {})
+        for free in sorted(offers, reverse=True):
+            for upstream_id in offers[free]:
+                if upstream_id in excluded:
+                    continue
+                if upstream_id not in avoid:
+                    return upstream_id
+                fallback = fallback or upstream_id
+        if fallback is None or self._has_other(service, avoid, excluded):
+            return None
+        return fallback
+
+    def has_free(self, service: model.ServiceId) -> bool:
+        """Return whether any slot of the service is offered."""
+        return bool(self._offers_by_service.get(service))
+
+    def lacks(self, service: model.ServiceId) -> bool:
+        """Return whether the list of VMs has no upstream of a service."""
+        listed = self._listed_services
+        return listed is not None and service not in listed
+
+    def address(self, upstream_id: model.UpstreamId) -> str:
+        """Return the address of an upstream, empty if it is not known."""
+        upstream = self._by_id.get(upstream_id)
+        return upstream.vm.address if upstream else ''
+
+    def used(self, upstream_id: model.UpstreamId) -> int:
+        """Return the slots in use at an upstream."""
+        upstream = self._by_id.get(upstream_id)
+        return upstream.used if upstream else 0
+
+    def gone_since(self, upstream_id: model.UpstreamId) -> float | None:
+        """Return when an upstream left the list; ``None`` if it is there."""
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None or upstream.listed:
+            return None
+        return upstream.unlisted_since
+
+    def forget_unlisted(self, before: float) -> None:
+        """Drop unused upstreams that left the list before a time."""
+        for upstream_id, upstream in list(self._by_id.items()):
+            if upstream.listed or upstream.used:
+                continue
+            if upstream.unlisted_since < before:
+                self._withdraw(upstream_id, upstream)
+                self._open.discard(upstream_id)
+                del self._by_id[upstream_id]
+
+    def capacity(self) -> Capacity:
+        """Return the slots of all healthy upstreams and the free ones."""
+        healthy = [item for item in self._by_id.values() if item.is_healthy]
+        return Capacity(
+            sum(upstream.slots for upstream in healthy),
+            sum(upstream.offered for upstream in healthy),
+        )
+
+    def _update(self, upstream_id: model.UpstreamId, vm: model.Vm) -> None:
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None:
+            upstream = _Upstream(vm)
+            self._by_id[upstream_id] = upstream
+        elif upstream.vm != vm:
+            self._withdraw(upstream_id, upstream)
+            if upstream.vm.address != vm.address:
+                upstream.slots = vm.slots
+                upstream.ready = False
+            upstream.vm = vm
+        upstream.listed = True
+        upstream.listed_leaving = vm.state is model.VmState.LEAVING
+
+    def _has_other(
+        self,
+        service: model.ServiceId,
+        avoid: Collection[model.UpstreamId],
+        excluded: Collection[model.UpstreamId],
+    ) -> bool:
+        return any(
+            upstream.vm.service == service
+            and upstream.is_healthy
+            and upstream_id not in avoid
+            and upstream_id not in excluded
+            for upstream_id, upstream in self._by_id.items()
+        )
+
+    def _offer_again(self, upstream_id: model.UpstreamId) -> None:
+        """Put an upstream into the index at its present offer."""
+        upstream = self._by_id[upstream_id]
+        self._withdraw(upstream_id, upstream)
+        free = upstream.offer()
+        if not free:
+            return
+        offers = self._offers_by_service.setdefault(upstream.vm.service, {})
+        offers.setdefault(free, {})[upstream_id] = None
+        upstream.offered = free
+
+    def _withdraw(
+        self, upstream_id: model.UpstreamId, upstream: _Upstream
+    ) -> None:
+        if not upstream.offered:
+            return
+        offers = self._offers_by_service[upstream.vm.service]
+        del offers[upstream.offered][upstream_id]
+        if not offers[upstream.offered]:
+            del offers[upstream.offered]
+        upstream.offered = 0
+
+
+def _placeholder(upstream_id: model.UpstreamId) -> model.Vm:
+    """Return a VM for an upstream that no list has named yet."""
+    return model.Vm(
+        model.VmId(upstream_id), '', model.VmRole.UPSTREAM, model.ZoneId('')
+    )
--- a/packages/core/src/samphirestack/internal/messages.py
+++ b/packages/core/src/samphirestack/internal/messages.py
@@ -78,6 +78,8 @@
     upstream_id: model.UpstreamId
     address: str
     epoch: model.Epoch
+    attempt: int = 0
+    """Attempt of the :class:`RequestSlot` that it answers, 0 if unknown."""
 
 
 class Refuse(Message, frozen=True):
@@ -117,6 +119,8 @@
     queue: model.QueueId
     team: model.TeamId
     epoch: model.Epoch
+    attempt: int = 0
+    """Attempt that the grant was given for, 0 if unknown."""
 
 
 class LeaderChanged(Message, frozen=True):
@@ -143,6 +147,8 @@
     running: int
     resources: model.Resources
     waiting: int
+    slots: int = 0
+    """Slots of upstreams, which are part of ``running``."""
 
 
 class ZoneState(Message, frozen=True):
