Add the request scheduler of the zone leader

Every used slot is one hold, counted at the upstream, in the team's slice and in its share. A hold ends by a release that knows the outcome, or when the upstream's status no longer lists the request; requests that a status lists without a grant are holds as well. After a change of leader, entries report before any of their requests is queued, so that a request with a grant of the former leader gets no second one.

--- a/packages/core/src/samphirestack/internal/decisions/fairshare.py
+++ b/packages/core/src/samphirestack/internal/decisions/fairshare.py
@@ -49,6 +49,8 @@
     """It already has more of its share than the team that was chosen."""
     PATIENT = 'patient'
     """Only patient work waits, and urgent work goes first."""
+    TURN = 'turn'
+    """Patient work has its turn, so that it gets a tenth of the starts."""
     AVOIDED = 'avoided'
     """Only upstreams that its requests avoid have free slots."""
 
--- a/packages/core/src/samphirestack/internal/decisions/limits.py
+++ b/packages/core/src/samphirestack/internal/decisions/limits.py
@@ -79,10 +79,10 @@
         """Return the slice of ``team``, zero if it is not known."""
         return _as_limit(self._slices_by_team.get(team, _NOTHING))
 
-    def try_acquire(
+    def allows(
         self, team: model.TeamId, running: int, resources: model.Resources
     ) -> bool:
-        """Charge ``team`` if its slice allows it and return whether it does.
+        """Return whether the slice of ``team`` has room for more work.
 
         A refusal is remembered for :meth:`take_shortages`.
         """
@@ -97,8 +97,15 @@
             if lacking > 0:
                 self._note_shortage(team, DIMENSIONS[index], lacking)
                 allowed = False
+        return allowed
+
+    def try_acquire(
+        self, team: model.TeamId, running: int, resources: model.Resources
+    ) -> bool:
+        """Charge ``team`` if its slice allows it; return whether it does."""
+        allowed = self.allows(team, running, resources)
         if allowed:
-            self._used_by_team[team] = _sum(used, asked)
+            self.adopt(team, running, resources)
         return allowed
 
     def adopt(
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/admission.py
@@ -0,0 +1,224 @@
+"""How requests enter and leave the queue of a zone without a grant."""
+
+from collections.abc import Callable
+
+from samphirestack import configuration as configurations
+from samphirestack.internal.decisions import queueing
+from samphirestack.internal.decisions import routing
+from samphirestack.internal.decisions import waitings
+from samphirestack.internal.leader import held_back
+from samphirestack.internal.leader import outbox as outboxes
+from samphirestack.internal import messages
+from samphirestack import model
+
+
+class Admission:
+    """Applies the published configuration to waiting requests."""
+
+    def __init__(
+        self,
+        zone: model.ZoneId,
+        pool: routing.UpstreamPool,
+        outbox: outboxes.Outbox,
+        max_waiting: int,
+    ) -> None:
+        self._zone = zone
+        self._pool = pool
+        self._outbox = outbox
+        self._max_waiting = max_waiting
+        self._configuration = configurations.Configuration()
+        self._held_back = held_back.HeldBackRequests()
+        self.queue = queueing.RequestQueue(max_waiting)
+
+    def clear(self) -> None:
+        """Forget all requests, because another node queues them now."""
+        self.queue = queueing.RequestQueue(self._max_waiting)
+        self._held_back.clear()
+
+    def configure(self, configuration: configurations.Configuration) -> None:
+        """Take over a configuration.
+
+        Work of retired queues and teams is refused; other work is ordered
+        as its profile says now.
+        """
+        former = self._configuration
+        self._configuration = configuration
+        self._refuse_retired(former)
+        if (
+            former.profiles_by_id != configuration.profiles_by_id
+            or former.services_by_id != configuration.services_by_id
+            or former.queues_by_id != configuration.queues_by_id
+        ):
+            self._queue_again()
+
+    def admit(
+        self, now: float, sender: model.VmId, slot: messages.RequestSlot
+    ) -> None:
+        """Queue a request, or refuse it if it can't be queued."""
+        queue = self._configuration.queues_by_id.get(slot.queue)
+        if queue is None:
+            self.hold_back(now, sender, slot)
+            return
+        if self._pool.lacks(queue.service):
+            self._outbox.refuse(
+                sender,
+                slot.request_id,
+                'no_capacity',
+                self._lack_of(queue.service),
+            )
+            return
+        self._add(
+            queue,
+            request_id=slot.request_id,
+            entry=sender,
+            team=slot.team,
+            enqueued_at=now - slot.waited_s,
+            deadline=now + slot.deadline_in_s,
+            attempt=slot.attempt,
+            avoid=slot.avoid,
+        )
+
+    def hold_back(
+        self, now: float, sender: model.VmId, slot: messages.RequestSlot
+    ) -> None:
+        """Keep a request that can't be queued yet."""
+        if not self._held_back.add(held_back.HeldBack(now, sender, slot)):
+            self._outbox.refuse(
+                sender,
+                slot.request_id,
+                'queue_full',
+                f'{held_back.MAX_HELD_BACK} requests wait for the start of '
+                f'the zone leader',
+            )
+
+    def take_held_back(
+        self, selects: Callable[[held_back.HeldBack], bool]
+    ) -> list[held_back.HeldBack]:
+        """Remove and return requests that were held back."""
+        return self._held_back.take(selects)
+
+    def cancel(
+        self, sender: model.VmId, request_id: model.RequestId
+    ) -> waitings.Waiting | None:
+        """Remove a request of ``sender``; return it if it was queued."""
+        self._held_back.remove(request_id)
+        waiting = self.queue.get(request_id)
+        if waiting is None or waiting.entry != sender:
+            return None
+        return self.queue.remove(request_id)
+
+    def entry_lost(self, entry: model.VmId) -> None:
+        """Drop everything that an entry waits for."""
+        self.queue.remove_entry(entry)
+        self._held_back.take(lambda item: item.sender == entry)
+
+    def longest_s(self, queue_id: model.QueueId) -> float:
+        """Return how long a request of a queue can take at most."""
+        queue = self._configuration.queues_by_id.get(queue_id)
+        if queue is None:
+            return configurations.Profile(model.ProfileId('')).deadline_s
+        return self._configuration.profile_of(queue).deadline_s
+
+    def clean_up(
+        self, now: float, is_known: Callable[[model.VmId], bool]
+    ) -> None:
+        """Refuse what has no prospect of a slot.
+
+        :param is_known: whether an entry has reported in this term.
+        """
+        for item in self._held_back.take(lambda item: item.is_overdue(now)):
+            self._refuse_held_back(
+                item,
+                'deadline_exceeded',
+                f'zone {self._zone!r} had no ready leader in time',
+            )
+        for item in self._held_back.take(
+            lambda item: item.is_unknown(now) and is_known(item.sender)
+        ):
+            self._refuse_held_back(
+                item, 'not_found', f'queue {item.slot.queue!r} does not exist'
+            )
+        for service in self.queue.services():
+            if self._pool.lacks(service):
+                self._refuse_unserved(service)
+
+    def _add(
+        self,
+        queue: configurations.Queue,
+        *,
+        request_id: model.RequestId,
+        entry: model.VmId,
+        team: model.TeamId,
+        enqueued_at: float,
+        deadline: float,
+        attempt: int,
+        avoid: tuple[model.UpstreamId, ...],
+    ) -> None:
+        profile = self._configuration.profile_of(queue)
+        waiting = waitings.Waiting(
+            request_id=request_id,
+            entry=entry,
+            queue=queue.name,
+            service=queue.service,
+            profile=profile.name,
+            team=team,
+            urgency=profile.urgency,
+            enqueued_at=enqueued_at,
+            deadline=deadline,
+            promote_at=enqueued_at + profile.max_wait_s,
+            attempt=attempt,
+            avoid=avoid,
+        )
+        shed = self.queue.add(waiting, profile.max_queued)
+        if shed is not None:
+            self._outbox.refuse_waiting(
+                shed,
+                'queue_full',
+                f'too many requests of team {shed.team!r} and profile '
+                f'{shed.profile!r} wait in zone {self._zone!r}',
+            )
+
+    def _queue_again(self) -> None:
+        for item in self.queue.remove_where(lambda _: True):
+            self._add(
+                self._configuration.queues_by_id[item.queue],
+                request_id=item.request_id,
+                entry=item.entry,
+                team=item.team,
+                enqueued_at=item.enqueued_at,
+                deadline=item.deadline,
+                attempt=item.attempt,
+                avoid=item.avoid,
+            )
+
+    def _refuse_retired(self, former: configurations.Configuration) -> None:
+        present = self._configuration
+        queues = former.queues_by_id.keys() - present.queues_by_id.keys()
+        teams = former.teams_by_id.keys() - present.teams_by_id.keys()
+        if not queues and not teams:
+            return
+        for waiting in self.queue.remove_where(
+            lambda item: item.queue in queues or item.team in teams
+        ):
+            if waiting.queue in queues:
+                reason = f'queue {waiting.queue!r} was retired'
+                self._outbox.refuse_waiting(waiting, 'not_found', reason)
+            else:
+                reason = f'team {waiting.team!r} was retired'
+                self._outbox.refuse_waiting(waiting, 'unauthorized', reason)
+
+    def _refuse_unserved(self, service: model.ServiceId) -> None:
+        for waiting in self.queue.remove_where(
+            lambda item: item.service == service
+        ):
+            self._outbox.refuse_waiting(
+                waiting, 'no_capacity', self._lack_of(service)
+            )
+
+    def _refuse_held_back(
+        self, item: held_back.HeldBack, code: str, reason: str
+    ) -> None:
+        self._outbox.refuse(item.sender, item.slot.request_id, code, reason)
+
+    def _lack_of(self, service: model.ServiceId) -> str:
+        return f'zone {self._zone!r} has no upstream of service {service!r}'
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/granting.py
@@ -0,0 +1,163 @@
+"""The decision which waiting request gets the next free slot."""
+
+from samphirestack.internal.decisions import fairshare
+from samphirestack.internal.decisions import limits
+from samphirestack.internal.decisions import queueing
+from samphirestack.internal.decisions import routing
+from samphirestack.internal.decisions import waitings
+from samphirestack.internal.leader import holds
+from samphirestack import model
+
+_Passed = list[tuple[model.TeamId, fairshare.Reason]]
+
+
+class Granter:
+    """Picks requests and upstreams, and counts the slots.
+
+    :param zone: part of the ids of grants, which are unique over zones,
+        terms and grants.
+    """
+
+    def __init__(
+        self,
+        zone: model.ZoneId,
+        pool: routing.UpstreamPool,
+        table: holds.HoldTable,
+        ledger: limits.TeamLedger,
+        shares: fairshare.ShareTracker,
+    ) -> None:
+        self._zone = zone
+        self._pool = pool
+        self._holds = table
+        self._ledger = ledger
+        self._shares = shares
+        self._granted = 0
+        self._routed_to: model.UpstreamId | None = None
+
+    def grant_next(
+        self, now: float, epoch: model.Epoch, queue: queueing.RequestQueue
+    ) -> holds.Hold | None:
+        """Give one free slot to a request and return it, if possible."""
+        for service in queue.services():
+            if not self._pool.has_free(service):
+                continue
+            hold = self._grant_one(now, epoch, queue, service)
+            if hold is not None:
+                return hold
+        return None
+
+    def is_at_limit(self, team: model.TeamId) -> bool:
+        """Return whether the slice of a team has no room for a request."""
+        return not self._ledger.allows(team, 1, holds.NO_RESOURCES)
+
+    def _grant_one(
+        self,
+        now: float,
+        epoch: model.Epoch,
+        queue: queueing.RequestQueue,
+        service: model.ServiceId,
+    ) -> holds.Hold | None:
+        passed: _Passed = []
+        classes = list(queue.candidates(service))
+        for index, choice in enumerate(classes):
+            order = self._order(now, choice.teams, passed)
+            for position, team in enumerate(order):
+                waiting = queue.first_match(
+                    service, choice.urgent, team, self._finds_upstream
+                )
+                if waiting is None:
+                    passed.append((team, fairshare.Reason.AVOIDED))
+                    continue
+                behind = order[position + 1 :]
+                passed += [(item, fairshare.Reason.SHARE) for item in behind]
+                passed += _of_other_classes(classes[index + 1 :])
+                queue.start(waiting)
+                return self._hold(now, epoch, waiting, passed)
+        return None
+
+    def _order(
+        self,
+        now: float,
+        teams: tuple[model.TeamId, ...],
+        passed: _Passed,
+    ) -> list[model.TeamId]:
+        """Order teams by share, without those that are at their limit.
+
+        Those are not owed anything for the time that they wait.
+        """
+        allowed = []
+        for team in teams:
+            if self.is_at_limit(team):
+                passed.append((team, fairshare.Reason.LIMIT))
+            else:
+                allowed.append(team)
+        return self._shares.order(now, allowed)
+
+    def _finds_upstream(self, waiting: waitings.Waiting) -> bool:
+        self._routed_to = self._pool.choose(
+            waiting.service,
+            waiting.avoid,
+            self._holds.excluded_for(waiting.request_id),
+        )
+        return self._routed_to is not None
+
+    def _hold(
+        self,
+        now: float,
+        epoch: model.Epoch,
+        waiting: waitings.Waiting,
+        passed: _Passed,
+    ) -> holds.Hold | None:
+        upstream_id = self._routed_to
+        if upstream_id is None or not self._ledger.try_acquire(
+            waiting.team, 1, holds.NO_RESOURCES
+        ):
+            raise AssertionError('the slot and the slice were checked before')
+        self._record(now, waiting, passed)
+        self._granted += 1
+        hold = holds.Hold(
+            grant_id=model.GrantId(f'{self._zone}/{epoch}/{self._granted}'),
+            request_id=waiting.request_id,
+            upstream_id=upstream_id,
+            queue=waiting.queue,
+            team=waiting.team,
+            entry=waiting.entry,
+            attempt=waiting.attempt,
+            since=now,
+            deadline=waiting.deadline,
+        )
+        self._holds.add(now, hold)
+        return hold
+
+    def _record(
+        self, now: float, waiting: waitings.Waiting, passed: _Passed
+    ) -> None:
+        named = passed[: fairshare.PASSED_OVER_PER_RECORD]
+        self._shares.record(
+            fairshare.AuditRecord(
+                now,
+                waiting.team,
+                waiting.request_id,
+                True,
+                'urgent' if waiting.is_urgent else 'patient',
+                self._shares.rank(waiting.team),
+                tuple(
+                    fairshare.PassedOver(team, reason, self._shares.rank(team))
+                    for team, reason in named
+                ),
+            )
+        )
+
+
+def _of_other_classes(classes: list[queueing.Candidates]) -> _Passed:
+    """Return the teams that only have work of a later class."""
+    return [
+        (
+            team,
+            fairshare.Reason.TURN
+            if choice.urgent
+            else fairshare.Reason.PATIENT,
+        )
+        for choice in classes
+        for team in choice.teams[: fairshare.PASSED_OVER_PER_RECORD]
+    ]
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/held_back.py
@@ -0,0 +1,78 @@
+"""Requests that a zone leader can't queue yet."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from samphirestack.internal import messages
+from samphirestack import model
+
+MAX_HELD_BACK = 20_000
+"""Bound on requests that are held back at a time, as for waiting ones."""
+
+UNKNOWN_QUEUE_S = 4.0
+"""Time in which every node has an accepted configuration; a queue that is
+unknown for longer does not exist."""
+
+
+class HeldBack(msgspec.Struct, frozen=True):
+    """A request with its sender and the time of its arrival."""
+
+    arrived_at: float
+    sender: model.VmId
+    slot: messages.RequestSlot
+
+    def aged(self, now: float) -> messages.RequestSlot:
+        """Return the request with the time that it was held back."""
+        held_s = now - self.arrived_at
+        return msgspec.structs.replace(
+            self.slot,
+            waited_s=self.slot.waited_s + held_s,
+            deadline_in_s=self.slot.deadline_in_s - held_s,
+        )
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the deadline has passed."""
+        return now - self.arrived_at >= self.slot.deadline_in_s
+
+    def is_unknown(self, now: float) -> bool:
+        """Return whether its queue would be known if it existed."""
+        return now - self.arrived_at >= UNKNOWN_QUEUE_S
+
+
+class HeldBackRequests:
+    """Requests of entries that have not reported, or of unknown queues."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[model.RequestId, HeldBack] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def add(self, item: HeldBack) -> bool:
+        """Hold a request back; return false if there are too many.
+
+        A duplicate keeps the time of the first arrival.
+        """
+        known = self._by_id.get(item.slot.request_id)
+        if known is not None and known.slot.attempt >= item.slot.attempt:
+            return True
+        if len(self._by_id) >= MAX_HELD_BACK:
+            return False
+        self._by_id[item.slot.request_id] = item
+        return True
+
+    def remove(self, request_id: model.RequestId) -> None:
+        """Drop a request that was cancelled."""
+        self._by_id.pop(request_id, None)
+
+    def take(self, selects: Callable[[HeldBack], bool]) -> list[HeldBack]:
+        """Remove and return the selected requests in order of arrival."""
+        taken = [item for item in self._by_id.values() if selects(item)]
+        for item in taken:
+            del self._by_id[item.slot.request_id]
+        return taken
+
+    def clear(self) -> None:
+        """Drop everything."""
+        self._by_id.clear()
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/holds.py
@@ -0,0 +1,328 @@
+"""Slots of upstreams that are in use or could be in use.
+
+A :class:`Hold` is one such slot.  It is counted at its upstream, in the
+slice of its team and in the team's share from :meth:`HoldTable.add` to
+:meth:`HoldTable.free`.
+
+How a hold ends:
+
+- The entry releases it and knows that the request ran or did not run.
+- The entry releases it but the request may still run: it lingers until the
+  upstream does not list the request.
+- Its entry is lost: the same, but the entry may be alive behind a broken
+  link, so that a grant that was never listed is kept for a while longer.
+- The upstream listed a request that no grant accounts for: until the
+  upstream does not list it.
+"""
+
+import enum
+
+from samphirestack.internal.decisions import fairshare
+from samphirestack.internal.decisions import limits
+from samphirestack.internal.decisions import routing
+from samphirestack.internal.leader import recent
+from samphirestack import model
+from samphirestack import platform
+
+MISSES_TO_FREE = 2
+"""Statuses in a row that must not list a request that was never listed:
+one status can overtake a request that is on its way."""
+
+UNSENT_GRANT_S = 2.0
+"""Time in which an entry sends the request of a grant, or never."""
+
+LATE_RELEASE_S = 5.0
+"""Time after the deadline of a request by which its entry has released the
+grant, unless the release was lost."""
+
+GONE_UPSTREAM_S = 10.0
+"""Time after which an upstream that left the list of VMs is gone."""
+
+NO_RESOURCES = model.Resources()
+
+_RELEASES_KEPT_S = 60.0
+_UNKNOWN_QUEUE = model.QueueId('')
+_UNKNOWN_ENTRY = model.VmId('')
+
+
+class HoldState(enum.Enum):
+    """Why a slot counts as used."""
+
+    ACTIVE = 'active'
+    """An entry may use its grant."""
+    LINGERING = 'lingering'
+    """The entry gave up, but the upstream may still work on the request."""
+    ORPHAN = 'orphan'
+    """The upstream listed the request, and no grant accounts for it."""
+
+
+class Hold:
+    """One used slot; times are monotonic seconds."""
+
+    __slots__ = (
+        'attempt',
+        'deadline',
+        'entry',
+        'grant_id',
+        'missed',
+        'queue',
+        'request_id',
+        'since',
+        'state',
+        'team',
+        'upstream_id',
+        'was_listed',
+    )
+
+    def __init__(
+        self,
+        *,
+        grant_id: model.GrantId,
+        request_id: model.RequestId,
+        upstream_id: model.UpstreamId,
+        team: model.TeamId,
+        since: float,
+        deadline: float,
+        queue: model.QueueId = _UNKNOWN_QUEUE,
+        entry: model.VmId = _UNKNOWN_ENTRY,
+        attempt: int = 0,
+        state: HoldState = HoldState.ACTIVE,
+    ) -> None:
+        self.grant_id = grant_id
+        self.request_id = request_id
+        self.upstream_id = upstream_id
+        self.queue = queue
+        self.team = team
+        self.entry = entry
+        self.attempt = attempt
+        self.state = state
+        self.since = since
+        self.deadline = deadline
+        self.was_listed = False
+        self.missed = 0
+
+
+_ByRequest = dict[model.RequestId, Hold]
+
+
+class HoldTable:
+    """All used slots of a zone."""
+
+    def __init__(
+        self,
+        pool: routing.UpstreamPool,
+        ledger: limits.TeamLedger,
+        shares: fairshare.ShareTracker,
+    ) -> None:
+        self._pool = pool
+        self._ledger = ledger
+        self._shares = shares
+        self._by_grant: dict[model.GrantId, Hold] = {}
+        self._active_by_request: _ByRequest = {}
+        self._by_upstream: dict[model.UpstreamId, _ByRequest] = {}
+        self._idle_by_request: dict[
+            model.RequestId, dict[model.UpstreamId, None]
+        ] = {}
+        self._lost_at_by_entry: dict[model.VmId, float] = {}
+        self._released: recent.Recent[
+            tuple[model.UpstreamId, model.RequestId]
+        ] = recent.Recent(_RELEASES_KEPT_S)
+
+    def __len__(self) -> int:
+        return len(self._by_grant)
+
+    def by_grant(self, grant_id: model.GrantId) -> Hold | None:
+        """Return the hold of a grant."""
+        return self._by_grant.get(grant_id)
+
+    def active_for(self, request_id: model.RequestId) -> Hold | None:
+        """Return the hold that the entry of a request may use."""
+        return self._active_by_request.get(request_id)
+
+    def at(
+        self, upstream_id: model.UpstreamId, request_id: model.RequestId
+    ) -> Hold | None:
+        """Return the hold of a request at an upstream."""
+        return self._by_upstream.get(upstream_id, {}).get(request_id)
+
+    def excluded_for(
+        self, request_id: model.RequestId
+    ) -> dict[model.UpstreamId, None]:
+        """Return upstreams that may still work on an earlier attempt.
+
+        A second attempt there could not be told from the first one in the
+        upstream's status.
+        """
+        return self._idle_by_request.get(request_id, {})
+
+    def add(self, now: float, hold: Hold) -> None:
+        """Count a slot; the team's slice was charged by the caller."""
+        self._by_grant[hold.grant_id] = hold
+        at_upstream = self._by_upstream.setdefault(hold.upstream_id, {})
+        at_upstream[hold.request_id] = hold
+        if hold.state is HoldState.ACTIVE:
+            self._active_by_request[hold.request_id] = hold
+        else:
+            self._set_idle(hold)
+        self._pool.take(hold.upstream_id)
+        self._shares.charge(now, hold.team, 1, NO_RESOURCES)
+
+    def adopt(self, now: float, hold: Hold) -> None:
+        """Count a slot that is in use already.
+
+        A hold of the same request at the same upstream is the same slot.
+        """
+        known = self.at(hold.upstream_id, hold.request_id)
+        if known is not None:
+            hold.was_listed = known.was_listed
+            self.free(now, known)
+        other = self._active_by_request.get(hold.request_id)
+        if other is not None and hold.state is HoldState.ACTIVE:
+            self.linger(now, other)
+        self._ledger.adopt(hold.team, 1, NO_RESOURCES)
+        self.add(now, hold)
+
+    def linger(self, now: float, hold: Hold) -> None:
+        """Keep a slot until the upstream does not list the request."""
+        if hold.state is HoldState.LINGERING:
+            return
+        self._forget_state(hold)
+        hold.state = HoldState.LINGERING
+        hold.since = now
+        hold.missed = 0
+        self._set_idle(hold)
+
+    def free(self, now: float, hold: Hold) -> None:
+        """Count a slot as free."""
+        self._forget_state(hold)
+        del self._by_grant[hold.grant_id]
+        at_upstream = self._by_upstream[hold.upstream_id]
+        del at_upstream[hold.request_id]
+        if not at_upstream:
+            del self._by_upstream[hold.upstream_id]
+        self._released.note(now, (hold.upstream_id, hold.request_id))
+        self._pool.give_back(hold.upstream_id)
+        self._ledger.release(hold.team, 1, NO_RESOURCES)
+        self._shares.refund(now, hold.team, 1, NO_RESOURCES)
+
+    def clear(self, now: float) -> None:
+        """Forget all holds, because another node counts them now."""
+        for hold in list(self._by_grant.values()):
+            self.free(now, hold)
+        self._lost_at_by_entry.clear()
+        self._released.clear()
+
+    def entry_lost(self, now: float, entry: model.VmId) -> None:
+        """Treat grants of an entry as possibly abandoned."""
+        self._lost_at_by_entry.setdefault(entry, now)
+
+    def entry_seen(self, entry: model.VmId) -> None:
+        """Treat an entry as alive."""
+        self._lost_at_by_entry.pop(entry, None)
+
+    def reconcile(
+        self,
+        now: float,
+        upstream_id: model.UpstreamId,
+        status: platform.UpstreamStatus,
+        sent_at: float,
+    ) -> list[Hold]:
+        """Compare the holds at an upstream with what it lists.
+
+        Returns grants of live entries that it does not list.
+
+        :param sent_at: when the status was asked for; what began or ended
+            later may be missing from it or still in it.
+        """
+        listed = {item.request_id: item.team for item in status.active}
+        unlisted = []
+        for hold in list(self._by_upstream.get(upstream_id, {}).values()):
+            if hold.request_id in listed:
+                hold.was_listed = True
+                hold.missed = 0
+                continue
+            if sent_at <= hold.since:
+                continue
+            hold.missed += 1
+            if self._has_ended(now, hold, sent_at):
+                self.free(now, hold)
+            elif hold.missed >= MISSES_TO_FREE and not self._is_abandoned(
+                now, hold
+            ):
+                unlisted.append(hold)
+        for request_id, team in listed.items():
+            self._add_orphan(now, upstream_id, request_id, team, sent_at)
+        return unlisted
+
+    def free_gone(self, now: float) -> None:
+        """Free slots of upstreams that are gone for good."""
+        for upstream_id in list(self._by_upstream):
+            gone = self._pool.gone_since(upstream_id)
+            if gone is None or now - gone <= GONE_UPSTREAM_S:
+                continue
+            for hold in list(self._by_upstream[upstream_id].values()):
+                if self._is_abandoned(now, hold):
+                    self.free(now, hold)
+
+    def _has_ended(self, now: float, hold: Hold, sent_at: float) -> bool:
+        """Return whether an unlisted request can't run any more."""
+        if hold.state is HoldState.ORPHAN:
+            return True
+        if not self._is_abandoned(now, hold):
+            return False
+        if hold.was_listed:
+            return True
+        lost_at = self._lost_at_by_entry.get(hold.entry)
+        if hold.state is HoldState.ACTIVE and lost_at is not None:
+            return (
+                sent_at > lost_at + UNSENT_GRANT_S
+                and hold.missed >= MISSES_TO_FREE
+            )
+        return hold.missed >= MISSES_TO_FREE
+
+    def _is_abandoned(self, now: float, hold: Hold) -> bool:
+        """Return whether no entry is going to release a hold."""
+        return (
+            hold.state is not HoldState.ACTIVE
+            or hold.entry in self._lost_at_by_entry
+            or now > hold.deadline + LATE_RELEASE_S
+        )
+
+    def _add_orphan(
+        self,
+        now: float,
+        upstream_id: model.UpstreamId,
+        request_id: model.RequestId,
+        team: model.TeamId,
+        sent_at: float,
+    ) -> None:
+        if self.at(upstream_id, request_id) is not None:
+            return
+        key = (upstream_id, request_id)
+        if self._released.noted_at(key) >= sent_at:
+            return
+        orphan = Hold(
+            grant_id=model.GrantId(f'listed/{upstream_id}/{request_id}'),
+            request_id=request_id,
+            upstream_id=upstream_id,
+            team=team,
+            since=now,
+            deadline=now,
+            state=HoldState.ORPHAN,
+        )
+        orphan.was_listed = True
+        self.adopt(now, orphan)
+
+    def _set_idle(self, hold: Hold) -> None:
+        upstreams = self._idle_by_request.setdefault(hold.request_id, {})
+        upstreams[hold.upstream_id] = None
+
+    def _forget_state(self, hold: Hold) -> None:
+        if hold.state is HoldState.ACTIVE:
+            if self._active_by_request.get(hold.request_id) is hold:
+                del self._active_by_request[hold.request_id]
+            return
+        upstreams = self._idle_by_request[hold.request_id]
+        del upstreams[hold.upstream_id]
+        if not upstreams:
+            del self._idle_by_request[hold.request_id]
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leader/outbox.py
@@ -0,0 +1,39 @@
+"""Messages that the request scheduler has decided to send."""
+
+from samphirestack.internal.decisions import waitings
+from samphirestack.internal.leader import outgoing
+from samphirestack.internal import messages
+from samphirestack import model
+
+
+class Outbox:
+    """Collects messages until the scheduler's caller takes them."""
+
+    def __init__(self) -> None:
+        self._items: list[outgoing.Outgoing] = []
+
+    def send(self, to: model.VmId, message: messages.AnyMessage) -> None:
+        """Add a message."""
+        self._items.append(outgoing.Outgoing(to, message))
+
+    def refuse(
+        self,
+        entry: model.VmId,
+        request_id: model.RequestId,
+        code: str,
+        reason: str,
+    ) -> None:
+        """Add the refusal of a request."""
+        self.send(entry, messages.Refuse(request_id, code, reason))
+
+    def refuse_waiting(
+        self, waiting: waitings.Waiting, code: str, reason: str
+    ) -> None:
+        """Add the refusal of a request that waited."""
+        self.refuse(waiting.entry, waiting.request_id, code, reason)
+
+    def take(self) -> list[outgoing.Outgoing]:
+        """Return the messages in order and forget them."""
+        items = self._items
+        self._items = []
+        return items
