Add the upstream client with a verdict for each failure

A call counts as not run only while no connection was in hand, or when the upstream's own refusal names this very request.

--- /dev/null
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -0,0 +1,323 @@
+"""Client of upstreams over HTTP that knows whether a request has run.
+
+The verdict depends on one fact: whether a connection was in hand before
+the failure.  Until then no byte of the request has left this process, so
+it certainly has not run.  From then on only the upstream's own refusal,
+marked with the id of this very request, proves that it has not run.
+"""
+
+import asyncio
+from collections.abc import Callable
+import types
+from typing import Any
+
+import aiohttp
+import msgspec
+import yarl
+
+from samphirestack import errors
+from samphirestack import model
+from samphirestack import platform
+
+REQUEST_ID_HEADER = 'Samphirestack-Request-Id'
+TEAM_HEADER = 'Samphirestack-Team'
+EPOCH_HEADER = 'Samphirestack-Epoch'
+VERDICT_HEADER = 'Samphirestack-Verdict'
+NOT_RUN = 'not-run'
+
+CONNECT_TIMEOUT_S = 1.0
+STATUS_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 1.0
+"""Age at which an idle connection is closed.  Common servers close idle
+connections after 5 s or more; a connection that idled for at most a second
+is not closed by the upstream while a request is on its way to it."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bound on an answer, since it is held in memory as a whole."""
+
+MAX_CACHED_URLS = 4096
+FIRST_REFUSAL_STATUS = 400
+BODILESS_STATUSES = frozenset({204, 304})
+
+_status_decoder = msgspec.json.Decoder(platform.UpstreamStatus)
+
+
+class _Progress:
+    """Whether a call has a connection, so that bytes may have been sent."""
+
+    __slots__ = ('connected',)
+
+    def __init__(self) -> None:
+        self.connected = False
+
+
+class _Gate:
+    """Bound on the connections to one upstream."""
+
+    __slots__ = ('pending', 'places', 'size')
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.places = asyncio.Semaphore(size)
+        self.pending: asyncio.Task[platform.UpstreamStatus] | None = None
+
+
+class HttpUpstreamClient:
+    """An :class:`samphirestack.platform.UpstreamClient` over aiohttp.
+
+    :param connections_of: returns how many connections this process may
+        have open to the upstream at an address, at least 2; one of them is
+        kept for :meth:`status`.
+    """
+
+    def __init__(self, connections_of: Callable[[str], int]) -> None:
+        self._connections_of = connections_of
+        self._gates_by_address: dict[str, _Gate] = {}
+        self._urls_by_address: dict[str, yarl.URL] = {}
+        self._session: aiohttp.ClientSession | None = None
+        self._status_session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._session, self._status_session):
+            if session is not None:
+                await session.close()
+        self._session = self._status_session = None
+
+    async def work(
+        self,
+        address: str,
+        request_id: model.RequestId,
+        team: model.TeamId,
+        epoch: model.Epoch,
+        body: bytes,
+        deadline_s: float,
+    ) -> platform.UpstreamAnswer:
+        """Send a request and return the whole answer.
+
+        :raises errors.UpstreamRefused: it certainly has not run.
+        :raises errors.UpstreamFailed: it may have run.
+        """
+        progress = _Progress()
+        headers = {
+            REQUEST_ID_HEADER: request_id,
+            TEAM_HEADER: team,
+            EPOCH_HEADER: str(epoch),
+            'Content-Type': 'application/json',
+        }
+        try:
+            async with asyncio.timeout(deadline_s):
+                async with self._gate(address).places:
+                    return await self._exchange(
+                        address, request_id, headers, body, progress
+                    )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise _failure(address, progress, error) from error
+
+    async def _exchange(
+        self,
+        address: str,
+        request_id: model.RequestId,
+        headers: dict[str, str],
+        body: bytes,
+        progress: _Progress,
+    ) -> platform.UpstreamAnswer:
+        async with self._work_session().post(
+            self._work_url(address),
+            data=body,
+            headers=headers,
+            # A redirect would send the request a second time.
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        ) as response:
+            try:
+                _check_identity(address, request_id, response)
+                _check_framing(address, response)
+                content = await _read_bounded(address, response)
+            except errors.UpstreamFailed:
+                # The connection may be out of step with its requests.
+                response.close()
+                raise
+            if _is_refusal(response):
+                raise errors.UpstreamRefused(
+                    f'upstream {address} refused the request with status '
+                    f'{response.status}'
+                )
+            return platform.UpstreamAnswer(response.status, content)
+
+    async def status(self, address: str) -> platform.UpstreamStatus:
+        """Ask for the status on a new connection.
+
+        Callers that ask while a query is under way share its outcome.
+
+        :raises errors.UpstreamFailed: no answer in time.
+        """
+        gate = self._gate(address)
+        if gate.pending is None:
+            gate.pending = asyncio.create_task(self._query(address))
+            gate.pending.add_done_callback(lambda _: _clear(gate))
+        return await asyncio.shield(gate.pending)
+
+    async def _query(self, address: str) -> platform.UpstreamStatus:
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
+                async with self._fresh_session().get(
+                    f'http://{address}/status', allow_redirects=False
+                ) as response:
+                    content = await _read_bounded(address, response)
+            return _status_decoder.decode(content)
+        except (
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            errors.UpstreamFailed,
+        ) as error:
+            raise errors.UpstreamFailed(
+                f'upstream {address} gave no status: {_describe(error)}'
+            ) from error
+
+    def _gate(self, address: str) -> _Gate:
+        size = max(1, self._connections_of(address) - 1)
+        gate = self._gates_by_address.get(address)
+        if gate is None or gate.size != size:
+            pending = gate.pending if gate is not None else None
+            gate = _Gate(size)
+            gate.pending = pending
+            self._gates_by_address[address] = gate
+            _trim(self._gates_by_address)
+        return gate
+
+    def _work_url(self, address: str) -> yarl.URL:
+        url = self._urls_by_address.get(address)
+        if url is None:
+            url = yarl.URL(f'http://{address}/work')
+            self._urls_by_address[address] = url
+            _trim(self._urls_by_address)
+        return url
+
+    def _work_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_TIMEOUT_S
+            )
+            self._session = _new_session(connector, [_connection_trace()])
+        return self._session
+
+    def _fresh_session(self) -> aiohttp.ClientSession:
+        if self._status_session is None:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._status_session = _new_session(connector, [])
+        return self._status_session
+
+
+def _new_session(
+    connector: aiohttp.TCPConnector, traces: list[aiohttp.TraceConfig]
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        trace_configs=traces,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+
+
+def _connection_trace() -> aiohttp.TraceConfig:
+    """Return a trace that notes in the call's progress that it connected."""
+
+    async def connected(
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        params: object,
+    ) -> None:
+        context.trace_request_ctx.connected = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(connected)
+    trace.on_connection_reuseconn.append(connected)
+    return trace
+
+
+def _check_identity(
+    address: str,
+    request_id: model.RequestId,
+    response: aiohttp.ClientResponse,
+) -> None:
+    """Raise unless the answer names this request, and no other."""
+    named = response.headers.getall(REQUEST_ID_HEADER, [])
+    if named != [request_id]:
+        raise errors.UpstreamFailed(
+            f'upstream {address} answered request {request_id!r} with the '
+            f'request id {", ".join(named) or "missing"}'
+        )
+
+
+def _check_framing(address: str, response: aiohttp.ClientResponse) -> None:
+    """Raise for an answer whose end can't be told from a broken connection."""
+    framed = (
+        'Content-Length' in response.headers
+        or 'chunked' in response.headers.get('Transfer-Encoding', '').lower()
+        or response.status in BODILESS_STATUSES
+    )
+    if not framed:
+        raise errors.UpstreamFailed(
+            f'upstream {address} answered without Content-Length or chunks, '
+            'so that a truncated answer could not be detected'
+        )
+
+
+async def _read_bounded(
+    address: str, response: aiohttp.ClientResponse
+) -> bytes:
+    announced = response.content_length
+    if announced is not None and announced <= MAX_ANSWER_BYTES:
+        return await response.read()
+    content = bytearray()
+    async for piece in response.content.iter_any():
+        content += piece
+        if len(content) > MAX_ANSWER_BYTES:
+            raise errors.UpstreamFailed(
+                f'upstream {address} sent more than {MAX_ANSWER_BYTES} bytes'
+            )
+    return bytes(content)
+
+
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    return (
+        response.status >= FIRST_REFUSAL_STATUS
+        and response.headers.get(VERDICT_HEADER) == NOT_RUN
+    )
+
+
+def _failure(
+    address: str, progress: _Progress, error: Exception
+) -> errors.UpstreamFailed:
+    reason = _describe(error)
+    if progress.connected:
+        return errors.UpstreamFailed(
+            f'upstream {address} broke off after the request was sent: '
+            f'{reason}'
+        )
+    return errors.UpstreamRefused(
+        f'upstream {address} could not be reached: {reason}'
+    )
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__} {error}'.strip()
+
+
+def _clear(gate: _Gate) -> None:
+    if gate.pending is not None and not gate.pending.cancelled():
+        # Marks the outcome as seen when every caller has gone away.
+        gate.pending.exception()
+    gate.pending = None
+
+
+def _trim(entries: dict[str, Any]) -> None:
+    """Forget the oldest entry beyond the bound; addresses come and go."""
+    if len(entries) > MAX_CACHED_URLS:
+        del entries[next(iter(entries))]
