Add the dispatcher and the callers' interface

The path from a caller's HTTP call over the zone leader's grant to the upstream's whole answer is complete.

--- a/packages/core/src/samphirestack/errors.py
+++ b/packages/core/src/samphirestack/errors.py
@@ -122,12 +122,19 @@
 
 
 class RateLimited(SamphireError):
-    """The team sends more calls a second than it may."""
+    """The team sends more calls a second than it may.
+
+    :param retry_after_s: time after which a call will be accepted.
+    """
 
     code = 'rate_limited'
     http_status = 429
     hint = 'Wait for the time in the Retry-After header.'
 
+    def __init__(self, message: str, retry_after_s: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
 
 class QueueFull(SamphireError):
     """The queue's bound is reached; the request was shed."""
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/dispatch/attempts.py
@@ -0,0 +1,210 @@
+"""Attempts of one request: slots, sends, retries and hedges."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from samphirestack import errors
+from samphirestack import platform
+from samphirestack import verdict as verdicts
+from samphirestackd import context as contexts
+from samphirestackd.dispatch import budget as budgets
+from samphirestackd.dispatch import calls
+from samphirestackd.dispatch import held as held_grants
+from samphirestackd.dispatch import records
+from samphirestackd.dispatch import slots
+from samphirestackd.dispatch import timings as timing_types
+
+MAX_HARMLESS_ATTEMPTS = 8
+"""Bound on sends that were all refused as not run, so that a request does
+not go round among upstreams that refuse everything until its deadline."""
+
+BeforeSend = Callable[[records.Record], Awaitable[None]]
+
+
+class Attempts:
+    """Runs requests until there is an answer or a final error."""
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        timings: timing_types.Timings,
+    ) -> None:
+        self._context = context
+        self._timings = timings
+        self._held = held_grants.HeldGrants(context, timings)
+        self._budget = budgets.RetryBudget()
+        self._sender = calls.Sender(context, timings, self._held)
+        self._background: set[asyncio.Task[platform.UpstreamAnswer]] = set()
+        self.slots = slots.SlotBroker(context, timings, self._held)
+
+    def in_flight(self) -> int:
+        """Return how many sends and grants have not ended."""
+        return len(self._held) + len(self._background)
+
+    async def run(
+        self, record: records.Record, before_send: BeforeSend
+    ) -> platform.UpstreamAnswer:
+        """Return the whole answer of an upstream.
+
+        :param before_send: awaited under the first grant, before anything
+            is sent; an error ends the request as not run.
+        :raises errors.SamphireError: with the verdict over all attempts.
+        """
+        self._budget.note_request(
+            self._context.clock(), record.call.queue.service
+        )
+        prepared = False
+        while True:
+            held = await self._acquire(record)
+            if not prepared:
+                await self._prepare(record, held, before_send)
+                prepared = True
+            try:
+                return await self._send(record, held)
+            except errors.UpstreamFailed as error:
+                if not self._may_repeat(record, error):
+                    raise
+                self._note_repeat(record, held, error)
+            await asyncio.sleep(self._timings.retry_pause_s * record.attempts)
+
+    async def _acquire(self, record: records.Record) -> held_grants.Held:
+        if record.cancelled:
+            raise errors.Cancelled(
+                f'request {record.call.request_id!r} was cancelled'
+            )
+        record.mark_waiting()
+        held = await self.slots.acquire(record, record.attempts + 1)
+        record.mark_granted()
+        return held
+
+    async def _prepare(
+        self,
+        record: records.Record,
+        held: held_grants.Held,
+        before_send: BeforeSend,
+    ) -> None:
+        try:
+            await before_send(record)
+        except BaseException:
+            self._held.release(held, verdicts.Verdict.NOT_RUN)
+            raise
+
+    async def _send(
+        self, record: records.Record, held: held_grants.Held
+    ) -> platform.UpstreamAnswer:
+        self._context.events.record(
+            'request.sent',
+            request_id=record.call.request_id,
+            upstream_id=held.grant.upstream_id,
+            epoch=held.grant.epoch,
+            attempt=record.attempts + 1,
+        )
+        hedge_after_s = record.call.profile.hedge_after_s
+        if hedge_after_s is None or not record.call.idempotent:
+            return await self._sender.send(record, held)
+        return await self._send_hedged(record, held, hedge_after_s)
+
+    async def _send_hedged(
+        self,
+        record: records.Record,
+        held: held_grants.Held,
+        hedge_after_s: float,
+    ) -> platform.UpstreamAnswer:
+        """Send, and send a second time if the first stays silent.
+
+        The first whole answer counts.  A slower send is left to end by
+        itself, so that its slot is given back only when it is free.
+        """
+        first = self._spawn(self._sender.send(record, held))
+        await asyncio.wait({first}, timeout=hedge_after_s)
+        if first.done() or not self._may_hedge(record):
+            return await asyncio.shield(first)
+        record.avoid = (*record.avoid, held.grant.upstream_id)
+        second = self._spawn(self._hedge(record))
+        try:
+            return await _first_answer(first, second)
+        finally:
+            # Ends the wait for a second slot that is not needed any more.
+            self.slots.cancel(record.call.request_id)
+
+    async def _hedge(self, record: records.Record) -> platform.UpstreamAnswer:
+        held = await self.slots.acquire(record, record.attempts + 1)
+        if record.past is verdicts.Verdict.RAN:
+            # The first send was answered while this one had no slot yet.
+            self._held.release(held, verdicts.Verdict.NOT_RUN)
+            raise errors.Cancelled('the request was answered meanwhile')
+        self._context.events.record(
+            'request.hedged',
+            request_id=record.call.request_id,
+            upstream_id=held.grant.upstream_id,
+        )
+        return await self._sender.send(record, held)
+
+    def _spawn(
+        self, send: Awaitable[platform.UpstreamAnswer]
+    ) -> asyncio.Task[platform.UpstreamAnswer]:
+        task = asyncio.ensure_future(send)
+        assert isinstance(task, asyncio.Task)
+        self._background.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[platform.UpstreamAnswer]) -> None:
+        self._background.discard(task)
+        if not task.cancelled():
+            # Marks the error of a send that nobody waits for as seen.
+            task.exception()
+
+    def _may_hedge(self, record: records.Record) -> bool:
+        return record.attempts < record.call.profile.max_attempts and (
+            self._budget.try_spend(
+                self._context.clock(), record.call.queue.service
+            )
+        )
+
+    def _may_repeat(
+        self, record: records.Record, error: errors.UpstreamFailed
+    ) -> bool:
+        call = record.call
+        if self._context.clock() >= record.deadline_at:
+            return False
+        if not record.verdict.allows_retry(call.idempotent):
+            return False
+        if error.verdict is verdicts.Verdict.NOT_RUN:
+            return record.attempts < MAX_HARMLESS_ATTEMPTS
+        if record.attempts >= call.profile.max_attempts:
+            return False
+        return self._budget.try_spend(
+            self._context.clock(), call.queue.service
+        )
+
+    def _note_repeat(
+        self,
+        record: records.Record,
+        held: held_grants.Held,
+        error: errors.UpstreamFailed,
+    ) -> None:
+        record.avoid = (*record.avoid, held.grant.upstream_id)
+        self._context.events.record(
+            'request.retried',
+            request_id=record.call.request_id,
+            upstream_id=held.grant.upstream_id,
+            verdict=error.verdict.value,
+        )
+
+
+async def _first_answer(
+    first: asyncio.Task[platform.UpstreamAnswer],
+    second: asyncio.Task[platform.UpstreamAnswer],
+) -> platform.UpstreamAnswer:
+    """Return the answer of the send that ends first with one."""
+    pending = {first, second}
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if not task.cancelled() and task.exception() is None:
+                return task.result()
+    return first.result()
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/dispatch/held.py
@@ -0,0 +1,163 @@
+"""Grants that this entry uses, and how they are given back."""
+
+import asyncio
+
+from samphirestack.internal.leader import outgoing
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import verdict as verdicts
+from samphirestackd import context as contexts
+from samphirestackd.dispatch import timings as timing_types
+from samphirestackd import interfaces
+
+MAX_UNSENT = 10_000
+"""Releases kept for a leader that can't be reached; a leader finds lost
+ones when the upstream no longer lists the request."""
+
+
+class Held:
+    """A grant in use."""
+
+    __slots__ = ('grant', 'leader', 'queue', 'since', 'team', 'zone')
+
+    def __init__(
+        self,
+        grant: messages.Grant,
+        zone: model.ZoneId,
+        leader: model.VmId,
+        queue: model.QueueId,
+        team: model.TeamId,
+        since: float,
+    ) -> None:
+        self.grant = grant
+        self.zone = zone
+        self.leader = leader
+        self.queue = queue
+        self.team = team
+        self.since = since
+
+
+class HeldGrants:
+    """All grants in use at this entry.
+
+    A grant is registered before anything else learns of it, so that a
+    report to a new leader is complete at any time.
+    """
+
+    def __init__(
+        self, context: contexts.Context, timings: timing_types.Timings
+    ) -> None:
+        self._context = context
+        self._timings = timings
+        self._held_by_id: dict[model.GrantId, Held] = {}
+        self._unsent: list[outgoing.Outgoing] = []
+        self._retry: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        return len(self._held_by_id)
+
+    def __contains__(self, grant_id: object) -> bool:
+        return grant_id in self._held_by_id
+
+    def add(self, held: Held) -> None:
+        """Register a grant as used."""
+        self._held_by_id[held.grant.grant_id] = held
+
+    def release(
+        self,
+        held: Held,
+        verdict: verdicts.Verdict,
+        *,
+        failed: bool = False,
+        leaving: bool = False,
+    ) -> None:
+        """Give a grant back to the present leader of its zone, once."""
+        if self._held_by_id.pop(held.grant.grant_id, None) is None:
+            return
+        leader = self._context.leaders.leader_of(held.zone)
+        self._send(
+            held.leader if leader is None else leader.vm_id,
+            messages.Release(
+                held.grant.grant_id,
+                held.grant.request_id,
+                verdict,
+                failed,
+                self._context.clock() - held.since,
+                leaving,
+            ),
+        )
+
+    def abandon(self, held: Held) -> None:
+        """Give back a grant that was registered and never used."""
+        if self._held_by_id.pop(held.grant.grant_id, None) is not None:
+            self.return_unused(held.leader, held.grant)
+
+    def return_unused(self, leader: model.VmId, grant: messages.Grant) -> None:
+        """Give back a grant that was never registered."""
+        self._context.events.record(
+            'grant.returned',
+            request_id=grant.request_id,
+            grant_id=grant.grant_id,
+            epoch=grant.epoch,
+        )
+        self._send(
+            leader,
+            messages.Release(
+                grant.grant_id,
+                grant.request_id,
+                verdicts.Verdict.NOT_RUN,
+                False,
+                0.0,
+            ),
+        )
+
+    def report_to(
+        self, zone: model.ZoneId, leader: interfaces.Leader, always: bool
+    ) -> None:
+        """Tell a new leader of ``zone`` which of its grants are in use.
+
+        :param always: whether an empty report is sent as well; the leader
+            of the own zone waits for one from each entry.
+        """
+        grants = tuple(
+            messages.HeldGrant(
+                held.grant.grant_id,
+                held.grant.request_id,
+                held.grant.upstream_id,
+                held.queue,
+                held.team,
+                held.grant.epoch,
+            )
+            for held in self._held_by_id.values()
+            if held.zone == zone
+        )
+        if grants or always:
+            self._context.links.send(
+                leader.vm_id, messages.HeldReport(leader.epoch, grants)
+            )
+
+    def _send(self, leader: model.VmId, release: messages.AnyMessage) -> None:
+        if self._context.links.send(leader, release):
+            return
+        if len(self._unsent) < MAX_UNSENT:
+            self._unsent.append(outgoing.Outgoing(leader, release))
+        self._schedule_retry()
+
+    def _schedule_retry(self) -> None:
+        if self._retry is None:
+            self._retry = asyncio.get_running_loop().call_later(
+                self._timings.release_retry_s, self._send_unsent
+            )
+
+    def _send_unsent(self) -> None:
+        """Send kept releases again; a former leader needs none of them."""
+        self._retry = None
+        unsent, self._unsent = self._unsent, []
+        peers = self._context.links.peers_by_id()
+        for item in unsent:
+            peer = peers.get(item.to)
+            if peer is None:
+                continue
+            leader = self._context.leaders.leader_of(peer.zone)
+            if leader is None or leader.vm_id == item.to:
+                self._send(item.to, item.message)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/dispatch/jobs.py
@@ -0,0 +1,218 @@
+"""Jobs at this entry: acceptance, state, cancellation and waiting.
+
+A job is accepted when its row is in the table.  Its id is made here, so
+that a write whose outcome is unknown can be read back.
+"""
+
+import asyncio
+import time
+import uuid
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import platform
+from samphirestackd import context as contexts
+from samphirestackd.dispatch import sizes
+
+TABLE = 'jobs'
+WRITE_ATTEMPTS = 3
+CANCEL_ATTEMPTS = 4
+CANCEL_PAUSE_S = 0.25
+FIRST_POLL_S = 0.1
+LONGEST_POLL_S = 2.0
+ID_SEPARATOR = '--'
+"""Separates the home zone from the rest of a job id."""
+
+
+class JobRequest(msgspec.Struct, frozen=True):
+    """A job as the edge hands it over, checked and authorized."""
+
+    queue: configuration.Queue
+    team: model.TeamId
+    kind: model.JobKind
+    tasks: int
+    resources: model.Resources
+    run_time_s: float
+    idempotent: bool
+    payload: object = None
+
+
+class JobDesk:
+    """Takes jobs in and answers questions about them."""
+
+    def __init__(self, context: contexts.Context) -> None:
+        self._context = context
+
+    async def submit(self, request: JobRequest) -> model.JobId:
+        """Insert the row of a job and return its id.
+
+        :raises errors.ImpossibleSize: no worker could ever run it.
+        :raises errors.StoreUnavailable: it is certainly not accepted.
+        :raises errors.OutcomeUnknown: it may be accepted.
+        """
+        job = self._new_job(request)
+        await self._insert(job)
+        self._context.events.record(
+            'job.accepted',
+            job_id=job.job_id,
+            team=job.team,
+            queue=job.queue,
+            tasks=job.tasks,
+        )
+        self._tell_leader(job.home_zone, messages.JobWork(job.job_id))
+        return job.job_id
+
+    async def find(
+        self, job_id: model.JobId, team: model.TeamId | None
+    ) -> model.JobRecord:
+        """Return the row of a job.
+
+        :param team: whose job it must be; ``None`` for any, which is for
+            operators.
+        :raises errors.NotFound: there is no such job of the team.
+        :raises errors.StoreUnavailable: the table does not answer.
+        """
+        for zone in self._zones_of(job_id):
+            row = await self._read(zone, job_id)
+            if row is None:
+                continue
+            record = msgspec.convert(row.value, model.JobRecord)
+            if team is None or record.job.team == team:
+                return record
+        raise errors.NotFound(f'job {job_id!r} does not exist')
+
+    async def wait(
+        self, job_id: model.JobId, team: model.TeamId, timeout_s: float
+    ) -> model.JobRecord:
+        """Return the row of a job when it is final or the time is up."""
+        deadline = self._context.clock() + timeout_s
+        pause_s = FIRST_POLL_S
+        while True:
+            record = await self.find(job_id, team)
+            left_s = deadline - self._context.clock()
+            if record.state.is_final or left_s <= 0:
+                return record
+            await asyncio.sleep(min(pause_s, left_s))
+            pause_s = min(pause_s * 2, LONGEST_POLL_S)
+
+    async def cancel(
+        self, job_id: model.JobId, team: model.TeamId | None
+    ) -> model.JobRecord:
+        """Ask the home zone's leader to cancel a job.
+
+        :returns: the row, which may not be final yet.
+        :raises errors.NoLeader: no leader could be told.
+        """
+        told = False
+        for _ in range(CANCEL_ATTEMPTS):
+            record = await self.find(job_id, team)
+            if record.state.is_final:
+                return record
+            zone = record.job.home_zone
+            message = messages.JobWork(job_id, cancel=True)
+            told = self._tell_leader(zone, message) or told
+            await asyncio.sleep(CANCEL_PAUSE_S)
+        if not told:
+            raise errors.NoLeader(
+                f'the leader of zone {zone!r}, the home of job {job_id!r}, '
+                'could not be reached; the job was not cancelled'
+            )
+        return await self.find(job_id, team)
+
+    async def scan(self, zone: model.ZoneId) -> list[model.JobRecord]:
+        """Return the rows of all jobs whose home is a zone."""
+        try:
+            rows = await self._context.table.scan(TABLE, f'{zone}/')
+        except errors.PlatformError as error:
+            raise errors.StoreUnavailable(error.message) from error
+        return [msgspec.convert(row.value, model.JobRecord) for row in rows]
+
+    def _new_job(self, request: JobRequest) -> model.Job:
+        current = self._context.view.current
+        team = current.teams_by_id.get(request.team)
+        home = sizes.home_zone_of(
+            request.kind,
+            request.tasks,
+            request.resources,
+            self._context.settings.zone,
+            self._context.vms.vms_by_id(),
+            configuration.Limit() if team is None else team.limit,
+        )
+        name = f'{home}{ID_SEPARATOR}{uuid.uuid4().hex}'
+        return model.Job(
+            job_id=model.JobId(name),
+            queue=request.queue.name,
+            team=request.team,
+            kind=request.kind,
+            tasks=request.tasks,
+            resources=request.resources,
+            run_time_s=request.run_time_s,
+            idempotent=request.idempotent,
+            home_zone=home,
+            submitted_at_s=time.time(),
+            payload=request.payload,
+        )
+
+    async def _insert(self, job: model.Job) -> None:
+        value = msgspec.to_builtins(model.JobRecord(job))
+        key = f'{job.home_zone}/{job.job_id}'
+        write = platform.Write(TABLE, key, 0, value)
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                await self._context.table.transact([write])
+                return
+            except errors.TransactionConflict:
+                # Only an earlier attempt of this loop knows the id.
+                return
+            except errors.OutcomeUnknown:
+                if await self._is_inserted(job):
+                    return
+        raise errors.OutcomeUnknown(
+            f'the table did not confirm job {job.job_id!r}',
+            hint='Ask for the job by the id in the message before you send '
+            'it again.',
+        )
+
+    async def _is_inserted(self, job: model.Job) -> bool:
+        try:
+            row = await self._read(job.home_zone, job.job_id)
+        except errors.StoreUnavailable:
+            return False
+        return row is not None
+
+    async def _read(
+        self, zone: model.ZoneId, job_id: model.JobId
+    ) -> platform.Row | None:
+        try:
+            return await self._context.table.get(TABLE, f'{zone}/{job_id}')
+        except errors.PlatformError as error:
+            raise errors.StoreUnavailable(error.message) from error
+
+    def _zones_of(self, job_id: model.JobId) -> list[model.ZoneId]:
+        """Return where the row can be, most likely first.
+
+        The rows of a lost zone are taken over by another one.
+        """
+        first = model.ZoneId(job_id.rpartition(ID_SEPARATOR)[0])
+        zones = self._context.view.current.zones_by_id
+        if first not in zones and first != self._context.settings.zone:
+            raise errors.NotFound(f'job {job_id!r} does not exist')
+        if first in zones and zones[first].lost:
+            return [
+                first,
+                *(zone for zone in map(model.ZoneId, zones) if zone != first),
+            ]
+        return [first]
+
+    def _tell_leader(
+        self, zone: model.ZoneId, message: messages.JobWork
+    ) -> bool:
+        leader = self._context.leaders.leader_of(zone)
+        if leader is None:
+            # A new leader reads all rows of its zone.
+            return False
+        return self._context.links.send(leader.vm_id, message)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/dispatch/records.py
@@ -0,0 +1,164 @@
+"""A request that this entry holds, and its state."""
+
+import enum
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack import model
+from samphirestack import verdict as verdicts
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A request as the edge hands it over, checked and authorized."""
+
+    request_id: model.RequestId
+    queue: configuration.Queue
+    profile: configuration.Profile
+    team: model.TeamId
+    body: bytes
+    idempotent: bool
+    deadline_s: float
+    idempotency_key: str = ''
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """The whole answer of an upstream to a call."""
+
+    request_id: model.RequestId
+    status: int
+    body: bytes
+
+
+class RequestInfo(msgspec.Struct, frozen=True):
+    """What callers may know of a request."""
+
+    request_id: model.RequestId
+    state: model.RequestState
+    verdict: verdicts.Verdict
+
+
+class Phase(enum.IntEnum):
+    """Order of the verdicts from harmless to certain."""
+
+    NOT_RUN = 0
+    MAY_HAVE_RUN = 1
+    RAN = 2
+
+
+_PHASE_BY_VERDICT = {
+    verdicts.Verdict.NOT_RUN: Phase.NOT_RUN,
+    verdicts.Verdict.MAY_HAVE_RUN: Phase.MAY_HAVE_RUN,
+    verdicts.Verdict.RAN: Phase.RAN,
+}
+_VERDICT_BY_STATE = {
+    model.RequestState.SENT: verdicts.Verdict.MAY_HAVE_RUN,
+    model.RequestState.ANSWERED: verdicts.Verdict.RAN,
+}
+
+
+class Record:
+    """State of one request over all its attempts.
+
+    The state may only be changed through the methods, since they keep the
+    verdict right and refuse a second send of a non-idempotent request.
+    """
+
+    __slots__ = (
+        'attempts',
+        'avoid',
+        'call',
+        'cancelled',
+        'deadline_at',
+        'past',
+        'received_at',
+        'row_version',
+        'spent_grants',
+        'state',
+        'unresolved',
+    )
+
+    def __init__(self, call: Call, now: float) -> None:
+        self.call = call
+        self.state = model.RequestState.RECEIVED
+        self.received_at = now
+        self.deadline_at = now + call.deadline_s
+        self.attempts = 0
+        self.avoid: tuple[model.UpstreamId, ...] = ()
+        self.spent_grants: set[model.GrantId] = set()
+        self.cancelled = False
+        self.unresolved = 0
+        """Sends whose outcome is not known yet."""
+        self.past = verdicts.Verdict.NOT_RUN
+        """Verdict over the attempts that have ended."""
+        self.row_version = 0
+        """Version of the idempotency row, 0 if there is none."""
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """What is known about whether the request has run."""
+        if self.unresolved:
+            return verdicts.Verdict.MAY_HAVE_RUN
+        present = _VERDICT_BY_STATE.get(self.state, verdicts.Verdict.NOT_RUN)
+        return _worse(present, self.past)
+
+    def info(self) -> RequestInfo:
+        """Return what callers may know."""
+        return RequestInfo(self.call.request_id, self.state, self.verdict)
+
+    def mark_waiting(self) -> None:
+        """Note that a slot is waited for."""
+        if not self.unresolved:
+            self.state = model.RequestState.WAITING
+
+    def mark_granted(self) -> None:
+        """Note that a slot is held."""
+        if not self.unresolved:
+            self.state = model.RequestState.GRANTED
+
+    def mark_sent(self) -> None:
+        """Note that the request is about to be sent.
+
+        :raises errors.AlreadyDispatched: it is not idempotent and an
+            earlier send may have had an effect.
+        :raises errors.Cancelled: the caller was told that it is cancelled.
+        """
+        if self.cancelled:
+            raise errors.Cancelled(
+                f'request {self.call.request_id!r} was cancelled'
+            )
+        harmless = self.verdict is verdicts.Verdict.NOT_RUN
+        if not harmless and not self.call.idempotent:
+            raise errors.AlreadyDispatched(
+                f'request {self.call.request_id!r} may have run and is not '
+                'idempotent, so it is not sent again'
+            )
+        self.state = model.RequestState.SENT
+        self.unresolved += 1
+        self.attempts += 1
+
+    def mark_ended(self, verdict: verdicts.Verdict) -> None:
+        """Note the verdict of the send that ended."""
+        self.unresolved -= 1
+        self.past = _worse(self.past, verdict)
+        if verdict is verdicts.Verdict.RAN:
+            self.state = model.RequestState.ANSWERED
+        elif not self.unresolved and self.state is model.RequestState.SENT:
+            self.state = model.RequestState.RECEIVED
+
+    def mark_refused(self, error: errors.SamphireError) -> None:
+        """Note that the caller gets an error."""
+        if self.state is model.RequestState.ANSWERED:
+            return
+        self.state = (
+            model.RequestState.CANCELLED
+            if isinstance(error, errors.Cancelled)
+            else model.RequestState.REFUSED
+        )
+
+
+def _worse(one: verdicts.Verdict, other: verdicts.Verdict) -> verdicts.Verdict:
+    if _PHASE_BY_VERDICT[one] >= _PHASE_BY_VERDICT[other]:
+        return one
+    return other
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/dispatch/sizes.py
@@ -0,0 +1,92 @@
+"""Whether a job could ever run, and in which zone."""
+
+from collections.abc import Mapping
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack import model
+
+_FIELDS = ('millicores', 'memory_mb', 'accelerators')
+
+
+def home_zone_of(
+    kind: model.JobKind,
+    tasks: int,
+    resources: model.Resources,
+    own_zone: model.ZoneId,
+    vms_by_id: Mapping[model.VmId, model.Vm],
+    limit: configuration.Limit,
+) -> model.ZoneId:
+    """Return the zone that a new job belongs to, the own one if it fits.
+
+    Declared sizes are compared with whole workers, as if they were empty.
+
+    :param vms_by_id: the platform's list; while it is empty nothing can be
+        said, and the job is taken for the own zone.
+    :raises errors.ImpossibleSize: it fits nowhere, with the reason.
+    """
+    _check_limit(kind, tasks, resources, limit)
+    capacities_by_zone: dict[model.ZoneId, list[model.Resources]] = {}
+    for vm in vms_by_id.values():
+        if vm.role is model.VmRole.WORKER:
+            capacities_by_zone.setdefault(vm.zone, []).append(vm.capacity)
+    if not capacities_by_zone:
+        return own_zone
+    zones = sorted(capacities_by_zone, key=lambda zone: zone != own_zone)
+    needed = tasks if kind is model.JobKind.GANG else 1
+    most = 0
+    for zone in zones:
+        places = _places(resources, capacities_by_zone[zone])
+        if places >= needed:
+            return zone
+        most = max(most, places)
+    raise errors.ImpossibleSize(_reason(resources, needed, most))
+
+
+def _places(
+    resources: model.Resources, capacities: list[model.Resources]
+) -> int:
+    """Return how many such tasks fit into empty workers."""
+    return sum(_places_on(resources, capacity) for capacity in capacities)
+
+
+def _places_on(resources: model.Resources, capacity: model.Resources) -> int:
+    places = [
+        getattr(capacity, field) // getattr(resources, field)
+        for field in _FIELDS
+        if getattr(resources, field) > 0
+    ]
+    return min(places, default=1)
+
+
+def _reason(resources: model.Resources, needed: int, most: int) -> str:
+    size = (
+        f'{resources.millicores / 1000:g} cores, {resources.memory_mb} MB '
+        f'and {resources.accelerators} accelerators'
+    )
+    if needed == 1:
+        return f'no worker has {size}'
+    return (
+        f'a gang of {needed} tasks with {size} each fits into no zone; '
+        f'the largest zone has room for {most}'
+    )
+
+
+def _check_limit(
+    kind: model.JobKind,
+    tasks: int,
+    resources: model.Resources,
+    limit: configuration.Limit,
+) -> None:
+    """Raise if the team's limit can never allow the job to start."""
+    together = tasks if kind is model.JobKind.GANG else 1
+    needs = {field: getattr(resources, field) for field in _FIELDS}
+    needs['running'] = 1
+    for field, need in needs.items():
+        allowed = getattr(limit, field)
+        if allowed is not None and need * together > allowed:
+            raise errors.ImpossibleSize(
+                f'the job needs {need * together} {field} at once, but the '
+                f'limit of the team is {allowed}',
+                hint='Ask an operator to raise the limit of the team.',
+            )
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/edge/app.py
@@ -0,0 +1,133 @@
+"""The application that callers reach."""
+
+import msgspec
+from starlette import routing
+
+from samphirestack import errors
+from samphirestackd import context as contexts
+from samphirestackd.dispatch import dispatcher as dispatchers
+from samphirestackd.edge import bodies
+from samphirestackd.edge import endpoints
+from samphirestackd.edge import exchange as exchanges
+from samphirestackd.edge import filters
+from samphirestackd.edge import jobs
+from samphirestackd.edge import rates
+from samphirestackd.edge import requests
+
+NOT_READY = 503
+METHOD_HINT = 'GET, POST and DELETE are used; see the caller API.'
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Answer of ``/healthz``: the process responds."""
+
+    healthy: bool = True
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """Answer of ``/readyz``: whether the balancer may send calls."""
+
+    ready: bool
+    draining: bool
+    fresh: bool
+    revision: int
+
+
+class NodeHandlers:
+    """Handlers that tell the balancer about this node."""
+
+    def __init__(self, context: contexts.Context, load: filters.Load) -> None:
+        self._context = context
+        self._load = load
+
+    async def health(self, exchange: exchanges.Exchange) -> None:
+        """Answer that the process responds."""
+        await exchange.answer(Health())
+
+    async def readiness(self, exchange: exchanges.Exchange) -> None:
+        """Answer whether calls may be sent here.
+
+        A stale node stays ready: it serves open queues, and a balancer
+        that took all nodes of a cut-off zone out would stop these too.
+        """
+        revision = exchange.configuration.revision
+        draining = self._load.is_draining
+        ready = revision > 0 and not draining
+        fresh = self._context.view.is_fresh(exchange.now)
+        await exchange.answer(
+            Readiness(ready, draining, fresh, revision),
+            exchanges.OK if ready else NOT_READY,
+        )
+
+
+async def _unknown_path(exchange: exchanges.Exchange) -> None:
+    raise errors.NotFound('no such path', hint='See the caller API.')
+
+
+async def _wrong_method(exchange: exchanges.Exchange) -> None:
+    raise errors.BadRequest(
+        'the path does not have this method', hint=METHOD_HINT
+    )
+
+
+def create_app(
+    context: contexts.Context, dispatcher: dispatchers.Dispatcher
+) -> routing.Router:
+    """Return the ASGI application of the callers' interface.
+
+    It is a bare router: the middleware of a full starlette application
+    turns exceptions into answers, which the endpoints do already.
+    """
+    ids = endpoints.RequestIds(context.settings.node.vm_id)
+    reader = bodies.Bodies(context.settings.edge.max_body_bytes)
+    taking = _work_chain(context, dispatcher)
+    asking: filters.Chain = (filters.Reader(),)
+
+    def route(
+        path: str,
+        method: str,
+        chain: filters.Chain,
+        handler: endpoints.Handler,
+    ) -> routing.Route:
+        endpoint = endpoints.Endpoint(context, ids, chain, handler)
+        return routing.Route(path, endpoint, methods=[method])
+
+    calls = requests.RequestHandlers(dispatcher, reader)
+    work = jobs.JobHandlers(dispatcher.jobs, reader)
+    node = NodeHandlers(context, dispatcher)
+    routes = [
+        route('/v1/queues/{queue}/requests', 'POST', taking, calls.submit),
+        route('/v1/queues/{queue}/jobs', 'POST', taking, work.submit),
+        route('/v1/requests/{request_id}', 'GET', asking, calls.show),
+        route('/v1/requests/{request_id}', 'DELETE', asking, calls.cancel),
+        route('/v1/jobs/{job_id}', 'GET', asking, work.show),
+        route('/v1/jobs/{job_id}', 'DELETE', asking, work.cancel),
+        route('/v1/jobs/{job_id}/wait', 'GET', asking, work.wait),
+        route('/healthz', 'GET', (), node.health),
+        route('/readyz', 'GET', (), node.readiness),
+    ]
+    wrong = endpoints.Endpoint(context, ids, (), _wrong_method)
+    paths = dict.fromkeys(entry.path for entry in routes)
+    fallbacks = [routing.Route(path, wrong) for path in paths]
+    return routing.Router(
+        [*routes, *fallbacks],
+        redirect_slashes=False,
+        default=endpoints.Endpoint(context, ids, (), _unknown_path),
+    )
+
+
+def _work_chain(
+    context: contexts.Context, dispatcher: dispatchers.Dispatcher
+) -> filters.Chain:
+    team_rates = rates.TeamRates()
+    context.view.on_change(team_rates.forget_unknown)
+    bounds = context.settings.edge
+    return (
+        filters.NodeState(dispatcher),
+        filters.BodySize(bounds.max_body_bytes),
+        filters.QueueExists(),
+        filters.Credentials(),
+        filters.Freshness(context.view),
+        filters.Rate(team_rates),
+        filters.QueueBound(dispatcher, bounds.max_waiting),
+    )
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/edge/endpoints.py
@@ -0,0 +1,73 @@
+"""Runs the filters and a handler for each call."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import secrets
+
+import eliot
+from starlette import types
+
+from samphirestack import errors
+from samphirestackd import context as contexts
+from samphirestackd.edge import bodies
+from samphirestackd.edge import exchange as exchanges
+from samphirestackd.edge import filters
+
+Handler = Callable[[exchanges.Exchange], Awaitable[None]]
+
+
+class RequestIds:
+    """Makes ids that are unique over all entries and restarts."""
+
+    def __init__(self, vm_id: str) -> None:
+        self._prefix = f'{vm_id}-{secrets.token_hex(5)}-'
+        self._numbers = itertools.count(1)
+
+    def next(self) -> str:
+        """Return a new id."""
+        return f'{self._prefix}{next(self._numbers):x}'
+
+
+class Endpoint:
+    """An ASGI application for one route."""
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        ids: RequestIds,
+        chain: filters.Chain,
+        handler: Handler,
+    ) -> None:
+        self._context = context
+        self._ids = ids
+        self._chain = chain
+        self._handler = handler
+
+    async def __call__(
+        self,
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        """Answer one call; every failure becomes an error body."""
+        exchange = exchanges.Exchange(
+            scope,
+            receive,
+            send,
+            self._ids.next(),
+            self._context.view.current,
+            self._context.clock(),
+        )
+        try:
+            for check in self._chain:
+                check(exchange)
+            await self._handler(exchange)
+        except errors.SamphireError as error:
+            await exchange.fail(error)
+        except bodies.CallerGone:
+            return
+        except Exception:
+            # Nothing of the call may get into the log but its id.
+            eliot.write_traceback(request_id=exchange.request_id)
+            await exchange.fail(errors.SamphireError('unexpected failure'))
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/edge/rates.py
@@ -0,0 +1,50 @@
+"""Calls a second per team."""
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack import model
+
+BURST_S = 1.0
+"""A team may use up the calls of this time at once."""
+
+
+class _Bucket:
+    __slots__ = ('filled_at', 'tokens')
+
+    def __init__(self, tokens: float, now: float) -> None:
+        self.tokens = tokens
+        self.filled_at = now
+
+
+class TeamRates:
+    """A token bucket per team of the configuration."""
+
+    def __init__(self) -> None:
+        self._buckets_by_team: dict[model.TeamId, _Bucket] = {}
+
+    def take(self, now: float, team: configuration.Team) -> None:
+        """Take one token.
+
+        :raises errors.RateLimited: there is none.
+        """
+        rate = team.calls_per_s
+        burst = max(1.0, rate * BURST_S)
+        bucket = self._buckets_by_team.get(team.name)
+        if bucket is None:
+            bucket = self._buckets_by_team[team.name] = _Bucket(burst, now)
+        gained = (now - bucket.filled_at) * rate
+        bucket.tokens = min(burst, bucket.tokens + gained)
+        bucket.filled_at = now
+        if bucket.tokens < 1.0:
+            raise errors.RateLimited(
+                f'team {team.name!r} may send {rate:g} calls a second to '
+                'this entry',
+                (1.0 - bucket.tokens) / rate,
+            )
+        bucket.tokens -= 1.0
+
+    def forget_unknown(self, current: configuration.Configuration) -> None:
+        """Drop the buckets of teams that were retired."""
+        for team in list(self._buckets_by_team):
+            if team not in current.teams_by_id:
+                del self._buckets_by_team[team]
