--- a/tests/unit/daemon/fakes.py
+++ b/tests/unit/daemon/fakes.py
@@ -206,6 +206,7 @@
         self.status_error: Exception | None = None
         self.statuses = 0
         self.arrived = asyncio.Event()
+        self.asked = asyncio.Event()
 
     async def work(
         self,
@@ -226,8 +227,15 @@
             raise outcome
         return platform.UpstreamAnswer(200, outcome)
 
+    async def until_statuses(self, count: int) -> None:
+        async with asyncio.timeout(5):
+            while self.statuses < count:
+                self.asked.clear()
+                await self.asked.wait()
+
     async def status(self, address: str) -> platform.UpstreamStatus:
         self.statuses += 1
+        self.asked.set()
         if self.status_error is not None:
             raise self.status_error
         return platform.UpstreamStatus(8, self.active, False)
--- /dev/null
+++ b/tests/unit/daemon/test_dispatch.py
@@ -0,0 +1,435 @@
+"""Tests of the dispatcher against fakes of links and upstreams."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from samphirestack import errors
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import platform
+from samphirestack import verdict as verdicts
+from samphirestackd import dispatch
+from samphirestackd.dispatch import dispatcher
+from tests.unit.daemon import fakes
+
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+NOT_RUN = verdicts.Verdict.NOT_RUN
+BROKEN = errors.UpstreamFailed('broke off')
+REFUSED = errors.UpstreamRefused('refused')
+
+
+def _made(**profile: object) -> tuple[fakes.World, dispatcher.Dispatcher]:
+    world = fakes.World(**profile)
+    return world, dispatch.create(world.context, fakes.FAST)
+
+
+async def _refused(task: asyncio.Task) -> errors.SamphireError:
+    with pytest.raises(errors.SamphireError) as caught:
+        async with asyncio.timeout(5):
+            await task
+    return caught.value
+
+
+def _released(world: fakes.World) -> list[tuple[str, verdicts.Verdict]]:
+    return [
+        (release.grant_id, release.verdict)
+        for release in world.links.of(messages.Release)
+    ]
+
+
+class TestGrants:
+    """Grants may be lost, repeated, late or from a former leader."""
+
+    async def test_lost_grant_is_asked_for_again(self) -> None:
+        # Guards against a request that waits for ever for a lost message.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot, count=3)
+        world.links.deliver(fakes.LEADER, world.grant())
+        assert (await task).body == b'"ok"'
+
+    async def test_duplicate_in_use_is_neither_used_nor_given_back(
+        self,
+    ) -> None:
+        # Guards against a second send and against freeing a used slot.
+        world, made = _made()
+        world.upstreams.outcomes = [asyncio.Event()]
+        answer = world.upstreams.outcomes[0]
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        grant = world.grant()
+        world.links.deliver(fakes.LEADER, grant)
+        await world.upstreams.arrived.wait()
+        world.links.deliver(fakes.LEADER, grant)
+        assert _released(world) == []
+        answer.set()
+        await task
+        assert len(world.upstreams.sent) == 1
+        assert _released(world) == [('g1', verdicts.Verdict.RAN)]
+
+    async def test_spent_grant_is_not_used_by_the_next_attempt(self) -> None:
+        # Guards against running on a slot that was given back already.
+        world, made = _made()
+        world.upstreams.outcomes = [REFUSED]
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        grant = world.grant()
+        world.links.deliver(fakes.LEADER, grant)
+        await world.links.until(messages.RequestSlot, count=2)
+        world.links.deliver(fakes.LEADER, grant)
+        assert _released(world)[1:] == [('g1', NOT_RUN)]
+        world.links.deliver(fakes.LEADER, world.grant())
+        await task
+        assert len(world.upstreams.sent) == 2
+
+    async def test_grant_for_an_unknown_request_is_released(self) -> None:
+        # Guards against a slot that stays taken after a cancellation.
+        world, _ = _made()
+        world.links.deliver(fakes.LEADER, world.grant('gone'))
+        assert _released(world) == [('g1', NOT_RUN)]
+
+    async def test_grant_of_a_lower_epoch_is_returned_unused(self) -> None:
+        # Guards against two leaders that give the same slot away.
+        world, made = _made()
+        world.leaders.set(fakes.ZONE, fakes.LEADER, 5)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        world.links.deliver(fakes.LEADER, world.grant(epoch=4))
+        assert _released(world) == [('g1', NOT_RUN)]
+        assert not world.upstreams.sent
+        world.links.deliver(fakes.LEADER, world.grant(epoch=5))
+        await task
+
+    async def test_release_is_repeated_until_the_link_takes_it(self) -> None:
+        # Guards against a slot that leaks when a link breaks for a moment.
+        world, _ = _made()
+        world.links.dead.add(fakes.LEADER)
+        world.links.deliver(fakes.LEADER, world.grant('gone'))
+        world.links.dead.clear()
+        await world.links.until(messages.Release)
+
+    async def test_cancelled_task_gives_its_grant_back(self) -> None:
+        # Guards against a grant lost between its arrival and its use.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        world.links.deliver(fakes.LEADER, world.grant())
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        assert _released(world) == [('g1', NOT_RUN)]
+        assert not world.upstreams.sent
+
+
+class TestLeaderChange:
+    """A new leader learns of everything, whatever state it is in."""
+
+    async def test_waiting_request_goes_to_the_new_leader(self) -> None:
+        # Guards against a request that dies with the old leader.
+        world, made = _made()
+        world.leaders.set(fakes.ZONE, None)
+        task = asyncio.create_task(made.submit(world.call()))
+        await asyncio.sleep(0)
+        world.leaders.set(fakes.ZONE, fakes.OTHER_LEADER, 2)
+        await world.links.until(messages.RequestSlot, fakes.OTHER_LEADER)
+        world.links.deliver(fakes.LEADER, world.grant(epoch=1))
+        assert not world.upstreams.sent
+        world.links.deliver(fakes.OTHER_LEADER, world.grant(epoch=2))
+        await task
+
+    async def test_message_alone_moves_waiting_requests(self) -> None:
+        # Guards against relying on the order of two subscribers.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        change = messages.LeaderChanged(fakes.LEADER, model.Epoch(2))
+        world.links.deliver(fakes.LEADER, change)
+        assert len(world.links.of(messages.RequestSlot)) == 2
+        (report,) = world.links.of(messages.HeldReport)
+        assert (report.epoch, report.grants) == (2, ())
+        task.cancel()
+
+    async def test_sent_request_is_reported_and_released_there(self) -> None:
+        # Guards against a slot that the new leader gives away twice.
+        world, made = _made()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        world.grant_always()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.arrived.wait()
+        world.leaders.set(fakes.ZONE, fakes.OTHER_LEADER, 2)
+        (report,) = world.links.of(messages.HeldReport, fakes.OTHER_LEADER)
+        assert [held.grant_id for held in report.grants] == ['g1']
+        gate.set()
+        await task
+        assert len(world.upstreams.sent) == 1
+        assert world.links.of(messages.Release, fakes.OTHER_LEADER)
+
+    async def test_granted_but_unsent_request_is_reported(self) -> None:
+        # Guards against a gap between the arrival of a grant and its use.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        world.links.deliver(fakes.LEADER, world.grant())
+        world.leaders.set(fakes.ZONE, fakes.OTHER_LEADER, 2)
+        (report,) = world.links.of(messages.HeldReport, fakes.OTHER_LEADER)
+        assert [held.grant_id for held in report.grants] == ['g1']
+        await task
+
+    async def test_returning_leader_gets_everything_again(self) -> None:
+        # Guards against messages lost while the leader seemed dead.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        world.leaders.set(fakes.ZONE, None)
+        world.leaders.set(fakes.ZONE, fakes.LEADER, 1)
+        assert len(world.links.of(messages.RequestSlot)) == 2
+        assert len(world.links.of(messages.HeldReport)) == 1
+        task.cancel()
+
+
+class TestSpillOver:
+    """Other zones are asked, but one grant at most is used."""
+
+    async def test_zone_without_leader_spills_over(self) -> None:
+        # Guards against callers that wait for a takeover.
+        world, made = _made()
+        world.leaders.set(fakes.ZONE, None)
+        world.leaders.set(fakes.OTHER_ZONE, fakes.OTHER_LEADER)
+        task = asyncio.create_task(made.submit(world.call()))
+        (slot,) = await world.links.until(messages.RequestSlot)
+        assert slot.spilled
+        world.links.deliver(fakes.OTHER_LEADER, world.grant())
+        await task
+
+    async def test_refusal_for_capacity_spills_over(self) -> None:
+        # Guards against refusing work that another zone could do.
+        world, made = _made()
+        world.leaders.set(fakes.OTHER_ZONE, fakes.OTHER_LEADER)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        refusal = messages.Refuse('r1', 'no_capacity', 'none')
+        world.links.deliver(fakes.LEADER, refusal)
+        assert world.links.of(messages.RequestSlot, fakes.OTHER_LEADER)
+        world.links.deliver(fakes.OTHER_LEADER, refusal)
+        error = await _refused(task)
+        assert (error.code, error.verdict) == ('no_capacity', NOT_RUN)
+
+    async def test_second_grant_is_released_and_not_used(self) -> None:
+        # Guards against running twice when two zones grant.
+        world, made = _made(urgency=model.Urgency.URGENT)
+        world.leaders.set(fakes.OTHER_ZONE, fakes.OTHER_LEADER)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot, fakes.OTHER_LEADER)
+        world.links.deliver(fakes.OTHER_LEADER, world.grant())
+        world.links.deliver(fakes.LEADER, world.grant())
+        await task
+        assert len(world.upstreams.sent) == 1
+        assert ('g2', NOT_RUN) in _released(world)
+        (cancel,) = await world.links.until(messages.CancelSlots)
+        assert cancel.request_ids == ('r1',)
+
+    async def test_patient_request_stays_in_its_zone(self) -> None:
+        # Guards against load on other zones from work that can wait.
+        world, made = _made()
+        world.leaders.set(fakes.OTHER_ZONE, fakes.OTHER_LEADER)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot, count=4)
+        assert not world.links.of(messages.RequestSlot, fakes.OTHER_LEADER)
+        task.cancel()
+
+    async def test_full_queue_does_not_spill_over(self) -> None:
+        # Guards against spreading an overload over all zones.
+        world, made = _made()
+        world.leaders.set(fakes.OTHER_ZONE, fakes.OTHER_LEADER)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        refusal = messages.Refuse('r1', 'queue_full', 'bound reached')
+        world.links.deliver(fakes.LEADER, refusal)
+        assert (await _refused(task)).code == 'queue_full'
+
+
+class TestRetries:
+    """Requests are repeated by verdict, idempotence, attempts and budget."""
+
+    async def test_non_idempotent_request_is_sent_once(self) -> None:
+        # Guards against the second run of a non-idempotent request.
+        world, made = _made()
+        world.grant_always()
+        world.upstreams.outcomes = [BROKEN]
+        error = await _refused(
+            asyncio.ensure_future(made.submit(world.call()))
+        )
+        assert error.verdict is MAY_HAVE_RUN
+        assert len(world.upstreams.sent) == 1
+
+    async def test_refused_request_is_repeated_elsewhere(self) -> None:
+        # Guards against giving up although nothing has run.
+        world, made = _made()
+        world.grant_always()
+        world.upstreams.outcomes = [REFUSED, REFUSED]
+        await made.submit(world.call())
+        assert len(world.upstreams.sent) == 3
+        slots = world.links.of(messages.RequestSlot)
+        assert [slot.attempt for slot in slots] == [1, 2, 3]
+        assert slots[-1].avoid == ('u1', 'u2')
+
+    async def test_attempts_of_the_profile_bound_repetition(self) -> None:
+        # Guards against endless repetition of a failing request.
+        world, made = _made(max_attempts=2)
+        world.grant_always()
+        world.upstreams.outcomes = [BROKEN] * 9
+        call = world.call(idempotent=True)
+        error = await _refused(asyncio.ensure_future(made.submit(call)))
+        assert error.verdict is MAY_HAVE_RUN
+        assert len(world.upstreams.sent) == 2
+
+    async def test_budget_bounds_repetition_over_requests(self) -> None:
+        # Guards against retries that multiply an overload.
+        world, made = _made(max_attempts=3)
+        world.grant_always()
+        world.upstreams.outcomes = [BROKEN] * 99
+        for number in range(20):
+            call = world.call(idempotent=True, request_id=f'r{number}')
+            await _refused(asyncio.ensure_future(made.submit(call)))
+        assert 22 <= len(world.upstreams.sent) <= 24
+
+    async def test_verdict_covers_earlier_attempts(self) -> None:
+        # Guards against "not run" for a request whose first send may have
+        # run.
+        world, made = _made()
+        world.grant_always()
+        world.upstreams.outcomes = [BROKEN, *[REFUSED] * 20]
+        call = world.call(idempotent=True)
+        error = await _refused(asyncio.ensure_future(made.submit(call)))
+        assert error.verdict is MAY_HAVE_RUN
+
+    async def test_hedge_uses_the_first_answer_and_cuts_nothing(self) -> None:
+        # Guards against waiting for a slow upstream, and against a slot
+        # that is given back while the upstream still works in it.
+        world, made = _made(hedge_after_s=0.01)
+        world.grant_always()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate, b'"fast"']
+        answer = await made.submit(world.call(idempotent=True))
+        assert answer.body == b'"fast"'
+        assert [grant_id for grant_id, _ in _released(world)] == ['g2']
+        gate.set()
+        async with asyncio.timeout(5):
+            await made.drain()
+        assert [grant_id for grant_id, _ in _released(world)] == ['g2', 'g1']
+
+    async def test_non_idempotent_request_is_never_hedged(self) -> None:
+        # Guards against a second run through a hedge.
+        world, made = _made(hedge_after_s=0.001)
+        world.grant_always()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        world.upstreams.active = (platform.ActiveRequest('r1', 'a'),)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.until_statuses(2)
+        gate.set()
+        await task
+        assert len(world.upstreams.sent) == 1
+
+
+class TestSilence:
+    """A silent call is dropped only if the upstream has lost it."""
+
+    async def test_unlisted_request_is_dropped(self) -> None:
+        # Guards against a caller that hangs on a dead connection.
+        world, made = _made()
+        world.grant_always()
+        world.upstreams.outcomes = [asyncio.Event()]
+        error = await _refused(
+            asyncio.ensure_future(made.submit(world.call()))
+        )
+        assert (error.code, error.verdict) == ('upstream_failed', MAY_HAVE_RUN)
+        assert world.upstreams.statuses == 2
+
+    async def test_listed_request_is_waited_for(self) -> None:
+        # Guards against cutting off slow work.
+        world, made = _made()
+        world.grant_always()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        world.upstreams.active = (platform.ActiveRequest('r1', 'a'),)
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.until_statuses(4)
+        gate.set()
+        assert (await task).body == b'"late"'
+
+
+class TestCancellation:
+    """Waiting requests can be withdrawn; sent ones are not cut."""
+
+    async def test_waiting_request_is_withdrawn(self) -> None:
+        # Guards against a cancelled request that still takes a slot.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        assert made.cancel('r1', 'a').state is model.RequestState.CANCELLED
+        error = await _refused(task)
+        assert (error.code, error.verdict) == ('cancelled', NOT_RUN)
+        await world.links.until(messages.CancelSlots)
+        world.links.deliver(fakes.LEADER, world.grant())
+        assert _released(world) == [('g1', NOT_RUN)]
+
+    async def test_granted_request_is_not_sent_after_cancelling(self) -> None:
+        # Guards against "cancelled" for a request that is sent afterwards.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        world.links.deliver(fakes.LEADER, world.grant())
+        assert made.cancel('r1', 'a').verdict is NOT_RUN
+        assert (await _refused(task)).code == 'cancelled'
+        assert not world.upstreams.sent
+        assert _released(world) == [('g1', NOT_RUN)]
+
+    async def test_sent_request_is_not_cut(self) -> None:
+        # Guards against losing the answer of work that runs.
+        world, made = _made()
+        world.grant_always()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.arrived.wait()
+        assert made.cancel('r1', 'a').verdict is MAY_HAVE_RUN
+        gate.set()
+        assert (await task).body == b'"late"'
+
+    async def test_other_team_can_not_cancel(self) -> None:
+        # Guards against one team that withdraws the work of another.
+        world, made = _made()
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.links.until(messages.RequestSlot)
+        with pytest.raises(errors.NotFound):
+            made.cancel('r1', 'b')
+        task.cancel()
+
+    async def test_deadline_ends_the_wait_as_not_run(self) -> None:
+        # Guards against a request that waits beyond its deadline.
+        world, made = _made()
+        task = asyncio.ensure_future(made.submit(world.call(deadline_s=0.02)))
+        error = await _refused(task)
+        assert (error.code, error.verdict) == ('deadline_exceeded', NOT_RUN)
+
+    async def test_drain_waits_for_work_in_flight(self) -> None:
+        # Guards against a shutdown that cuts off a request.
+        world, made = _made()
+        world.grant_always()
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.arrived.wait()
+        drained = asyncio.create_task(made.drain())
+        await asyncio.sleep(0)
+        refusal = made.submit(world.call(request_id='r2'))
+        error = await _refused(asyncio.ensure_future(refusal))
+        assert error.code == 'shutting_down'
+        assert not drained.done()
+        gate.set()
+        await task
+        await drained
