--- /dev/null
+++ b/packages/testing/src/samphirestack_testing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, worker agents and upstreams."""
