--- a/packages/testing/src/samphirestack_testing/standins/workers.py
+++ b/packages/testing/src/samphirestack_testing/standins/workers.py
@@ -63,6 +63,13 @@
     owner: model.VmId
 
 
+class Holder(msgspec.Struct, frozen=True):
+    """The owner of a worker with its epoch, as ``GET /control`` tells."""
+
+    owner: model.VmId
+    epoch: model.Epoch
+
+
 class AgentServer:
     """HTTP interface of one agent."""
 
@@ -212,10 +219,10 @@
         for vm_id in chosen:
             self.servers_by_id[vm_id].agent.faults = faults
 
-    def state(self) -> dict[str, int]:
-        """Return the epoch of each worker."""
+    def state(self) -> dict[str, Holder]:
+        """Return who holds the lease of each worker."""
         return {
-            str(vm_id): server.agent.epoch
+            str(vm_id): Holder(server.agent.owner, server.agent.epoch)
             for vm_id, server in self.servers_by_id.items()
         }
 
