Add the controllers of tasks, workers and job rows

Leases are renewed and events polled per worker; starts run with bounded parallelism. Rows are written in batches, conditional on their versions, and read back after a lost answer.

model.job_to_row and job_from_row turn a job into a row: the indexes in ended and dispatched are text in JSON.

--- a/packages/core/src/samphirestack/internal/leader/task_books.py
+++ b/packages/core/src/samphirestack/internal/leader/task_books.py
@@ -17,11 +17,14 @@
     """Workers, what runs on them and who pays for it."""
 
     def __init__(
-        self, ledger: task_state.Ledger, shares: task_state.Shares
+        self,
+        ledger: task_state.Ledger,
+        shares: task_state.Shares,
+        learned: estimates.Estimates,
     ) -> None:
         self.index = worker_index.WorkerIndex()
         self.quarantine = quarantine.Quarantine()
-        self.estimates = estimates.Estimates()
+        self.estimates = learned
         self.workers_by_id: dict[model.WorkerId, task_state.WorkerEntry] = {}
         self.capacities: set[model.Resources] = set()
         self._ledger = ledger
--- a/packages/core/src/samphirestack/internal/leader/task_explain.py
+++ b/packages/core/src/samphirestack/internal/leader/task_explain.py
@@ -6,6 +6,7 @@
 from samphirestack.internal.leader import task_census
 from samphirestack.internal.leader import task_queue
 from samphirestack.internal.leader import task_state
+from samphirestack import model
 
 WORKERS_NAMED = 5
 
@@ -50,3 +51,16 @@
     if entry.reason:
         parts.append(entry.reason)
     return '; '.join(parts)
+
+
+def worker_state(worker: task_state.WorkerEntry, quarantined: bool) -> str:
+    """Return the state of a worker in a word."""
+    if worker.lost:
+        return 'lost'
+    if not worker.heard:
+        return 'unheard'
+    if not worker.reachable:
+        return 'silent'
+    if not worker.listed or worker.vm.state is model.VmState.LEAVING:
+        return 'leaving'
+    return 'quarantined' if quarantined else 'ready'
--- a/packages/core/src/samphirestack/internal/leader/task_outcomes.py
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -8,7 +8,7 @@
 from samphirestack.internal.leader import task_state
 from samphirestack import model
 
-FINISHED_KEPT = 100_000
+FINISHED_KEPT = 20_000
 """Finished jobs that are remembered, so that a row that was read before
 the final state was written does not bring the job back."""
 
@@ -248,6 +248,9 @@
     def finish_known(self, entry: task_state.JobEntry) -> None:
         """Note a job whose row was already final when it was read."""
         entry.tasks_by_index.clear()
+        for index in range(entry.job.tasks):
+            task_id = model.task_id(entry.job.job_id, index)
+            self.early_ends.pop(task_id, None)
         self._finish_if_done(entry)
 
     def remember_end(
--- a/packages/core/src/samphirestack/internal/leader/task_starts.py
+++ b/packages/core/src/samphirestack/internal/leader/task_starts.py
@@ -1,6 +1,10 @@
 """Turns placements into starts, once rows that must come first are written."""
 
+import enum
+
 from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_books
+from samphirestack.internal.leader import task_census
 from samphirestack.internal.leader import task_outcomes
 from samphirestack.internal.leader import task_state
 from samphirestack import model
@@ -10,11 +14,31 @@
 """How long a placed task waits for the row that allows its start."""
 
 
+class StartOutcome(enum.Enum):
+    """How a call to start a task ended."""
+
+    ACCEPTED = 'accepted'
+    NOT_STARTED = 'not_started'
+    """It certainly had no effect."""
+
+    REFUSED = 'refused'
+    """The agent refused it; an earlier attempt may be running there."""
+
+    UNKNOWN = 'unknown'
+
+
 class Starts:
     """Placed tasks that have not been sent to their workers."""
 
-    def __init__(self, outcomes: task_outcomes.Outcomes) -> None:
+    def __init__(
+        self,
+        books: task_books.Books,
+        outcomes: task_outcomes.Outcomes,
+        census: task_census.Census,
+    ) -> None:
+        self._books = books
         self._outcomes = outcomes
+        self._census = census
         self._prepared: dict[model.TaskId, task_state.Task] = {}
 
     def prepare(self, now: float, task: task_state.Task) -> None:
@@ -45,6 +69,59 @@
                 self._outcomes.postpone(now, task, SAVE_WAIT_S)
         return starts
 
+    def answered(
+        self,
+        now: float,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+        outcome: StartOutcome,
+    ) -> None:
+        """Note how the call of a start ended.
+
+        A task whose start had no clear answer stays committed on the worker
+        until its agent lists it, or does not list it when the call can't
+        arrive any more.
+        """
+        task = self._starting(worker_id, task_id, attempt)
+        if task is None:
+            return
+        if outcome is StartOutcome.ACCEPTED:
+            self._census.confirm(now, task, now)
+        elif outcome is StartOutcome.NOT_STARTED:
+            self._outcomes.withdraw(now, task)
+        else:
+            task.unknown = True
+            if outcome is StartOutcome.REFUSED:
+                self._refused(now, worker_id, task)
+
+    def _refused(
+        self, now: float, worker_id: model.WorkerId, task: task_state.Task
+    ) -> None:
+        """Use the worker again only after its list of tasks was read."""
+        task.refused = True
+        task.sent_at = -task_state.NEVER_S
+        self._books.workers_by_id[worker_id].suspect = True
+        job_id = model.JobId(task.task_id.rpartition('/')[0])
+        self._books.quarantine.failed(now, worker_id, job_id)
+        self._books.refresh_usable(now, worker_id)
+
+    def _starting(
+        self,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        attempt: int,
+    ) -> task_state.Task | None:
+        worker = self._books.workers_by_id.get(worker_id)
+        if worker is None:
+            return None
+        task = worker.tasks_by_id.get(task_id)
+        if task is None or task.attempt != attempt:
+            return None
+        if task.phase is not task_state.Phase.STARTING:
+            return None
+        return task
+
     def _may_start(
         self, entry: task_state.JobEntry, task: task_state.Task
     ) -> bool:
--- a/packages/core/src/samphirestack/internal/leader/tasks.py
+++ b/packages/core/src/samphirestack/internal/leader/tasks.py
@@ -3,11 +3,13 @@
 from collections.abc import Collection
 
 from samphirestack import configuration as configurations
+from samphirestack.internal.decisions import estimates
 from samphirestack.internal.decisions import placement
 from samphirestack.internal.leader import actions
 from samphirestack.internal.leader import task_books
 from samphirestack.internal.leader import task_census
 from samphirestack.internal.leader import task_explain
+from samphirestack.internal.leader import task_intake
 from samphirestack.internal.leader import task_outcomes
 from samphirestack.internal.leader import task_planner
 from samphirestack.internal.leader import task_preemption
@@ -27,8 +29,6 @@
     }
 )
 
-_DEFAULT_PROFILE = configurations.Profile(model.ProfileId('default'))
-
 
 def impossible_reason(
     job: model.Job, workers: Collection[model.Vm]
@@ -63,7 +63,7 @@
         self._policy = policy or placement.BestFitPolicy()
         self._configuration = configurations.Configuration()
         self._listed: list[model.Vm] = []
-        self._cancelled: set[model.JobId] = set()
+        self._estimates = estimates.Estimates()
         self._in_term = False
         self._restart_lost_after = 0.0
         self._reset()
@@ -75,13 +75,8 @@
 
         Waiting tasks in a queue that was retired are refused.
         """
-        old, self._configuration = self._configuration, configuration
-        for entry in list(self._outcomes.jobs_by_id.values()):
-            queue = entry.job.queue
-            entry.profile = self._profile(queue)
-            retired = queue in old.queues_by_id
-            if retired and queue not in configuration.queues_by_id:
-                self._refuse_waiting(now, entry)
+        self._configuration = configuration
+        self._intake.configure(now, configuration)
 
     def set_workers(self, now: float, vms: list[model.Vm]) -> None:
         """Take over the list of the zone's workers."""
@@ -118,7 +113,6 @@
             for task in list(worker.tasks_by_id.values()):
                 self._books.release(now, task)
         self._in_term = False
-        self._cancelled.clear()
         self._reset()
 
     def job_changed(
@@ -130,36 +124,13 @@
             leaders had stopped starting tasks; otherwise its tasks wait
             until all workers were asked what they run.
         """
-        job_id = record.job.job_id
-        if not self._in_term or self._outcomes.is_finished(job_id):
-            return
-        entry = self._outcomes.jobs_by_id.get(job_id)
-        if entry is not None:
-            if record.state.is_final:
-                self._outcomes.finish(
-                    now, entry, record.state, record.reason, write=False
-                )
-            return
-        entry = task_state.JobEntry(
-            now, record, self._profile(record.job.queue), fresh
-        )
-        self._outcomes.jobs_by_id[job_id] = entry
-        self._admit(now, entry)
+        if self._in_term:
+            self._intake.job_changed(now, record, fresh)
 
     def cancel(self, now: float, job_id: model.JobId) -> None:
         """Cancel a job, also one whose row has not been read yet."""
-        entry = self._outcomes.jobs_by_id.get(job_id)
-        if entry is None:
-            if self._in_term and not self._outcomes.is_finished(job_id):
-                self._cancelled.add(job_id)
-            return
-        self._outcomes.finish(
-            now,
-            entry,
-            model.JobState.CANCELLED,
-            'cancelled by the caller',
-            write=True,
-        )
+        if self._in_term:
+            self._intake.cancel(now, job_id)
 
     def worker_status(
         self,
@@ -251,17 +222,16 @@
             if task is not None and task.job is not None:
                 self._books.estimates.used(task.job.job, report.peak)
 
-    def start_accepted(
+    def start_answered(
         self,
         now: float,
         worker_id: model.WorkerId,
         task_id: model.TaskId,
         attempt: int,
+        outcome: task_starts.StartOutcome,
     ) -> None:
-        """Note that an agent accepted a start."""
-        task = self._starting(worker_id, task_id, attempt)
-        if task is not None:
-            self._census.confirm(now, task, now)
+        """Note how the call of a :class:`actions.StartTask` ended."""
+        self._starts.answered(now, worker_id, task_id, attempt, outcome)
 
     def start_failed(
         self,
@@ -271,41 +241,13 @@
         attempt: int,
         may_have_started: bool,
     ) -> None:
-        """Note that a start got an error or no answer.
-
-        A task that may have started stays committed on the worker until its
-        agent lists it, or does not list it after the duration of a lease.
-        """
-        task = self._starting(worker_id, task_id, attempt)
-        if task is None:
-            return
-        if may_have_started:
-            task.unknown = True
-        else:
-            self._outcomes.withdraw(now, task)
-
-    def start_refused(
-        self,
-        now: float,
-        worker_id: model.WorkerId,
-        task_id: model.TaskId,
-        attempt: int,
-    ) -> None:
-        """Note that an agent refused a start.
-
-        It may be running an earlier attempt, so the task stays committed
-        until the agent's list of tasks has been read.
-        """
-        task = self._starting(worker_id, task_id, attempt)
-        if task is None:
-            return
-        task.unknown = True
-        task.refused = True
-        task.sent_at = -task_state.NEVER_S
-        self._books.workers_by_id[worker_id].suspect = True
-        job_id = model.JobId(task_id.rpartition('/')[0])
-        self._books.quarantine.failed(now, worker_id, job_id)
-        self._books.refresh_usable(now, worker_id)
+        """Note that a start got an error or no answer."""
+        outcome = (
+            task_starts.StartOutcome.UNKNOWN
+            if may_have_started
+            else task_starts.StartOutcome.NOT_STARTED
+        )
+        self._starts.answered(now, worker_id, task_id, attempt, outcome)
 
     def workers_to_query(self, now: float) -> list[model.WorkerId]:
         """Return the workers whose list of tasks should be read now."""
@@ -357,20 +299,35 @@
             now, entry, self._waiting, self._census, self._books
         )
 
+    def worker_states(self) -> dict[model.WorkerId, str]:
+        """Return the state of each worker in a word, for operators."""
+        paused = self._books.quarantine.paused()
+        return {
+            worker_id: task_explain.worker_state(worker, worker_id in paused)
+            for worker_id, worker in self._books.workers_by_id.items()
+        }
+
     def _reset(self) -> None:
-        self._books = task_books.Books(self._ledger, self._shares)
+        self._books = task_books.Books(
+            self._ledger, self._shares, self._estimates
+        )
         self._waiting = task_queue.WaitingWork()
         self._outcomes = task_outcomes.Outcomes(self._books, self._waiting)
         self._census = task_census.Census(
             self._books, self._outcomes, self._worker_ttl_s
         )
+        self._intake = task_intake.Intake(
+            self._books, self._outcomes, self._census, self._configuration
+        )
         self._planner = task_planner.Planner(
             self._books, self._waiting, self._shares, self._policy
         )
         self._preemption = task_preemption.Preemption(
             self._books, self._outcomes, self._planner
         )
-        self._starts = task_starts.Starts(self._outcomes)
+        self._starts = task_starts.Starts(
+            self._books, self._outcomes, self._census
+        )
 
     def _put_worker(
         self, now: float, worker_id: model.WorkerId, vm: model.Vm
@@ -385,43 +342,6 @@
         worker.listed = True
         self._books.refresh_usable(now, worker_id)
 
-    def _profile(self, queue_id: model.QueueId) -> configurations.Profile:
-        queue = self._configuration.queues_by_id.get(queue_id)
-        if queue is None:
-            return _DEFAULT_PROFILE
-        return self._configuration.profile_of(queue)
-
-    def _admit(self, now: float, entry: task_state.JobEntry) -> None:
-        job = entry.job
-        if entry.state.is_final:
-            self._outcomes.finish_known(entry)
-            self._census.link(now, entry)
-            return
-        if not entry.fresh:
-            self._census.hold(entry)
-        self._census.link(now, entry)
-        if job.job_id in self._cancelled:
-            self._cancelled.discard(job.job_id)
-            self.cancel(now, job.job_id)
-            return
-        size_reason = placement.impossible_reason(job, self._books.capacities)
-        if size_reason and not entry.started and not entry.is_gang:
-            self._outcomes.finish(
-                now, entry, model.JobState.FAILED, size_reason, write=True
-            )
-        elif entry.fresh:
-            for task in list(entry.tasks_by_index.values()):
-                if not task.is_committed:
-                    self._outcomes.lost(now, task, task_census.NOT_FOUND)
-
-    def _refuse_waiting(self, now: float, entry: task_state.JobEntry) -> None:
-        why = f'queue {entry.job.queue!r} was retired'
-        for task in list(entry.tasks_by_index.values()):
-            if task.phase is task_state.Phase.PREPARED:
-                self._outcomes.withdraw(now, task)
-            if not task.is_committed and not entry.state.is_final:
-                self._outcomes.end_task(now, task, model.TaskState.FAILED, why)
-
     def _past_event(
         self,
         now: float,
@@ -448,22 +368,6 @@
             now, task, event.attempt, event.state, event.reason
         )
 
-    def _starting(
-        self,
-        worker_id: model.WorkerId,
-        task_id: model.TaskId,
-        attempt: int,
-    ) -> task_state.Task | None:
-        worker = self._books.workers_by_id.get(worker_id)
-        if worker is None:
-            return None
-        task = worker.tasks_by_id.get(task_id)
-        if task is None or task.attempt != attempt:
-            return None
-        if task.phase is not task_state.Phase.STARTING:
-            return None
-        return task
-
     def _tidy(self, now: float) -> None:
         for worker in self._books.workers_by_id.values():
             if worker.lost_after is not None and now >= worker.lost_after:
--- a/packages/core/src/samphirestack/model.py
+++ b/packages/core/src/samphirestack/model.py
@@ -226,6 +226,19 @@
     schema: int = 1
 
 
+def job_to_row(record: JobRecord) -> object:
+    """Return a job as plain JSON data, with text as keys."""
+    return msgspec.to_builtins(record, str_keys=True)
+
+
+def job_from_row(value: object) -> JobRecord:
+    """Return the job in the value of a row.
+
+    :raises msgspec.ValidationError: the value is not a job.
+    """
+    return msgspec.convert(value, JobRecord, str_keys=True)
+
+
 def task_id(job_id: JobId, index: int) -> TaskId:
     """Return the id of the ``index``-th task of a job."""
     return TaskId(f'{job_id}/{index}')
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that bring the world in line with decisions."""
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/job_writes.py
@@ -0,0 +1,186 @@
+"""Writes of job rows that survive outages and lost answers.
+
+Updates are kept in memory until they are written.  Each write is
+conditional on the version that was seen last, and a write without an
+answer is read back before it is tried again, so that a final state is
+written once.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from samphirestack import errors
+from samphirestack import model
+from samphirestack import platform
+from samphirestackd import context as contexts
+
+TABLE = 'jobs'
+WRITES_PER_TRANSACTION = 100
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 2.0
+
+
+class Listener(msgspec.Struct, frozen=True):
+    """Who is told about rows."""
+
+    saved: Callable[[model.JobRecord], None]
+    """Called when a row of the present term is in the table."""
+    overtaken: Callable[[model.JobRecord], None]
+    """Called with a final row that somebody else has written."""
+
+
+class _Update:
+    """A row that has to be written, and the term that wants it."""
+
+    __slots__ = ('record', 'term')
+
+    def __init__(self, record: model.JobRecord, term: int) -> None:
+        self.record = record
+        self.term = term
+
+
+class JobWriter:
+    """Writes the newest update of each job."""
+
+    def __init__(self, context: contexts.Context, listener: Listener) -> None:
+        self._context = context
+        self._listener = listener
+        self._term = 0
+        self._versions_by_id: dict[model.JobId, int] = {}
+        self._updates_by_id: dict[model.JobId, _Update] = {}
+        self._noted = asyncio.Event()
+        self._all_written = asyncio.Event()
+        self._all_written.set()
+
+    @property
+    def unwritten(self) -> int:
+        """How many rows wait to be written."""
+        return len(self._updates_by_id)
+
+    def seen(self, record: model.JobRecord, version: int) -> None:
+        """Note the version of a row that was read."""
+        job_id = record.job.job_id
+        if record.state.is_final and job_id not in self._updates_by_id:
+            self._versions_by_id.pop(job_id, None)
+            return
+        known = self._versions_by_id.get(job_id, 0)
+        self._versions_by_id[job_id] = max(known, version)
+
+    def note(self, record: model.JobRecord) -> None:
+        """Have a row written; replaces an older update of the job."""
+        update = _Update(record, self._term)
+        self._updates_by_id[record.job.job_id] = update
+        self._all_written.clear()
+        self._noted.set()
+
+    def end_term(self) -> None:
+        """Drop what the next leader finds out itself.
+
+        Final states are facts and are still written.
+        """
+        self._term += 1
+        for job_id, update in list(self._updates_by_id.items()):
+            if not update.record.state.is_final:
+                self._forget(job_id)
+
+    async def flush(self) -> None:
+        """Return when nothing waits to be written."""
+        await self._all_written.wait()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            await self._noted.wait()
+            self._noted.clear()
+            while self._updates_by_id:
+                try:
+                    await self._write_some()
+                    pause_s = FIRST_PAUSE_S
+                except errors.PlatformError as error:
+                    self._context.events.record(
+                        'jobs.unwritten', code=error.code, rows=self.unwritten
+                    )
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+
+    async def _write_some(self) -> None:
+        batch = list(self._updates_by_id.items())[:WRITES_PER_TRANSACTION]
+        known = [item for item in batch if item[0] in self._versions_by_id]
+        for job_id, update in batch:
+            if job_id not in self._versions_by_id:
+                await self._read_back(job_id, update)
+        if not known:
+            return
+        try:
+            versions = await self._context.table.transact(
+                [self._write_of(job_id, update) for job_id, update in known]
+            )
+        except errors.TransactionConflict as conflict:
+            keys = {key for _, key in conflict.conflicts}
+            for job_id, update in known:
+                if not keys or self._key(job_id) in keys:
+                    await self._read_back(job_id, update)
+            return
+        except errors.OutcomeUnknown:
+            for job_id, update in known:
+                await self._read_back(job_id, update)
+            return
+        for (job_id, update), version in zip(known, versions, strict=True):
+            self._saved(job_id, update, version)
+
+    async def _read_back(self, job_id: model.JobId, update: _Update) -> None:
+        """Find out what the table holds and whether to write again."""
+        row = await self._context.table.get(TABLE, self._key(job_id))
+        if row is None:
+            # Only a zone that was declared lost loses its rows.
+            self._drop(job_id, update)
+            return
+        try:
+            record = model.job_from_row(row.value)
+        except msgspec.ValidationError:
+            self._context.events.record('jobs.malformed', key=row.key)
+            self._drop(job_id, update)
+            return
+        if record == update.record:
+            self._saved(job_id, update, row.version)
+        elif record.state.is_final:
+            self._drop(job_id, update)
+            if update.term == self._term:
+                self._listener.overtaken(record)
+        else:
+            self._versions_by_id[job_id] = row.version
+
+    def _saved(
+        self, job_id: model.JobId, update: _Update, version: int
+    ) -> None:
+        self._versions_by_id[job_id] = version
+        self._drop(job_id, update)
+        if update.term == self._term:
+            self._listener.saved(update.record)
+
+    def _drop(self, job_id: model.JobId, update: _Update) -> None:
+        if self._updates_by_id.get(job_id) is update:
+            self._forget(job_id)
+        if update.record.state.is_final:
+            self._versions_by_id.pop(job_id, None)
+
+    def _forget(self, job_id: model.JobId) -> None:
+        del self._updates_by_id[job_id]
+        if not self._updates_by_id:
+            self._all_written.set()
+
+    def _write_of(
+        self, job_id: model.JobId, update: _Update
+    ) -> platform.Write:
+        return platform.Write(
+            TABLE,
+            self._key(job_id),
+            self._versions_by_id[job_id],
+            model.job_to_row(update.record),
+        )
+
+    def _key(self, job_id: model.JobId) -> str:
+        return f'{self._context.settings.zone}/{job_id}'
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/tasks.py
@@ -0,0 +1,148 @@
+"""Drives the task scheduler while this node leads its zone."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Protocol
+
+from samphirestack import configuration
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_state
+from samphirestack.internal.leader import tasks as schedulers
+from samphirestack import model
+from samphirestackd import context as contexts
+from samphirestackd.controllers import jobs
+from samphirestackd.controllers import workers
+from samphirestackd import interfaces
+
+TICK_S = 0.25
+"""Longest time between two planning calls."""
+
+FLUSH_S = 2.0
+"""How long a drain waits for rows; the next leader finds out the rest."""
+
+
+class Shared(Protocol):
+    """What both schedulers of a zone leader use."""
+
+    @property
+    def ledger(self) -> task_state.Ledger:
+        """Counts what teams use against their slices."""
+
+    @property
+    def shares(self) -> task_state.Shares:
+        """Orders teams by their shares."""
+
+
+class TaskController:
+    """Connects the scheduler with workers, job rows and terms."""
+
+    def __init__(self, context: contexts.Context, shared: Shared) -> None:
+        self._context = context
+        self._scheduler = schedulers.TaskScheduler(
+            shared.ledger,
+            shared.shares,
+            context.settings.timing.worker_ttl_s,
+        )
+        self._work = asyncio.Event()
+        wake: Callable[[], None] = self._work.set
+        self._workers = workers.Workers(context, self._scheduler, wake)
+        self._rows = jobs.JobRows(context, self._scheduler, wake)
+        self._term: interfaces.Term | None = None
+        self._draining = False
+        context.terms.on_term(self._on_term)
+        context.view.on_change(self._on_configuration)
+        context.vms.on_vms(self._on_vms)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        self._on_configuration(self._context.view.current)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._rows.run())
+                group.create_task(self._plan_forever())
+        finally:
+            self._workers.close()
+
+    async def drain(self) -> None:
+        """Start nothing new and return when the rows are written."""
+        self._draining = True
+        self._rows.take_updates(self._context.clock())
+        try:
+            async with asyncio.timeout(FLUSH_S):
+                await self._rows.flush()
+        except TimeoutError:
+            return
+
+    def explain_job(self, job_id: model.JobId) -> str | None:
+        """Return what a job waits for; ``None`` if this node does not lead."""
+        if self._term is None:
+            return None
+        return self._scheduler.explain(self._context.clock(), job_id)
+
+    def worker_states(self) -> Mapping[model.WorkerId, str]:
+        """Return the state of each worker of the zone in a word."""
+        return self._scheduler.worker_states()
+
+    def _on_term(self, term: interfaces.Term | None) -> None:
+        now = self._context.clock()
+        if self._term is not None:
+            self._workers.end_term()
+            self._rows.end_term()
+            self._scheduler.end_term(now)
+        self._term = term
+        if term is None:
+            return
+        self._scheduler.start_term(now, term.epoch, term.restart_lost_after)
+        self._workers.start_term(term)
+        self._rows.start_term(term)
+        self._on_vms(self._context.vms.vms_by_id())
+        self._work.set()
+
+    def _on_configuration(self, current: configuration.Configuration) -> None:
+        self._scheduler.configure(self._context.clock(), current)
+        self._work.set()
+
+    def _on_vms(self, vms_by_id: dict[model.VmId, model.Vm]) -> None:
+        own = self._context.settings.zone
+        listed = [
+            vm
+            for vm in vms_by_id.values()
+            if vm.role is model.VmRole.WORKER and vm.zone == own
+        ]
+        self._scheduler.set_workers(self._context.clock(), listed)
+        self._workers.set_workers(listed)
+        self._work.set()
+
+    async def _plan_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._work.wait()
+            except TimeoutError:
+                pass
+            self._work.clear()
+            if self._may_plan():
+                self._plan()
+
+    def _may_plan(self) -> bool:
+        now = self._context.clock()
+        term = self._term
+        if term is None or now < term.grant_from:
+            return False
+        return self._context.leaders.is_valid_leader(now)
+
+    def _plan(self) -> None:
+        now = self._context.clock()
+        wanted = [] if self._draining else self._scheduler.plan(now)
+        self._rows.take_updates(now)
+        self._workers.perform(wanted)
+        self._workers.ask_for_tasks(self._scheduler.workers_to_query(now))
+        if any(isinstance(a, actions.StartTask) for a in wanted):
+            # One call places a bounded number of tasks.
+            self._work.set()
+
+
+def create(context: contexts.Context, shared: Shared) -> TaskController:
+    """Return the component that places tasks while this node leads."""
+    return TaskController(context, shared)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/workers.py
@@ -0,0 +1,196 @@
+"""Leases of the zone's workers and calls to their agents."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from samphirestack import errors
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_starts
+from samphirestack.internal.leader import tasks as schedulers
+from samphirestack import model
+from samphirestackd import context as contexts
+from samphirestackd.controllers import worker_link
+from samphirestackd import interfaces
+
+CALLS_AT_A_TIME = 64
+"""Lease, start and stop calls under way; long polls are not counted."""
+
+
+class Workers:
+    """Holds the leases of all workers of the zone during a term.
+
+    :param wake: called when the scheduler has something new to plan.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        scheduler: schedulers.TaskScheduler,
+        wake: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._scheduler = scheduler
+        self._wake = wake
+        self._term: interfaces.Term | None = None
+        self._calls = asyncio.Semaphore(CALLS_AT_A_TIME)
+        self._links_by_id: dict[model.WorkerId, worker_link.WorkerLink] = {}
+        self._runs_by_id: dict[model.WorkerId, asyncio.Task[None]] = {}
+        self._actions: set[asyncio.Task[None]] = set()
+
+    def start_term(self, term: interfaces.Term) -> None:
+        """Claim all known workers with the epoch of a term."""
+        self.end_term()
+        self._term = term
+
+    def end_term(self) -> None:
+        """Stop renewing; calls under way are given up."""
+        self._term = None
+        for worker_id in list(self._links_by_id):
+            self._drop(worker_id)
+        for action in self._actions:
+            action.cancel()
+
+    def set_workers(self, vms: Sequence[model.Vm]) -> None:
+        """Take over the workers of the zone, with their addresses."""
+        term = self._term
+        if term is None:
+            return
+        listed = {model.WorkerId(vm.vm_id): vm for vm in vms}
+        for worker_id, link in list(self._links_by_id.items()):
+            vm = listed.get(worker_id)
+            if vm is None or vm.address != link.address:
+                self._drop(worker_id)
+                now = self._context.clock()
+                self._scheduler.worker_unreachable(now, worker_id)
+        for worker_id, vm in listed.items():
+            if worker_id not in self._links_by_id:
+                self._add(term, vm)
+
+    def ask_for_tasks(self, worker_ids: Sequence[model.WorkerId]) -> None:
+        """Have the lists of tasks of some workers read soon."""
+        for worker_id in worker_ids:
+            link = self._links_by_id.get(worker_id)
+            if link is not None:
+                link.ask_for_tasks()
+
+    def perform(self, wanted: Sequence[actions.Action]) -> None:
+        """Call the agents; the scheduler is told how each start ended."""
+        for action in wanted:
+            task = asyncio.create_task(self._perform(action))
+            self._actions.add(task)
+            task.add_done_callback(self._actions.discard)
+
+    def close(self) -> None:
+        """End all calls."""
+        self.end_term()
+
+    def _add(self, term: interfaces.Term, vm: model.Vm) -> None:
+        tools = worker_link.Tools(
+            self._context,
+            self._scheduler,
+            self._calls,
+            self._wake,
+            lambda: self._may_act(term),
+        )
+        link = worker_link.WorkerLink(tools, term, vm)
+        self._links_by_id[link.worker_id] = link
+        self._runs_by_id[link.worker_id] = asyncio.create_task(self._run(link))
+
+    async def _run(self, link: worker_link.WorkerLink) -> None:
+        """Run a link; an unexpected error must not end its renewals."""
+        while True:
+            try:
+                await link.run()
+            except* Exception as group:
+                self._context.events.record(
+                    'worker.link_failed',
+                    worker=link.worker_id,
+                    reason=repr(group.exceptions[0]),
+                )
+            now = self._context.clock()
+            self._scheduler.worker_unreachable(now, link.worker_id)
+            await asyncio.sleep(worker_link.PROBE_S)
+
+    def _drop(self, worker_id: model.WorkerId) -> None:
+        del self._links_by_id[worker_id]
+        self._runs_by_id.pop(worker_id).cancel()
+
+    def _may_act(self, term: interfaces.Term | None) -> bool:
+        now = self._context.clock()
+        leads = self._context.leaders.is_valid_leader(now)
+        return leads and term is not None and self._term is term
+
+    async def _perform(self, action: actions.Action) -> None:
+        term = self._term
+        if isinstance(action, actions.StartTask):
+            await self._start(term, action)
+            return
+        link = self._links_by_id.get(action.worker_id)
+        if link is None:
+            return
+        try:
+            async with self._calls:
+                if self._may_act(term):
+                    await _command(link, action)
+        except errors.SamphireError as error:
+            # The scheduler asks again until an event or list shows the end.
+            self._record_failure(action, error)
+
+    async def _start(
+        self, term: interfaces.Term | None, action: actions.StartTask
+    ) -> None:
+        link = self._links_by_id.get(action.worker_id)
+        task = action.task
+        outcome = task_starts.StartOutcome.NOT_STARTED
+        try:
+            async with self._calls:
+                if link is not None and self._may_act(term):
+                    outcome = task_starts.StartOutcome.UNKNOWN
+                    await link.agent.start(link.epoch, task)
+                    outcome = task_starts.StartOutcome.ACCEPTED
+        except errors.FencedOff as error:
+            outcome = task_starts.StartOutcome.NOT_STARTED
+            self._record_failure(action, error)
+        except errors.WorkerRefused as error:
+            outcome = task_starts.StartOutcome.REFUSED
+            self._record_failure(action, error)
+        except errors.PlatformError as error:
+            self._record_failure(action, error)
+        if self._term is not term:
+            return
+        self._scheduler.start_answered(
+            self._context.clock(),
+            action.worker_id,
+            task.task_id,
+            task.attempt,
+            outcome,
+        )
+        if outcome is task_starts.StartOutcome.ACCEPTED:
+            self._context.events.record(
+                'task.started', task=task.task_id, worker=action.worker_id
+            )
+        elif link is not None:
+            link.ask_for_tasks()
+        self._wake()
+
+    def _record_failure(
+        self, action: actions.Action, error: errors.SamphireError
+    ) -> None:
+        self._context.events.record(
+            'worker.call_failed',
+            worker=action.worker_id,
+            action=type(action).__name__,
+            code=error.code,
+        )
+
+
+async def _command(
+    link: worker_link.WorkerLink, action: actions.Action
+) -> None:
+    if isinstance(action, actions.StopTask):
+        await link.agent.stop(link.epoch, action.task_id)
+    elif isinstance(action, actions.CheckpointTask):
+        await link.agent.checkpoint(link.epoch, action.task_id)
+    elif isinstance(action, actions.ThrottleTask):
+        await link.agent.throttle(link.epoch, action.task_id, action.percent)
--- a/packages/testing/src/samphirestack_testing/task_world.py
+++ b/packages/testing/src/samphirestack_testing/task_world.py
@@ -17,6 +17,7 @@
 from samphirestack import configuration
 from samphirestack import errors
 from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_starts
 from samphirestack.internal.leader import tasks
 from samphirestack import model
 from samphirestack_testing import fakes
@@ -208,17 +209,18 @@
         agent = world.agents_by_id[worker_id]
         epoch = self._links[worker_id].epoch
         world.asked.append((now, action))
-        args = (now, worker_id, task.task_id, task.attempt)
         try:
             world.call(worker_id, lambda: agent.start(world.now, epoch, task))
+            outcome = task_starts.StartOutcome.ACCEPTED
         except Unanswered:
-            self.scheduler.start_failed(*args, True)
+            outcome = task_starts.StartOutcome.UNKNOWN
         except errors.FencedOff:
-            self.scheduler.start_failed(*args, False)
+            outcome = task_starts.StartOutcome.NOT_STARTED
         except errors.WorkerRefused:
-            self.scheduler.start_refused(*args)
-        else:
-            self.scheduler.start_accepted(*args)
+            outcome = task_starts.StartOutcome.REFUSED
+        self.scheduler.start_answered(
+            now, worker_id, task.task_id, task.attempt, outcome
+        )
 
 
 class World:
