--- /dev/null
+++ b/tests/property/test_task_scheduler.py
@@ -0,0 +1,184 @@
+"""Random faults against the promises on tasks.
+
+The oracle reads what the fake agents did and the rows of the table, never
+the state of the scheduler.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from samphirestack import configuration
+from samphirestack import model
+from samphirestack_testing import fakes
+from samphirestack_testing import task_oracle
+from samphirestack_testing import task_world
+
+WORKERS = 6
+LIMITS = {'small': 5}
+CALM_S = 100.0
+"""Time after the last fault in which services get all their replicas."""
+
+DRAIN_S = 700.0
+"""Time in which all other jobs end; pauses of quarantine can double."""
+
+
+def _configuration() -> configuration.Configuration:
+    profiles = [
+        configuration.Profile('urgent', urgency=model.Urgency.URGENT),
+        configuration.Profile('patient'),
+        configuration.Profile('saved', checkpoint=True),
+    ]
+    return configuration.Configuration(
+        profiles_by_id={profile.name: profile for profile in profiles},
+        services_by_id={'s': configuration.Service('s', 'patient')},
+        queues_by_id={
+            profile.name: configuration.Queue(profile.name, 's', profile.name)
+            for profile in profiles
+        },
+    )
+
+
+def _workers() -> list[model.Vm]:
+    return [
+        task_world.worker(
+            f'w{number}',
+            f'r{number // 2}',
+            model.Resources(4000, 8000, int(number == 0)),
+        )
+        for number in range(WORKERS)
+    ]
+
+
+worker_ids = st.sampled_from([f'w{number}' for number in range(WORKERS)])
+
+
+class ZoneUnderFaults(stateful.RuleBasedStateMachine):
+    """Jobs in a zone whose network, workers and leaders fail."""
+
+    @stateful.initialize(seed=st.integers(0, 2**16), limited=st.booleans())
+    def begin(self, seed: int, limited: bool) -> None:
+        self.limits = LIMITS if limited else {}
+        self.world = task_world.World(
+            seed, _workers(), _configuration(), self.limits
+        )
+        self.calm = True
+
+    @stateful.rule(
+        kind=st.sampled_from(model.JobKind),
+        count=st.integers(1, 5),
+        millicores=st.sampled_from([500, 1000, 2000, 4000]),
+        memory_mb=st.sampled_from([500, 4000, 8000]),
+        accelerated=st.booleans(),
+        run_s=st.sampled_from([0.1, 1.0, 4.0, 20.0]),
+        declared_s=st.sampled_from([0.1, 1.0, 10.0, 100.0]),
+        failures=st.sampled_from([0, 0, 0, 1]),
+        queue=st.sampled_from(['urgent', 'patient', 'saved']),
+        team=st.sampled_from(['gritting', 'small']),
+        idempotent=st.booleans(),
+    )
+    def submit(
+        self,
+        kind: model.JobKind,
+        count: int,
+        millicores: int,
+        memory_mb: int,
+        accelerated: bool,
+        run_s: float,
+        declared_s: float,
+        failures: int,
+        queue: str,
+        team: str,
+        idempotent: bool,
+    ) -> None:
+        batch = kind is model.JobKind.BATCH
+        self.world.submit(
+            kind,
+            count,
+            model.Resources(millicores, memory_mb, int(accelerated and batch)),
+            fakes.Plan(run_s, failures),
+            queue=queue,
+            team=team,
+            idempotent=idempotent or kind is model.JobKind.SERVICE,
+            declared_s=declared_s,
+        )
+
+    @stateful.rule(seconds=st.sampled_from([0.25, 1.0, 5.0, 15.0, 30.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @stateful.rule(worker_id=worker_ids)
+    def toggle_partition(self, worker_id: str) -> None:
+        self.world.cut_off ^= {worker_id}
+
+    @stateful.rule(worker_id=worker_ids)
+    def restart_worker(self, worker_id: str) -> None:
+        self.world.agents_by_id[worker_id].restart(self.world.now)
+
+    @stateful.rule(worker_id=worker_ids)
+    def toggle_failing(self, worker_id: str) -> None:
+        self.world.agents_by_id[worker_id].fails_all ^= True
+
+    @stateful.rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def lose_calls(self, loss: float) -> None:
+        self.world.loss = loss
+
+    @stateful.rule()
+    def toggle_table(self) -> None:
+        self.world.table_up ^= True
+
+    @stateful.rule()
+    def change_leader(self) -> None:
+        self.world.change_leader()
+
+    @stateful.rule(pick=st.integers(0, 100))
+    def cancel(self, pick: int) -> None:
+        job_ids = list(self.world.rows_by_id)
+        if job_ids:
+            self.world.cancelled.add(job_ids[pick % len(job_ids)])
+
+    @stateful.invariant()
+    def promises_hold(self) -> None:
+        world = self.world
+        once = {
+            job_id
+            for job_id, row in world.rows_by_id.items()
+            if not row.job.idempotent
+        }
+        capacities = {
+            worker_id: agent.capacity
+            for worker_id, agent in world.agents_by_id.items()
+        }
+        entries = world.entries
+        assert not task_oracle.overcommitted(entries, capacities)
+        assert not task_oracle.in_two_places(entries)
+        assert not task_oracle.started_again(entries, once)
+        assert not task_oracle.over_limit(entries, self.limits)
+        assert not task_oracle.partial_gangs(world)
+        assert not task_oracle.wrong_rows(world)
+
+    def teardown(self) -> None:
+        """End all faults: then every job that can run has to end."""
+        if not hasattr(self, 'world'):
+            return
+        world = self.world
+        world.heal()
+        world.run(CALM_S)
+        for job_id, row in world.rows_by_id.items():
+            if row.job.kind is model.JobKind.SERVICE:
+                # Services would hold the room that other jobs need.
+                world.cancelled.add(job_id)
+        world.run(DRAIN_S)
+        self.promises_hold()
+        assert not task_oracle.unfinished(world)
+
+
+TestZoneUnderFaults = ZoneUnderFaults.TestCase
+TestZoneUnderFaults.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- /dev/null
+++ b/tests/unit/core/test_task_decisions.py
@@ -0,0 +1,259 @@
+"""Tests of the decisions on tasks."""
+
+import random
+
+import pytest
+
+from samphirestack import configuration
+from samphirestack.internal.decisions import estimates
+from samphirestack.internal.decisions import gangs
+from samphirestack.internal.decisions import placement
+from samphirestack.internal.decisions import preemption
+from samphirestack.internal.decisions import quarantine
+from samphirestack.internal.decisions import services
+from samphirestack.internal.decisions import worker_index
+from samphirestack.internal import messages
+from samphirestack import model
+
+SMALL = model.Resources(1000, 1000)
+WHOLE = model.Resources(4000, 8000)
+POLICY = placement.BestFitPolicy()
+
+
+def _index(
+    *workers: tuple[str, str, model.Resources],
+) -> worker_index.WorkerIndex:
+    index = worker_index.WorkerIndex()
+    for name, rack, capacity in workers:
+        index.put(name, rack, capacity)
+        index.set_usable(name, True)
+    return index
+
+
+def _job(
+    kind: model.JobKind = model.JobKind.BATCH,
+    tasks: int = 1,
+    resources: model.Resources = SMALL,
+    run_time_s: float = 10.0,
+) -> model.Job:
+    return model.Job(
+        'j', 'q', 't', kind, tasks, resources, run_time_s, True, 'z', 0.0
+    )
+
+
+class TestPlacement:
+    """Workers are chosen from the index by the policy of the page."""
+
+    def test_best_fit_prefers_the_fuller_worker(self) -> None:
+        """Guards against spreading batch work, which blocks large tasks."""
+        index = _index(('a', 'r', WHOLE), ('b', 'r', WHOLE))
+        index.commit('b', SMALL)
+        assert POLICY.choose(index, SMALL) == 'b'
+
+    def test_accelerators_are_kept_for_work_that_needs_them(self) -> None:
+        """Guards against plain work on the last accelerator worker."""
+        rich = model.Resources(4000, 8000, 2)
+        index = _index(('acc', 'r', rich), ('plain', 'r', WHOLE))
+        assert POLICY.choose(index, SMALL) == 'plain'
+        assert POLICY.choose(index, model.Resources(1000, 1000, 1)) == 'acc'
+        index.commit('plain', WHOLE)
+        assert POLICY.choose(index, SMALL) == 'acc'
+
+    def test_unusable_and_disallowed_workers_are_passed_over(self) -> None:
+        """Guards against starts on quarantined or reserved workers."""
+        index = _index(('a', 'r', WHOLE), ('b', 'r', WHOLE))
+        index.set_usable('a', False)
+        assert POLICY.choose(index, SMALL, lambda w: w != 'b') is None
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_index_finds_room_exactly_if_a_full_search_does(
+        self, seed: int
+    ) -> None:
+        """Guards against workers that the bounded scan never reaches."""
+        rng = random.Random(seed)
+        names = [f'w{number}' for number in range(120)]
+        index = _index(*((name, 'r', WHOLE) for name in names))
+        free = dict.fromkeys(names, WHOLE)
+        for _ in range(1500):
+            need = model.Resources(
+                rng.choice([200, 900, 3000]), rng.choice([100, 2100, 7000])
+            )
+            found = POLICY.choose(index, need)
+            fits = any(need.fits_in(left) for left in free.values())
+            assert (found is not None) == fits
+            if found is not None:
+                assert need.fits_in(free[found])
+                index.commit(found, need)
+                free[found] -= need
+
+    def test_services_spread_over_racks(self) -> None:
+        """Guards against replicas that are lost with one rack."""
+        index = _index(*((f'w{n}', f'r{n % 3}', WHOLE) for n in range(9)))
+        racks: list[str] = []
+        for _ in range(3):
+            replicas = services.replicas_by_rack(racks)
+            chosen = POLICY.choose_spread(index, SMALL, replicas)
+            index.commit(chosen, SMALL)
+            racks.append(index.slot(chosen).rack)
+        assert sorted(racks) == ['r0', 'r1', 'r2']
+
+    def test_gang_takes_one_rack_or_few(self) -> None:
+        """Guards against gangs that are scattered or placed in part."""
+        index = _index(*((f'w{n}', f'r{n % 2}', WHOLE) for n in range(4)))
+        chosen = POLICY.choose_gang(index, SMALL, 8)
+        assert len({index.slot(w).rack for w in chosen}) == 1
+        assert len(POLICY.choose_gang(index, SMALL, 16)) == 16
+        assert POLICY.choose_gang(index, SMALL, 17) is None
+
+    def test_impossible_jobs_are_named(self) -> None:
+        """Guards against jobs that wait for ever."""
+        huge = model.Resources(5000, 1000)
+        assert '5 cores' in placement.impossible_reason(
+            _job(resources=huge), [WHOLE]
+        )
+        gang = _job(model.JobKind.GANG, 5)
+        assert 'room for 4' in placement.impossible_reason(gang, [WHOLE])
+        assert placement.impossible_reason(_job(resources=huge), []) is None
+        assert placement.impossible_reason(gang, [WHOLE] * 2) is None
+
+
+class TestReservation:
+    """A gang that waits keeps the room that becomes free first."""
+
+    def test_backfill_must_end_before_the_reservation(self) -> None:
+        """Guards against backfill that delays the gang."""
+        loads = [
+            gangs.WorkerLoad('a', SMALL, (gangs.Ending(30.0, WHOLE),)),
+            gangs.WorkerLoad('b', WHOLE, ()),
+        ]
+        made = gangs.reserve(0.0, 'g', WHOLE, 2, loads)
+        assert made.start_at == 30.0
+        assert made.allows('a', SMALL, SMALL, ends_at=29.0)
+        assert not made.allows('a', SMALL, SMALL, ends_at=31.0)
+        assert made.allows('c', SMALL, SMALL, ends_at=31.0)
+
+    def test_endless_work_makes_no_room(self) -> None:
+        """Guards against a reservation that can never be used."""
+        endless = gangs.Ending(float('inf'), WHOLE)
+        load = gangs.WorkerLoad('a', model.Resources(), (endless,))
+        assert gangs.reserve(0.0, 'g', SMALL, 1, [load]) is None
+
+
+def _candidate(name: str, ran_s: float, **changes: object) -> object:
+    fields = {
+        'urgency': model.Urgency.PATIENT,
+        'preemptible': True,
+        'can_checkpoint': False,
+        'idempotent': True,
+    }
+    return preemption.Candidate(
+        name, SMALL, ran_s=ran_s, **{**fields, **changes}
+    )
+
+
+class TestPreemption:
+    """Only work that may leave makes room, least loss first."""
+
+    def test_least_lost_work_goes_first(self) -> None:
+        """Guards against stopping more or older work than needed."""
+        plan = preemption.make_room(
+            'w',
+            model.Resources(),
+            SMALL,
+            [_candidate('old', 50.0), _candidate('new', 1.0)],
+        )
+        assert plan.steps == (preemption.Step('new', preemption.Means.STOP),)
+
+    def test_checkpoint_is_milder_than_stop(self) -> None:
+        saved = _candidate('saved', 99.0, can_checkpoint=True)
+        plan = preemption.make_room(
+            'w', model.Resources(), SMALL, [_candidate('new', 1.0), saved]
+        )
+        assert plan.steps[0].means is preemption.Means.CHECKPOINT
+
+    @pytest.mark.parametrize(
+        'spared',
+        [
+            {'urgency': model.Urgency.URGENT},
+            {'preemptible': False},
+            {'idempotent': False},
+        ],
+    )
+    def test_protected_tasks_are_never_stopped(self, spared: dict) -> None:
+        """Guards against a second run of work that is not idempotent."""
+        tasks = [_candidate('a', 1.0, **spared)]
+        nothing = model.Resources()
+        assert preemption.make_room('w', nothing, SMALL, tasks) is None
+
+    def test_team_above_its_slice_is_reduced(self) -> None:
+        """Guards against a lowered limit that never comes into force."""
+        usage = messages.TeamUsage('t', 3, SMALL * 3, 0)
+        limit = configuration.Limit(running=1)
+        excess = preemption.excess_of(usage, limit)
+        tasks = [_candidate(name, 1.0) for name in 'abc']
+        assert len(preemption.reduce(excess, tasks)) == 2
+        only = [_candidate('n', 1.0, idempotent=False)]
+        steps = preemption.reduce(excess, only)
+        assert steps == [preemption.Step('n', preemption.Means.THROTTLE)]
+        assert preemption.excess_of(usage, configuration.Limit()) is None
+
+
+class TestEstimates:
+    """Learned values replace declarations once enough is known."""
+
+    def test_run_time_follows_what_tasks_took(self) -> None:
+        """Guards against backfill by wrong declarations."""
+        learned = estimates.Estimates()
+        assert learned.run_time_s(_job()) == pytest.approx(12.0)
+        for _ in range(estimates.SAMPLES_NEEDED):
+            learned.ended(_job(), 100.0)
+        assert learned.run_time_s(_job()) == pytest.approx(120.0)
+        service = _job(model.JobKind.SERVICE)
+        assert learned.run_time_s(service) == estimates.UNLIMITED_S
+
+    def test_size_grows_but_never_shrinks(self) -> None:
+        """Guards against overcommitment through small samples."""
+        learned = estimates.Estimates()
+        for _ in range(estimates.SAMPLES_NEEDED):
+            learned.used(_job(), model.Resources(2000, 10))
+        assert learned.need(_job(), WHOLE) == model.Resources(2400, 1000)
+        tight = model.Resources(1500, 8000)
+        assert learned.need(_job(), tight) == model.Resources(1500, 1000)
+
+
+class TestQuarantine:
+    """Workers that fail every task are left alone for growing pauses."""
+
+    def test_three_different_jobs_start_a_pause(self) -> None:
+        """Guards against blaming a worker for one broken job."""
+        made = quarantine.Quarantine()
+        for _ in range(5):
+            assert not made.failed(0.0, 'w', 'same')
+        assert not made.failed(0.0, 'w', 'second')
+        assert made.failed(0.0, 'w', 'third')
+        assert not made.accepts(1.0, 'w')
+
+    def test_one_probe_and_doubling_pauses(self) -> None:
+        """Guards against a broken worker that eats a task every pause."""
+        made = quarantine.Quarantine()
+        for job in 'abc':
+            made.failed(0.0, 'w', job)
+        first = quarantine.FIRST_PAUSE_S
+        assert made.accepts(first, 'w')
+        assert made.placed('w', 'probe')
+        assert not made.accepts(first, 'w')
+        made.failed(first, 'w', 'd')
+        assert not made.accepts(first * 2.5, 'w')
+        assert made.accepts(first * 3, 'w')
+        made.succeeded('w')
+        assert not made.is_suspect('w')
+
+
+class TestServices:
+    """Failed replicas are replaced, quickly at first."""
+
+    def test_delay_doubles_up_to_a_bound(self) -> None:
+        """Guards against a crash loop that floods a worker."""
+        delays = [services.restart_delay_s(n) for n in (0, 1, 2, 50)]
+        assert delays == [0.0, 0.5, 1.0, services.LONGEST_DELAY_S]
+        assert services.failures_after(9, services.STABLE_AFTER_S) == 1
