--- a/tests/property/test_task_scheduler.py
+++ b/tests/property/test_task_scheduler.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 
 from samphirestack import configuration
 from samphirestack import model
@@ -53,6 +54,53 @@
 worker_ids = st.sampled_from([f'w{number}' for number in range(WORKERS)])
 
 
+class JobPlan(msgspec.Struct):
+    """A job to submit, in sizes that compete for the workers."""
+
+    kind: model.JobKind
+    count: int
+    size: tuple[int, int]
+    accelerated: bool
+    run_s: float
+    declared_s: float
+    failures: int
+    queue: str
+    team: str
+    idempotent: bool
+
+    def submit_to(self, world: task_world.World) -> None:
+        batch = self.kind is model.JobKind.BATCH
+        service = self.kind is model.JobKind.SERVICE
+        world.submit(
+            self.kind,
+            self.count,
+            model.Resources(*self.size, int(self.accelerated and batch)),
+            fakes.Plan(self.run_s, self.failures),
+            queue=self.queue,
+            team=self.team,
+            idempotent=self.idempotent or service,
+            declared_s=self.declared_s,
+        )
+
+
+job_plans = st.builds(
+    JobPlan,
+    kind=st.sampled_from(model.JobKind),
+    count=st.integers(1, 5),
+    size=st.tuples(
+        st.sampled_from([500, 1000, 2000, 4000]),
+        st.sampled_from([500, 4000, 8000]),
+    ),
+    accelerated=st.booleans(),
+    run_s=st.sampled_from([0.1, 1.0, 4.0, 20.0]),
+    declared_s=st.sampled_from([0.1, 1.0, 10.0, 100.0]),
+    failures=st.sampled_from([0, 0, 0, 1]),
+    queue=st.sampled_from(['urgent', 'patient', 'saved']),
+    team=st.sampled_from(['gritting', 'small']),
+    idempotent=st.booleans(),
+)
+
+
 class ZoneUnderFaults(stateful.RuleBasedStateMachine):
     """Jobs in a zone whose network, workers and leaders fail."""
 
@@ -62,51 +110,39 @@
         self.world = task_world.World(
             seed, _workers(), _configuration(), self.limits
         )
-        self.calm = True
+
+    @stateful.rule(jobs=st.lists(job_plans, min_size=1, max_size=4))
+    def submit(self, jobs: list[JobPlan]) -> None:
+        for job in jobs:
+            job.submit_to(self.world)
 
     @stateful.rule(
-        kind=st.sampled_from(model.JobKind),
-        count=st.integers(1, 5),
-        millicores=st.sampled_from([500, 1000, 2000, 4000]),
-        memory_mb=st.sampled_from([500, 4000, 8000]),
-        accelerated=st.booleans(),
-        run_s=st.sampled_from([0.1, 1.0, 4.0, 20.0]),
-        declared_s=st.sampled_from([0.1, 1.0, 10.0, 100.0]),
-        failures=st.sampled_from([0, 0, 0, 1]),
-        queue=st.sampled_from(['urgent', 'patient', 'saved']),
-        team=st.sampled_from(['gritting', 'small']),
-        idempotent=st.booleans(),
+        jobs=st.lists(job_plans, min_size=1, max_size=4),
+        seconds=st.sampled_from([0.25, 1.0, 5.0]),
     )
-    def submit(
-        self,
-        kind: model.JobKind,
-        count: int,
-        millicores: int,
-        memory_mb: int,
-        accelerated: bool,
-        run_s: float,
-        declared_s: float,
-        failures: int,
-        queue: str,
-        team: str,
-        idempotent: bool,
-    ) -> None:
-        batch = kind is model.JobKind.BATCH
-        self.world.submit(
-            kind,
-            count,
-            model.Resources(millicores, memory_mb, int(accelerated and batch)),
-            fakes.Plan(run_s, failures),
-            queue=queue,
-            team=team,
-            idempotent=idempotent or kind is model.JobKind.SERVICE,
-            declared_s=declared_s,
-        )
+    def submit_and_run(self, jobs: list[JobPlan], seconds: float) -> None:
+        self.submit(jobs)
+        self.world.run(seconds)
 
     @stateful.rule(seconds=st.sampled_from([0.25, 1.0, 5.0, 15.0, 30.0]))
     def pass_time(self, seconds: float) -> None:
         self.world.run(seconds)
 
+    @stateful.rule(
+        worker_id=worker_ids, seconds=st.sampled_from([1.0, 5.0, 15.0])
+    )
+    def cut_off_for(self, worker_id: str, seconds: float) -> None:
+        self.world.cut_off.add(worker_id)
+        self.world.run(seconds)
+        self.world.cut_off.discard(worker_id)
+
+    @stateful.rule(worker_id=worker_ids)
+    def change_leader_without(self, worker_id: str) -> None:
+        self.world.cut_off.add(worker_id)
+        self.world.run(1.0)
+        self.world.change_leader()
+        self.world.run(5.0)
+
     @stateful.rule(worker_id=worker_ids)
     def toggle_partition(self, worker_id: str) -> None:
         self.world.cut_off ^= {worker_id}
@@ -175,8 +211,10 @@
 
 TestZoneUnderFaults = ZoneUnderFaults.TestCase
 TestZoneUnderFaults.settings = hypothesis.settings(
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=40,
+    # Shrinking replays hours of simulated time for minutes.
+    phases=[hypothesis.Phase.generate],
     deadline=None,
     derandomize=True,
     database=None,
