--- a/packages/daemon/src/samphirestackd/controllers/job_writes.py
+++ b/packages/daemon/src/samphirestackd/controllers/job_writes.py
@@ -99,7 +99,7 @@
                 try:
                     await self._write_some()
                     pause_s = FIRST_PAUSE_S
-                except errors.PlatformError as error:
+                except errors.SamphireError as error:
                     self._context.events.record(
                         'jobs.unwritten', code=error.code, rows=self.unwritten
                     )
--- a/packages/daemon/src/samphirestackd/controllers/jobs.py
+++ b/packages/daemon/src/samphirestackd/controllers/jobs.py
@@ -104,7 +104,7 @@
                     await self._scan(term)
                     scan_at = now + SCAN_INTERVAL_S
                 await self._read_wanted(term)
-            except errors.PlatformError as error:
+            except errors.SamphireError as error:
                 self._context.events.record('jobs.unread', code=error.code)
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -141,7 +141,7 @@
             key = f'{self._context.settings.zone}/{job_id}'
             try:
                 row = await self._context.table.get(job_writes.TABLE, key)
-            except errors.PlatformError:
+            except errors.SamphireError:
                 self._wanted.add(job_id)
                 raise
             if row is not None and self._term is term:
--- a/packages/daemon/src/samphirestackd/controllers/worker_link.py
+++ b/packages/daemon/src/samphirestackd/controllers/worker_link.py
@@ -112,7 +112,7 @@
                 )
         except errors.FencedOff as refusal:
             return self._on_fenced_off(refusal)
-        except errors.PlatformError:
+        except errors.SamphireError:
             self._on_failure()
             return RETRY_S
         await self._on_status(status, asked_at)
@@ -180,7 +180,7 @@
         since = self._since
         try:
             events = await self.agent.events(since, timeout_s)
-        except errors.PlatformError:
+        except errors.SamphireError:
             return False
         if since > self._since:
             # The agent has restarted since the call was sent.
@@ -203,7 +203,7 @@
         try:
             async with self._tools.calls:
                 reports = await self.agent.usage()
-        except errors.PlatformError:
+        except errors.SamphireError:
             return
         self._tools.scheduler.usage(self._now(), self.worker_id, reports)
 
--- a/packages/daemon/src/samphirestackd/controllers/workers.py
+++ b/packages/daemon/src/samphirestackd/controllers/workers.py
@@ -155,7 +155,7 @@
         except errors.WorkerRefused as error:
             outcome = task_starts.StartOutcome.REFUSED
             self._record_failure(action, error)
-        except errors.PlatformError as error:
+        except errors.SamphireError as error:
             self._record_failure(action, error)
         if self._term is not term:
             return
