Check single rules of the task scheduler

They cover guards that the state machine met too seldom: the row that is written before a start, limited teams during a takeover, rows and lists that were read too early.

--- /dev/null
+++ b/tests/unit/core/test_task_scheduler.py
@@ -0,0 +1,269 @@
+"""Tests of single rules of the task scheduler."""
+
+import msgspec
+import pytest
+
+from samphirestack import configuration
+from samphirestack.internal.leader import actions
+from samphirestack.internal.leader import task_starts
+from samphirestack.internal.leader import tasks
+from samphirestack import model
+from samphirestack import platform
+from samphirestack_testing import fakes
+from samphirestack_testing import task_world
+
+HALF = model.Resources(2000, 4000)
+WHOLE = model.Resources(4000, 8000)
+TTL_S = 10.0
+LOST_AFTER = 21.5
+
+
+def _configuration() -> configuration.Configuration:
+    urgent = configuration.Profile('urgent', urgency=model.Urgency.URGENT)
+    profiles = {'urgent': urgent, 'p': configuration.Profile('p')}
+    return configuration.Configuration(
+        profiles_by_id=profiles,
+        services_by_id={'s': configuration.Service('s', 'p')},
+        queues_by_id={
+            name: configuration.Queue(name, 's', name) for name in profiles
+        },
+    )
+
+
+class Zone:
+    """A scheduler with workers w0, w1, ... in one rack each."""
+
+    def __init__(self, count: int, limits: dict | None = None) -> None:
+        self.ledger = fakes.FakeLedger(limits)
+        self.made = tasks.TaskScheduler(self.ledger, fakes.FakeShares(), TTL_S)
+        self.made.configure(0.0, _configuration())
+        names = [f'w{number}' for number in range(count)]
+        vms = [task_world.worker(name, name, WHOLE) for name in names]
+        self.made.set_workers(0.0, vms)
+        self.made.start_term(0.0, 1, LOST_AFTER)
+
+    def answer(
+        self, now: float, worker_id: str, *starts: actions.StartTask,
+        asked_at: float | None = None, last_event: int = 0,
+    ) -> None:  # fmt: skip
+        listed = tuple(
+            platform.RunningTask(
+                start.task.task_id,
+                start.task.attempt,
+                start.task.job_id,
+                start.task.team,
+                start.task.resources,
+                model.TaskState.RUNNING,
+            )
+            for start in starts
+        )
+        status = platform.WorkerStatus(
+            worker_id, 1, 'e', TTL_S, WHOLE, listed, last_event
+        )
+        self.made.worker_status(now, status, asked_at)
+
+    def submit(
+        self, name: str, count: int = 1, *, now: float = 0.0,
+        fresh: bool = True, **changes: object,
+    ) -> model.JobRecord:  # fmt: skip
+        job = model.Job(
+            name, 'p', 't', model.JobKind.BATCH, count, HALF, 10.0, True, 'z',
+            0.0,
+        )  # fmt: skip
+        record = model.JobRecord(msgspec.structs.replace(job, **changes))
+        self.made.job_changed(now, record, fresh)
+        return record
+
+    def plan(self, now: float) -> list[actions.StartTask]:
+        found = self.made.plan(now)
+        return [a for a in found if isinstance(a, actions.StartTask)]
+
+    def accept(self, now: float, start: actions.StartTask) -> None:
+        self.made.start_answered(
+            now, start.worker_id, start.task.task_id, start.task.attempt,
+            task_starts.StartOutcome.ACCEPTED,
+        )  # fmt: skip
+
+    def event(
+        self, now: float, start: actions.StartTask, number: int, state: str
+    ) -> None:
+        event = platform.TaskEvent(
+            number,
+            start.task.task_id,
+            start.task.attempt,
+            model.TaskState(state),
+        )
+        self.made.task_event(now, start.worker_id, event)
+
+
+def _ready(count: int, limits: dict | None = None) -> Zone:
+    zone = Zone(count, limits)
+    for number in range(count):
+        zone.answer(0.0, f'w{number}')
+    return zone
+
+
+class TestTakeover:
+    """A new leader starts nothing that an earlier one may have started."""
+
+    def test_older_rows_wait_for_all_workers(self) -> None:
+        """Guards against a second copy on a worker that is heard first."""
+        zone = Zone(2)
+        zone.answer(0.0, 'w0')
+        zone.submit('old', fresh=False)
+        zone.submit('new')
+        assert [s.task.job_id for s in zone.plan(1.0)] == ['new']
+        assert not zone.plan(LOST_AFTER - 0.1)
+        assert [s.task.job_id for s in zone.plan(LOST_AFTER)] == ['old']
+
+    def test_limited_teams_wait_for_all_workers(self) -> None:
+        """Guards against running more than the slice while some is unseen."""
+        zone = Zone(2, {'t': 1})
+        zone.answer(0.0, 'w0')
+        zone.submit('new')
+        assert not zone.plan(1.0)
+        zone.answer(1.0, 'w1')
+        assert len(zone.plan(1.0)) == 1
+
+    def test_dispatched_task_that_nobody_lists_ends_as_failed(self) -> None:
+        """Guards against a second run after its worker was replaced."""
+        zone = _ready(1)
+        record = zone.submit('j', fresh=False, idempotent=False)
+        record = msgspec.structs.replace(record, dispatched={0: 1})
+        zone = _ready(1)
+        zone.made.job_changed(0.0, record)
+        assert not zone.plan(1.0)
+        (update,) = zone.made.take_updates(1.0)
+        assert update.state is model.JobState.FAILED
+        assert 'may have run' in update.reason
+
+    def test_start_waits_for_the_row_that_records_it(self) -> None:
+        """Guards against starts that the next leader can't know of."""
+        zone = _ready(1)
+        zone.submit('j', idempotent=False)
+        assert not zone.plan(1.0)
+        (update,) = zone.made.take_updates(1.0)
+        assert update.dispatched == {0: 1}
+        zone.made.update_saved(1.0, update)
+        assert len(zone.plan(1.0)) == 1
+
+
+class TestRows:
+    """Rows that were read late change nothing."""
+
+    def test_old_row_does_not_bring_a_finished_job_back(self) -> None:
+        """Guards against a second run through a scan that began earlier."""
+        zone = _ready(1)
+        record = zone.submit('j')
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        zone.event(1.0, start, 1, 'succeeded')
+        zone.made.job_changed(1.0, record, True)
+        assert not zone.plan(1.0)
+        states = [u.state for u in zone.made.take_updates(1.0)]
+        assert states == [model.JobState.SUCCEEDED]
+
+    def test_job_that_fits_no_worker_fails_at_once(self) -> None:
+        zone = _ready(1)
+        zone.submit('j', resources=model.Resources(4001, 1))
+        (update,) = zone.made.take_updates(0.0)
+        assert update.state is model.JobState.FAILED
+
+    def test_waiting_work_of_a_retired_queue_is_refused(self) -> None:
+        zone = _ready(0)
+        zone.submit('j')
+        zone.made.configure(1.0, configuration.Configuration())
+        (update,) = zone.made.take_updates(1.0)
+        assert 'retired' in update.reason
+
+
+class TestLists:
+    """Lists of tasks are compared by when they were asked for."""
+
+    def test_list_from_before_an_event_is_not_used(self) -> None:
+        """Guards against adopting a task that has just ended."""
+        zone = _ready(1)
+        zone.submit('j')
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        zone.event(2.0, start, 2, 'stopped')
+        zone.answer(2.1, 'w0', start, asked_at=1.0, last_event=1)
+        assert zone.made.workers_to_query(2.1) == ['w0']
+        zone.answer(2.2, 'w0', asked_at=2.2, last_event=2)
+        assert len(zone.plan(2.2)) == 1
+
+    def test_unknown_start_keeps_its_room_until_a_lease_has_passed(
+        self,
+    ) -> None:
+        """Guards against overcommitment by a call that arrives late."""
+        zone = _ready(1)
+        zone.submit('j', resources=WHOLE)
+        (start,) = zone.plan(0.0)
+        zone.made.start_failed(1.0, 'w0', start.task.task_id, 1, True)
+        zone.answer(2.0, 'w0')
+        assert not zone.plan(2.0)
+        zone.answer(TTL_S, 'w0')
+        assert len(zone.plan(TTL_S)) == 1
+
+    def test_silent_worker_keeps_its_tasks_for_two_leases(self) -> None:
+        """Guards against a second copy while the lease may last."""
+        zone = _ready(2)
+        zone.submit('j')
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        zone.made.worker_unreachable(5.0, start.worker_id)
+        assert not zone.plan(5.0 + 2 * TTL_S - 0.1)
+        (again,) = zone.plan(5.0 + 2 * TTL_S)
+        assert again.worker_id != start.worker_id
+
+
+class TestOrder:
+    """Urgent work goes first, and patient work is not starved."""
+
+    def test_patient_work_gets_a_tenth_of_the_starts(self) -> None:
+        """Guards against patient work that waits for ever."""
+        zone = _ready(10)
+        zone.submit('patient', 5)
+        zone.submit('urgent', 20, queue='urgent')
+        order = [start.task.job_id for start in zone.plan(0.0)]
+        assert order.index('patient') == 9
+        assert order.count('urgent') == 18
+
+    def test_urgent_work_displaces_patient_work(self) -> None:
+        """Guards against urgent work that waits for a long task."""
+        zone = _ready(1)
+        zone.submit('patient', resources=WHOLE)
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        zone.submit('urgent', now=1.0, queue='urgent')
+        stop = actions.StopTask('w0', start.task.task_id)
+        assert zone.made.plan(1.0) == [stop]
+        zone.event(1.5, start, 1, 'stopped')
+        assert [s.task.job_id for s in zone.plan(1.5)] == ['urgent']
+
+    def test_started_work_that_is_not_idempotent_is_spared(self) -> None:
+        """Guards against work that is lost and can't be started again."""
+        zone = _ready(1)
+        zone.submit('once', resources=WHOLE, idempotent=False)
+        zone.plan(0.0)
+        for update in zone.made.take_updates(0.0):
+            zone.made.update_saved(0.0, update)
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        zone.submit('urgent', now=1.0, queue='urgent')
+        assert zone.made.plan(1.0) == []
+        assert 'no worker has room' in zone.made.explain(2.0, 'urgent')
+
+    @pytest.mark.parametrize('kind', ['gang', 'service'])
+    def test_lost_worker_is_made_up_for(self, kind: str) -> None:
+        """Guards against gangs and services that stay incomplete."""
+        zone = _ready(3)
+        zone.submit('j', 2, kind=model.JobKind(kind))
+        starts = zone.plan(0.0)
+        assert len(starts) == 2
+        for start in starts:
+            zone.accept(0.0, start)
+        zone.event(1.0, starts[0], 1, 'lost')
+        if kind == 'gang' and len({s.worker_id for s in starts}) == 1:
+            zone.event(1.2, starts[1], 2, 'stopped')
+        assert len(zone.plan(1.5)) == (2 if kind == 'gang' else 1)
