--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -103,6 +103,12 @@
     return zone
 
 
+def _found(task_id: str, need: model.Resources) -> actions.StartTask:
+    job_id = task_id.partition('/')[0]
+    task = platform.TaskStart(task_id, 1, job_id, 't', need, 10.0)
+    return actions.StartTask('w0', task)
+
+
 class TestTakeover:
     """A new leader starts nothing that an earlier one may have started."""
 
@@ -147,6 +153,30 @@
         zone.made.update_saved(1.0, update)
         assert len(zone.plan(1.0)) == 1
 
+    def test_gang_waits_for_its_held_members(self) -> None:
+        """Guards against the part of a gang that was found starting alone."""
+        zone = Zone(3)
+        start = _found('gang/0', HALF)
+        zone.answer(0.0, 'w0', start)
+        zone.answer(0.0, 'w1')
+        zone.submit('gang', 2, kind=model.JobKind.GANG, fresh=False)
+        zone.event(1.0, start, 1, 'lost')
+        assert not zone.plan(1.0)
+        zone.answer(2.0, 'w2')
+        assert len(zone.plan(2.0)) == 2
+
+    def test_copy_of_a_task_that_runs_elsewhere_is_stopped(self) -> None:
+        """Guards against a late start that nobody ends."""
+        zone = _ready(2)
+        zone.submit('j')
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        other = 'w1' if start.worker_id == 'w0' else 'w0'
+        zone.answer(1.0, other, start)
+        assert zone.made.plan(1.0) == [
+            actions.StopTask(other, start.task.task_id)
+        ]
+
 
 class TestRows:
     """Rows that were read late change nothing."""
