--- a/packages/core/src/samphirestack/internal/leader/reports.py
+++ b/packages/core/src/samphirestack/internal/leader/reports.py
@@ -50,9 +50,8 @@
             self._asked_at_by_entry.setdefault(entry, -ASK_INTERVAL_S)
 
     def lost(self, entry: model.VmId) -> None:
-        """Expect nothing from an entry until it is seen again."""
+        """Do not wait for an entry; it is still asked, as it may be back."""
         self._lost.add(entry)
-        self._asked_at_by_entry.pop(entry, None)
 
     def seen(self, entry: model.VmId) -> None:
         """Expect a report from an entry that is back."""
@@ -64,8 +63,7 @@
 
     def due(self, now: float) -> list[model.VmId]:
         """Return the entries to be asked now and note that they are."""
-        missing = self._expected - self._reported - self._lost
-        for entry in sorted(missing):
+        for entry in sorted(self._expected - self._reported):
             self._asked_at_by_entry.setdefault(entry, -ASK_INTERVAL_S)
         due = [
             entry
--- a/packages/core/src/samphirestack/internal/leader/requests.py
+++ b/packages/core/src/samphirestack/internal/leader/requests.py
@@ -83,6 +83,7 @@
         )
         self._epoch: model.Epoch | None = None
         self._grant_from = 0.0
+        self._is_overdue = False
         self._clean_up_at = 0.0
 
     def configure(
@@ -147,6 +148,7 @@
         self.end_term(now)
         self._epoch = epoch
         self._grant_from = grant_from
+        self._is_overdue = False
         self._clean_up_at = now
         self._reports.start_term()
         self._pool.require_status()
@@ -291,7 +293,9 @@
     def _report(
         self, now: float, sender: model.VmId, message: messages.HeldReport
     ) -> None:
-        if message.epoch != self._epoch:
+        if message.epoch != self._epoch or self._reports.has_reported(sender):
+            # A second report can be older than grants that followed the
+            # first one.
             return
         for held in message.grants:
             self._adopt(now, sender, held)
@@ -353,8 +357,16 @@
     def _may_grant(self, now: float) -> bool:
         if now < self._grant_from:
             return False
-        overdue = now >= self._grant_from + reports.REPORT_GRACE_S
-        return overdue or self._reports.is_complete()
+        if self._reports.is_complete() or self._is_overdue:
+            return True
+        if now < self._grant_from + reports.REPORT_GRACE_S:
+            return False
+        # What the missing entries got from the former leader has to show
+        # in the next status of each upstream.
+        self._is_overdue = True
+        self._grant_from = now
+        self._pool.require_status()
+        return True
 
     def _refuse_expired(self, now: float, waiting: waitings.Waiting) -> None:
         waited_s = now - waiting.enqueued_at
