Add freshness and leadership as pure state machines

A node trusts its configuration only while the table or a majority of the roster confirmed it within the bound, counted from when it asked. A restarted node can't know what it promised before, so it vouches for nothing until a revision is committed that is newer than the head it first read.

A leader acts only after every older leader has lapsed. The wait is cut short only if the epoch before is known to belong to a node that is dead or has reported, and that node's own predecessors have lapsed.

--- /dev/null
+++ b/packages/core/src/samphirestack/internal/freshness.py
@@ -0,0 +1,176 @@
+"""Whether this node's configuration is known to be the newest.
+
+A node is fresh while a confirmation that no newer revision is in force is
+younger than a bound.  The confirmation is a read of the head revision from
+the table, or the word of a majority of the whole roster, this node counted,
+that none of them promised a newer revision.  A change needs the promises of
+a majority before it is written, and any two majorities share a node, so no
+node stays fresh at a superseded revision for longer than the bound.
+
+The age of a confirmation counts from when the question was sent.  The
+arrival of the answer says nothing: it can lie in a socket for as long as
+this node is paused.
+"""
+
+import math
+
+import msgspec
+
+from samphirestack import model
+
+EVERY_REVISION = model.Revision(2**53)
+"""Promise of a node that can't know what its last run promised.  It exceeds
+every revision, so that nobody counts on the word of such a node."""
+
+NEVER = -math.inf
+
+
+class Vouch(msgspec.Struct, frozen=True):
+    """The last answer of a peer; ``sent_at`` is when it was asked."""
+
+    sent_at: float
+    promised: model.Revision
+
+
+class Freshness:
+    """Confirmations of one node and the promise that it gave.
+
+    :param own_id: name of this node on the roster.
+    :param bound_s: age at which a confirmation is worth nothing.
+    """
+
+    def __init__(self, own_id: model.VmId, bound_s: float) -> None:
+        self._own_id = own_id
+        self._bound_s = bound_s
+        self._roster: frozenset[model.VmId] = frozenset()
+        self._revision = model.Revision(0)
+        self._known = model.Revision(0)
+        self._promised = EVERY_REVISION
+        self._promised_at: float | None = None
+        self._given = model.Revision(0)
+        self._started = False
+        self._table_read_at = NEVER
+        self._vouches_by_id: dict[model.VmId, Vouch] = {}
+
+    @property
+    def revision(self) -> model.Revision:
+        """The revision that is in force at this node."""
+        return self._revision
+
+    @property
+    def known(self) -> model.Revision:
+        """The highest revision that is known to be committed."""
+        return max(self._known, self._revision)
+
+    @property
+    def promised(self) -> model.Revision:
+        """The lowest revision that this node vouches for."""
+        return max(self._promised, self._revision)
+
+    @property
+    def has_open_promise(self) -> bool:
+        """Whether a promised revision is not yet known to be committed."""
+        return self._started and self._promised > self.known
+
+    def set_roster(self, members: frozenset[model.VmId]) -> None:
+        """Replace the nodes whose majority counts."""
+        self._roster = members
+        for peer in set(self._vouches_by_id) - members:
+            del self._vouches_by_id[peer]
+
+    def set_revision(self, revision: model.Revision) -> None:
+        """Note that a committed revision is in force here.
+
+        A lower revision than the present one is ignored.
+        """
+        self._revision = max(self._revision, revision)
+
+    def learned(self, revision: model.Revision) -> None:
+        """Note that a revision is committed; it may not be in force here."""
+        self._known = max(self._known, revision)
+
+    def table_read(self, sent_at: float, revision: model.Revision) -> None:
+        """Note the head revision as read from the table.
+
+        The first read of a run bounds what an earlier run of this node can
+        have promised: a promise is for the successor of a head revision.
+        """
+        self.learned(revision)
+        self._table_read_at = max(self._table_read_at, sent_at)
+        if not self._started:
+            self._started = True
+            successor = model.Revision(revision + 1)
+            self._promised = max(self._given, successor)
+            self._promised_at = sent_at
+
+    def vouched(
+        self,
+        peer: model.VmId,
+        sent_at: float,
+        promised: model.Revision,
+    ) -> None:
+        """Note a peer's answer to a question sent at ``sent_at``.
+
+        :param promised: no lower revision is vouched for.
+        """
+        last = self._vouches_by_id.get(peer)
+        if peer in self._roster and (last is None or last.sent_at <= sent_at):
+            self._vouches_by_id[peer] = Vouch(sent_at, promised)
+
+    def promise(self, now: float, revision: model.Revision) -> bool:
+        """Promise to vouch for no revision lower than ``revision``.
+
+        The promise ends only with a commit of at least that revision.
+        Returns false if such a revision is in force already.
+        """
+        if revision <= self.known:
+            return False
+        self._given = max(self._given, revision)
+        if self._started and revision > self._promised:
+            self._promised = revision
+            self._promised_at = now
+        return True
+
+    def promise_age(self, now: float) -> float:
+        """Return the age of the open promise in seconds, or 0."""
+        if not self.has_open_promise or self._promised_at is None:
+            return 0.0
+        return now - self._promised_at
+
+    def is_majority(self, members: set[model.VmId]) -> bool:
+        """Return whether ``members`` are a majority of the whole roster.
+
+        An empty roster, as before the first revision, asks for nobody.
+        """
+        if not self._roster:
+            return True
+        return len(self._roster & members) >= self._quorum()
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether no newer revision can be in force for long."""
+        return (
+            self._revision > 0
+            and self._known <= self._revision
+            and self.age(now) < self._bound_s
+        )
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the last confirmation."""
+        return now - max(self._table_read_at, self._majority_at(now))
+
+    def _majority_at(self, now: float) -> float:
+        if not self._roster:
+            return NEVER
+        times = [
+            vouch.sent_at
+            for vouch in self._vouches_by_id.values()
+            if vouch.promised <= self._revision
+        ]
+        if self._own_id in self._roster and self.promised <= self._revision:
+            times.append(now)
+        if len(times) < self._quorum():
+            return NEVER
+        return sorted(times, reverse=True)[self._quorum() - 1]
+
+    def _quorum(self) -> int:
+        return len(self._roster) // 2 + 1
--- /dev/null
+++ b/packages/core/src/samphirestack/internal/leadership.py
@@ -0,0 +1,387 @@
+"""Election of the leader of one availability zone.
+
+A node leads with an epoch that a majority of the zone's arbiters granted to
+it.  An arbiter grants an epoch to one owner and refuses lower ones from
+then on, so of two leaders the older can renew at most a minority.  Its last
+renewals run out after ``leader_ttl``, and the newer one waits that long
+unless it knows that the older one is dead or has stepped down.
+
+Only the times at which lease calls were sent count, on the clock of the
+node that sent them.
+"""
+
+import random
+
+import msgspec
+
+from samphirestack.internal import beliefs
+from samphirestack import model
+
+PROBE_EPOCH = beliefs.NO_EPOCH
+"""Epoch of the calls that only ask an arbiter for its present epoch."""
+
+CLAIM_TIMEOUT_S = 1.0
+RANK_DELAY_S = 0.75
+"""Head start of an entry over the next one.  A claim takes a few round
+trips; the next entry tries only if the first can't reach the arbiters."""
+
+BACKOFF_S = 0.25
+MAX_BACKOFF_S = 8.0
+RECLAIM_AFTER_S = 1.0
+"""Time that a leader lets a rival claim settle before it answers with a
+higher epoch of its own."""
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Durations in seconds, as in the settings of the daemon."""
+
+    leader_ttl_s: float = 1.5
+    renew_s: float = 0.5
+    worker_ttl_s: float = 10.0
+    silent_after_s: float = 1.0
+
+
+class LeaseCall(msgspec.Struct, frozen=True):
+    """Lease calls that are due now."""
+
+    epoch: model.Epoch
+    workers: tuple[model.WorkerId, ...]
+
+
+class LeaderTerm(msgspec.Struct, frozen=True):
+    """A term of this node; see ``samphirestackd.interfaces.Term``."""
+
+    epoch: model.Epoch
+    grant_from: float
+    restart_lost_after: float
+
+
+class _Claim(msgspec.Struct):
+    epoch: model.Epoch
+    started_at: float
+    predecessor: beliefs.KnownLeader | None
+    sent_at_by_id: dict[model.WorkerId, float] = {}
+    refused: set[model.WorkerId] = set()
+
+
+class Leadership:
+    """What one node knows and decides about the leader of its zone.
+
+    :param own_id: name of this node.
+    :param now: start of this run.
+    :param rng: spreads the retries of rivals.
+    """
+
+    def __init__(
+        self,
+        own_id: model.VmId,
+        now: float,
+        timing: Timing | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._own_id = own_id
+        self._timing = timing or Timing()
+        self._rng = rng or random.Random(own_id)
+        self._beliefs = beliefs.Beliefs(own_id, self._timing.silent_after_s)
+        self._has_resigned = False
+        self._arbiters: tuple[model.WorkerId, ...] = ()
+        self._probed: set[model.WorkerId] = set()
+        self._highest = PROBE_EPOCH
+        self._claim: _Claim | None = None
+        self._term: LeaderTerm | None = None
+        self._predecessor: beliefs.KnownLeader | None = None
+        self._won_at = now
+        self._renewed_by_id: dict[model.WorkerId, float] = {}
+        self._rivalled_at: float | None = None
+        self._lapsed_at: float | None = None
+        self._leaderless_since: float | None = None
+        self._not_before = now + self._timing.silent_after_s
+        self._next_call_at = now
+        self._failures = 0
+
+    @property
+    def term(self) -> LeaderTerm | None:
+        """The term of this node as leader.
+
+        ``grant_from`` of a term can move to an earlier time when the old
+        leader turns out to be dead or reports to this node.
+        """
+        return self._term
+
+    @property
+    def highest_epoch(self) -> model.Epoch:
+        """The highest epoch of the zone that this node has seen."""
+        return self._highest
+
+    def set_arbiters(self, workers: tuple[model.WorkerId, ...]) -> None:
+        """Replace the workers whose majority decides."""
+        self._arbiters = workers
+
+    def holds_majority(self, now: float) -> bool:
+        """Return whether a majority renewed this node's term in time."""
+        if self._term is None:
+            return False
+        return self._is_majority(self._renewed_by_id, now)
+
+    def may_act(self, now: float) -> bool:
+        """Return whether this node leads and no older leader can."""
+        return (
+            self._term is not None
+            and now >= self._term.grant_from
+            and self.holds_majority(now)
+        )
+
+    def leader(self, now: float) -> tuple[model.VmId, model.Epoch] | None:
+        """Return the live leader that this node is or hears itself.
+
+        Only this is told to others: if hearsay were passed on, two nodes
+        could keep up each other's belief in a dead leader.
+        """
+        if self._term is not None and self.holds_majority(now):
+            return self._own_id, self._term.epoch
+        return self._beliefs.leader(now)
+
+    def silent_leader(self, now: float) -> model.VmId | None:
+        """Return the last leader if it fell silent and may be dead."""
+        return self._beliefs.silent_leader(now)
+
+    def heard(
+        self,
+        now: float,
+        peer: model.VmId,
+        leader: model.VmId,
+        epoch: model.Epoch,
+        draining: bool,
+    ) -> None:
+        """Note a heartbeat of an entry of this zone.
+
+        :param leader: whom the peer believes in, or empty.
+        :param epoch: that of the leader or, without one, the highest that
+            the peer has seen.
+        """
+        view = beliefs.PeerView(now, leader, epoch, draining)
+        self._beliefs.heard(peer, view, now + self._timing.leader_ttl_s)
+        self._saw_epoch(epoch)
+        if leader != peer:
+            return
+        if self._term is not None and epoch > self._term.epoch:
+            self._end_term(now)
+        if self._claim is not None and epoch >= self._claim.epoch:
+            self._claim = None
+
+    def refused(self, peer: model.VmId) -> None:
+        """Note that a peer's port refuses connections, so it is dead."""
+        self._beliefs.refused(peer)
+        self._shorten_wait(peer, self._won_at)
+
+    def held_report(
+        self, now: float, sender: model.VmId, epoch: model.Epoch
+    ) -> None:
+        """Note that a node accepted this node's epoch as the newest."""
+        if self._term is not None and epoch == self._term.epoch:
+            self._shorten_wait(sender, now)
+
+    def resign(self, now: float) -> None:
+        """End the term and claim no other one in this run."""
+        self._has_resigned = True
+        self._claim = None
+        self._end_term(now)
+
+    def outranked(self, now: float, epoch: model.Epoch) -> None:
+        """Note that some agent of the zone holds an epoch.
+
+        An epoch equal to that of the term means that the lease at that
+        agent lapsed, which only a higher epoch can mend.
+        """
+        self._saw_epoch(epoch)
+        if self._term is not None and epoch >= self._term.epoch:
+            self._rivalled_at = self._rivalled_at or now
+
+    def granted(
+        self,
+        now: float,
+        worker: model.WorkerId,
+        epoch: model.Epoch,
+        sent_at: float,
+    ) -> None:
+        """Note that an arbiter granted a lease call sent at ``sent_at``."""
+        self._probed.add(worker)
+        self._saw_epoch(epoch)
+        if self._term is not None and epoch == self._term.epoch:
+            last = self._renewed_by_id.get(worker, sent_at)
+            self._renewed_by_id[worker] = max(last, sent_at)
+        elif self._claim is not None and epoch == self._claim.epoch:
+            self._claim.sent_at_by_id[worker] = sent_at
+            if self._is_majority(self._claim.sent_at_by_id, now):
+                self._win(now, self._claim)
+
+    def rejected(
+        self,
+        now: float,
+        worker: model.WorkerId,
+        epoch: model.Epoch,
+        called_with: model.Epoch,
+    ) -> None:
+        """Note that an arbiter refused ``called_with`` and holds ``epoch``."""
+        self._probed.add(worker)
+        self._saw_epoch(epoch)
+        if self._term is not None and called_with == self._term.epoch:
+            self._renewed_by_id.pop(worker, None)
+            self._rivalled_at = self._rivalled_at or now
+        claim = self._claim
+        if claim is not None and called_with == claim.epoch:
+            claim.refused.add(worker)
+            reachable = len(self._arbiters) - len(claim.refused)
+            if epoch > claim.epoch or reachable < self._quorum():
+                self._back_off(now)
+
+    def tick(self, now: float) -> LeaseCall | None:
+        """Return the lease calls to send now; called every few ms."""
+        if self._has_resigned or not self._arbiters:
+            return None
+        self._check_term(now)
+        self._check_claim(now)
+        self._note_leader(now)
+        if self._claim is None and self._should_claim(now):
+            self._start_claim(now)
+        if now < self._next_call_at:
+            return None
+        self._next_call_at = now + self._timing.renew_s
+        return self._due_call()
+
+    def _due_call(self) -> LeaseCall | None:
+        if self._claim is not None:
+            missing = set(self._arbiters) - set(self._claim.sent_at_by_id)
+            if missing:
+                return LeaseCall(self._claim.epoch, tuple(sorted(missing)))
+        if self._term is not None:
+            return LeaseCall(self._term.epoch, self._arbiters)
+        if not self._has_probed():
+            return LeaseCall(PROBE_EPOCH, self._arbiters)
+        return None
+
+    def _has_probed(self) -> bool:
+        # An earlier run of this node may own an epoch that the arbiters
+        # would renew for the same owner.  A majority knows the highest
+        # epoch that ever won.
+        answered = self._probed.intersection(self._arbiters)
+        return len(answered) >= self._quorum()
+
+    def _should_claim(self, now: float) -> bool:
+        if now < self._not_before or not self._has_probed():
+            return False
+        if self._term is not None:
+            return (
+                self._rivalled_at is not None
+                and now >= self._rivalled_at + RECLAIM_AFTER_S
+            )
+        if self._leaderless_since is None:
+            return False
+        since = max(self._leaderless_since, self._not_before)
+        return now >= since + self._beliefs.rank(now) * RANK_DELAY_S
+
+    def _note_leader(self, now: float) -> None:
+        if self.leader(now) or self._beliefs.is_hearsay_leader(now):
+            self._leaderless_since = None
+        elif self._leaderless_since is None:
+            self._leaderless_since = now
+
+    def _start_claim(self, now: float) -> None:
+        epoch = model.Epoch(self._highest + 1)
+        self._highest = epoch
+        last = self._beliefs.last
+        if last is not None and last.epoch != epoch - 1:
+            # Somebody unknown may have won an epoch in between.
+            last = None
+        self._claim = _Claim(epoch, now, last, {}, set())
+        self._next_call_at = now
+
+    def _check_claim(self, now: float) -> None:
+        claim = self._claim
+        if claim is not None and now >= claim.started_at + CLAIM_TIMEOUT_S:
+            self._back_off(now)
+
+    def _back_off(self, now: float) -> None:
+        self._claim = None
+        backoff = min(BACKOFF_S * 2**self._failures, MAX_BACKOFF_S)
+        self._failures += 1
+        self._not_before = now + backoff * (1 + self._rng.random())
+
+    def _win(self, now: float, claim: _Claim) -> None:
+        timing = self._timing
+        self._claim = None
+        self._rivalled_at = None
+        self._lapsed_at = None
+        self._won_at = now
+        self._renewed_by_id = dict(claim.sent_at_by_id)
+        self._predecessor = claim.predecessor
+        self._term = LeaderTerm(
+            claim.epoch,
+            now + timing.leader_ttl_s,
+            now + timing.leader_ttl_s + 2 * timing.worker_ttl_s,
+        )
+        last = claim.predecessor
+        if last is not None and (
+            last.vm_id == self._own_id or self._beliefs.is_dead(last.vm_id)
+        ):
+            self._shorten_wait(last.vm_id, now)
+        self._remember_term()
+
+    def _shorten_wait(self, vm_id: model.VmId, earliest: float) -> None:
+        last = self._predecessor
+        if self._term is None or last is None or last.vm_id != vm_id:
+            return
+        grant_from = max(earliest, last.settled_at)
+        if grant_from < self._term.grant_from:
+            self._term = msgspec.structs.replace(
+                self._term, grant_from=grant_from
+            )
+            self._remember_term()
+
+    def _remember_term(self) -> None:
+        if self._term is not None:
+            self._beliefs.last = beliefs.KnownLeader(
+                self._own_id, self._term.epoch, self._term.grant_from
+            )
+
+    def _check_term(self, now: float) -> None:
+        if self._term is None:
+            return
+        if self.holds_majority(now):
+            self._lapsed_at = None
+            if now > self._won_at + MAX_BACKOFF_S:
+                self._failures = 0
+            return
+        self._lapsed_at = self._lapsed_at or now
+        lapsed_for = now - self._lapsed_at
+        is_outranked = self._highest > self._term.epoch
+        if self._claim is None and (
+            is_outranked or lapsed_for > self._timing.worker_ttl_s
+        ):
+            self._end_term(now)
+
+    def _end_term(self, now: float) -> None:
+        if self._term is None:
+            return
+        self._term = None
+        self._predecessor = None
+        self._renewed_by_id = {}
+        self._rivalled_at = None
+        self._leaderless_since = None
+        self._back_off(now)
+
+    def _saw_epoch(self, epoch: model.Epoch) -> None:
+        self._highest = max(self._highest, epoch)
+
+    def _is_majority(
+        self, sent_at_by_id: dict[model.WorkerId, float], now: float
+    ) -> bool:
+        oldest = now - self._timing.leader_ttl_s
+        renewed = sum(
+            sent_at_by_id.get(worker, oldest) > oldest
+            for worker in self._arbiters
+        )
+        return bool(self._arbiters) and renewed >= self._quorum()
+
+    def _quorum(self) -> int:
+        return len(self._arbiters) // 2 + 1
