--- a/packages/daemon/src/samphirestackd/upstream_http.py
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -45,10 +45,12 @@
 class _Progress:
     """Whether a call has a connection, so that bytes may have been sent."""
 
-    __slots__ = ('connected',)
+    __slots__ = ('connected', 'reused')
 
     def __init__(self) -> None:
         self.connected = False
+        self.reused = False
+        """Whether the connection has carried another request before."""
 
 
 class _Gate:
@@ -131,7 +133,7 @@
             trace_request_ctx=progress,
         ) as response:
             try:
-                _check_identity(address, request_id, response)
+                _check_identity(address, request_id, response, progress)
                 _check_framing(address, response)
                 content = await _read_bounded(address, response)
             except errors.UpstreamFailed:
@@ -235,9 +237,17 @@
     ) -> None:
         context.trace_request_ctx.connected = True
 
+    async def reused(
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        params: object,
+    ) -> None:
+        context.trace_request_ctx.connected = True
+        context.trace_request_ctx.reused = True
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(connected)
-    trace.on_connection_reuseconn.append(connected)
+    trace.on_connection_reuseconn.append(reused)
     return trace
 
 
@@ -245,9 +255,16 @@
     address: str,
     request_id: model.RequestId,
     response: aiohttp.ClientResponse,
+    progress: _Progress,
 ) -> None:
-    """Raise unless the answer names this request, and no other."""
+    """Raise unless the answer names this request, and no other.
+
+    A refusal may leave the id out on a connection that has carried no
+    other request, since it can't be meant for another one.
+    """
     named = response.headers.getall(REQUEST_ID_HEADER, [])
+    if not named and _is_refusal(response) and not progress.reused:
+        return
     if named != [request_id]:
         raise errors.UpstreamFailed(
             f'upstream {address} answered request {request_id!r} with the '
--- /dev/null
+++ b/tests/unit/daemon/test_idempotency.py
@@ -0,0 +1,266 @@
+"""Tests of rows for an Idempotency-Key, and of jobs."""
+
+import asyncio
+
+import pytest
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import verdict as verdicts
+from samphirestackd import dispatch
+from samphirestackd.dispatch import dispatcher
+from samphirestackd.dispatch import jobs
+from samphirestackd.dispatch import sizes
+from tests.unit.daemon import fakes
+
+ROW = ('idempotency', 'a/k1')
+BROKEN = errors.UpstreamFailed('broke off')
+
+
+def _made(world: fakes.World) -> dispatcher.Dispatcher:
+    return dispatch.create(world.context, fakes.FAST)
+
+
+@pytest.fixture
+def world() -> fakes.World:
+    made = fakes.World()
+    made.grant_always()
+    return made
+
+
+async def _fails(made: dispatcher.Dispatcher, call: object) -> object:
+    with pytest.raises(errors.SamphireError) as caught:
+        await made.submit(call)
+    return caught.value
+
+
+class TestIdempotencyKey:
+    """A caller may resend under a key at any entry."""
+
+    async def test_resend_at_another_entry_gets_the_stored_answer(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against a second run after a broken caller connection.
+        world.upstreams.outcomes = [b'\xff\x00']
+        for name in ('r1', 'r2'):
+            call = world.call(idempotency_key='k1', request_id=name)
+            answer = await _made(world).submit(call)
+            assert (answer.request_id, answer.body) == (name, b'\xff\x00')
+        assert len(world.upstreams.sent) == 1
+
+    async def test_resend_without_outcome_is_refused(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against a second run when the first may have run.
+        world.upstreams.outcomes = [BROKEN]
+        for name in ('r1', 'r2'):
+            call = world.call(idempotency_key='k1', request_id=name)
+            error = await _fails(_made(world), call)
+            assert error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+        assert len(world.upstreams.sent) == 1
+
+    async def test_row_is_written_before_sending(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against a crash between sending and writing.
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        call = world.call(idempotency_key='k1')
+        task = asyncio.create_task(_made(world).submit(call))
+        await world.upstreams.arrived.wait()
+        assert world.table.rows[ROW].value['done'] is False
+        gate.set()
+        await task
+        assert world.table.rows[ROW].value['done'] is True
+
+    async def test_row_of_a_request_that_has_not_run_is_removed(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against a resend that is refused although nothing ran.
+        world.upstreams.outcomes = [errors.UpstreamRefused('no')] * 8
+        made = _made(world)
+        error = await _fails(made, world.call(idempotency_key='k1'))
+        assert error.verdict is verdicts.Verdict.NOT_RUN
+        await made.drain()
+        assert ROW not in world.table.rows
+
+    async def test_table_outage_refuses_as_not_run(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against sending without the row that protects it.
+        world.table.down = True
+        error = await _fails(_made(world), world.call(idempotency_key='k1'))
+        assert error.code == 'store_unavailable'
+        assert error.verdict is verdicts.Verdict.NOT_RUN
+        assert not world.upstreams.sent
+
+    async def test_insert_with_lost_response_is_read_back(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against taking the own row for that of another sender.
+        world.table.lost_responses = 1
+        await _made(world).submit(world.call(idempotency_key='k1'))
+        assert world.table.rows[ROW].value['done'] is True
+
+    async def test_insert_that_never_happened_is_repeated(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against sending without a row after a lost write.
+        world.table.faults = [errors.OutcomeUnknown('lost')]
+        await _made(world).submit(world.call(idempotency_key='k1'))
+        assert world.table.rows[ROW].value['done'] is True
+
+    async def test_two_senders_at_once_run_once(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against a race of a resend with the first send.
+        gate = asyncio.Event()
+        world.upstreams.outcomes = [gate]
+        first = asyncio.create_task(
+            _made(world).submit(world.call(idempotency_key='k1'))
+        )
+        await world.upstreams.arrived.wait()
+        call = world.call(idempotency_key='k1', request_id='r2')
+        error = await _fails(_made(world), call)
+        assert error.code == 'already_dispatched'
+        gate.set()
+        await first
+        assert len(world.upstreams.sent) == 1
+
+    async def test_key_of_another_request_is_refused(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against answering one request with another's answer.
+        made = _made(world)
+        await made.submit(world.call(idempotency_key='k1'))
+        call = world.call(
+            idempotency_key='k1', request_id='r2', body=b'{"x":1}'
+        )
+        assert (await _fails(made, call)).code == 'bad_request'
+
+
+def _job(world: fakes.World, **changes: object) -> jobs.JobRequest:
+    values = {
+        'queue': world.current.queues_by_id['work'],
+        'team': 'a',
+        'kind': model.JobKind.BATCH,
+        'tasks': 2,
+        'resources': model.Resources(1000, 100),
+        'run_time_s': 1.0,
+        'idempotent': True,
+    }
+    return jobs.JobRequest(**(values | changes))
+
+
+class TestJobs:
+    """A job is accepted when its row is in the table, once."""
+
+    async def test_row_exists_before_the_leader_is_told(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against an accepted job that no row keeps.
+        job_id = await _made(world).jobs.submit(_job(world))
+        row = world.table.rows['jobs', f'arree/{job_id}']
+        assert row.value['job']['job_id'] == job_id
+        (work,) = world.links.of(messages.JobWork, fakes.LEADER)
+        assert work.job_id == job_id
+
+    @pytest.mark.parametrize('written', [True, False])
+    async def test_lost_response_leads_to_one_row(
+        self, world: fakes.World, written: bool
+    ) -> None:
+        # Guards against a job that is accepted twice or not at all.
+        if written:
+            world.table.lost_responses = 1
+        else:
+            world.table.faults = [errors.OutcomeUnknown('lost')]
+        await _made(world).jobs.submit(_job(world))
+        assert len(world.table.rows) == 1
+
+    async def test_outage_accepts_nothing(self, world: fakes.World) -> None:
+        # Guards against a job id without a job.
+        world.table.down = True
+        with pytest.raises(errors.StoreUnavailable):
+            await _made(world).jobs.submit(_job(world))
+
+    async def test_job_of_another_team_is_not_found(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against one team that reads the jobs of another.
+        desk = _made(world).jobs
+        job_id = await desk.submit(_job(world))
+        with pytest.raises(errors.NotFound):
+            await desk.find(job_id, 'b')
+        assert (await desk.find(job_id, 'a')).job.team == 'a'
+
+    async def test_wait_ends_with_the_job(self, world: fakes.World) -> None:
+        # Guards against a wait that misses the end of a job.
+        desk = _made(world).jobs
+        job_id = await desk.submit(_job(world))
+        task = asyncio.create_task(desk.wait(job_id, 'a', 5.0))
+        await asyncio.sleep(0)
+        row = world.table.rows['jobs', f'arree/{job_id}']
+        row.value['state'] = 'succeeded'
+        assert (await task).state is model.JobState.SUCCEEDED
+
+    async def test_cancel_without_leader_says_so(
+        self, world: fakes.World
+    ) -> None:
+        # Guards against "cancelled" for a job that nobody was told about.
+        desk = _made(world).jobs
+        job_id = await desk.submit(_job(world))
+        world.leaders.set(fakes.ZONE, None)
+        with pytest.raises(errors.NoLeader):
+            await desk.cancel(job_id, 'a')
+
+
+class TestSizes:
+    """A job that can never run is refused at once, with the reason."""
+
+    @pytest.mark.parametrize(
+        ('kind', 'tasks', 'cores', 'zone'),
+        [
+            (model.JobKind.BATCH, 100, 4, 'arree'),
+            (model.JobKind.GANG, 2, 4, 'arree'),
+            (model.JobKind.GANG, 3, 4, 'menez'),
+            (model.JobKind.BATCH, 1, 8, 'menez'),
+            (model.JobKind.GANG, 5, 4, None),
+            (model.JobKind.BATCH, 1, 9, None),
+        ],
+    )
+    def test_home_zone(
+        self, kind: model.JobKind, tasks: int, cores: int, zone: str | None
+    ) -> None:
+        # Guards against jobs that wait for ever, and against refusing work
+        # that another zone could run.
+        vms = {
+            name: model.Vm(
+                name,
+                '',
+                model.VmRole.WORKER,
+                name[:5],
+                capacity=model.Resources(size, 1000),
+            )
+            for name, size in (
+                ('arree-w1', 4000),
+                ('arree-w2', 4000),
+                ('menez-w1', 8000),
+                ('menez-w2', 8000),
+            )
+        }
+
+        def home(limit: configuration.Limit) -> str:
+            resources = model.Resources(cores * 1000, 10)
+            return sizes.home_zone_of(
+                kind, tasks, resources, 'arree', vms, limit
+            )
+
+        if zone is None:
+            with pytest.raises(errors.ImpossibleSize):
+                home(configuration.Limit())
+            return
+        assert home(configuration.Limit()) == zone
+        with pytest.raises(errors.ImpossibleSize):
+            home(configuration.Limit(millicores=cores * 1000 - 1))
--- a/tests/unit/daemon/test_upstream_http.py
+++ b/tests/unit/daemon/test_upstream_http.py
@@ -170,13 +170,16 @@
                 await _work(client, address)
         assert caught.value.verdict.value == 'not_run'
 
+    @pytest.mark.parametrize('named', [True, False])
     async def test_own_refusal_is_not_run(
-        self, client: upstream_http.HttpUpstreamClient
+        self, client: upstream_http.HttpUpstreamClient, named: bool
     ) -> None:
         # Guards against an upstream's refusal that is taken as an answer.
         refusal = _head(
             '503 Busy', Samphirestack_Verdict='not-run', Content_Length='0'
         )
+        if not named:
+            refusal = refusal.replace(b'Request-Id: r1', b'Other: r1')
         async with _running(_answering(refusal)) as server:
             with pytest.raises(errors.UpstreamRefused) as caught:
                 await _work(client, server.address)
@@ -236,6 +239,30 @@
         assert caught.value.verdict.value == 'may_have_run'
         assert (server.accepted, len(server.bodies)) == (1, 2)
 
+    async def test_nameless_refusal_on_a_reused_connection_is_doubted(
+        self, client: upstream_http.HttpUpstreamClient
+    ) -> None:
+        # Guards against a late refusal of the previous request.
+        nameless = (
+            b'HTTP/1.1 503 Busy\r\nSamphirestack-Verdict: not-run\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        answers = [_head(Content_Length='2') + b'ok', nameless]
+
+        async def script(
+            number: int,
+            head: bytes,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            writer.write(answers.pop(0))
+
+        async with _running(script) as server:
+            await _work(client, server.address)
+            with pytest.raises(errors.UpstreamFailed) as caught:
+                await _work(client, server.address)
+        assert caught.value.verdict.value == 'may_have_run'
+
     async def test_redirect_is_passed_on_and_not_followed(
         self, client: upstream_http.HttpUpstreamClient
     ) -> None:
