--- a/packages/daemon/src/samphirestackd/dispatch/jobs.py
+++ b/packages/daemon/src/samphirestackd/dispatch/jobs.py
@@ -83,7 +83,7 @@
             record = msgspec.convert(row.value, model.JobRecord)
             if team is None or record.job.team == team:
                 return record
-        raise errors.NotFound(f'job {job_id!r} does not exist')
+        raise errors.NotFound(f'job {job_id[:128]!r} does not exist')
 
     async def wait(
         self, job_id: model.JobId, team: model.TeamId, timeout_s: float
@@ -200,7 +200,7 @@
         first = model.ZoneId(job_id.rpartition(ID_SEPARATOR)[0])
         zones = self._context.view.current.zones_by_id
         if first not in zones and first != self._context.settings.zone:
-            raise errors.NotFound(f'job {job_id!r} does not exist')
+            raise errors.NotFound(f'job {job_id[:128]!r} does not exist')
         if first in zones and zones[first].lost:
             return [
                 first,
--- a/packages/daemon/src/samphirestackd/edge/bodies.py
+++ b/packages/daemon/src/samphirestackd/edge/bodies.py
@@ -16,6 +16,9 @@
 """Bodies of the largest size that may be held at the same time; smaller
 ones count by their size."""
 
+MAX_REASON_CHARACTERS = 200
+"""A reason can repeat names from the body, which may be long."""
+
 _T = TypeVar('_T')
 
 
@@ -106,6 +109,7 @@
     try:
         return decoder.decode(content)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadRequest(f'the body is not valid: {error}') from None
+        reason = str(error)[:MAX_REASON_CHARACTERS]
+        raise errors.BadRequest(f'the body is not valid: {reason}') from None
     except RecursionError:
         raise errors.BadRequest('the body is nested too deeply') from None
--- /dev/null
+++ b/tests/property/test_edge_fuzz.py
@@ -0,0 +1,179 @@
+"""The callers' interface under arbitrary input."""
+
+import asyncio
+import itertools
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import msgspec
+
+from samphirestackd import dispatch
+from samphirestackd.dispatch import records
+from samphirestackd import edge
+from samphirestackd.edge import bodies
+from samphirestackd.edge import requests
+from tests.unit.daemon import asgi
+from tests.unit.daemon import fakes
+
+MAX_BODY_BYTES = 2000
+VERDICTS = {'ran', 'not_run', 'may_have_run'}
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+_fields = st.fixed_dictionaries(
+    {},
+    optional={
+        'payload': _json,
+        'idempotent': _json,
+        'deadline_s': st.floats(allow_nan=False) | _json,
+        'request_id': st.text(max_size=200) | _json,
+        'kind': st.sampled_from(['batch', 'gang', 'service', 'x']),
+        'tasks': st.integers() | _json,
+        'resources': st.dictionaries(
+            st.sampled_from(['cpus', 'memory_mb', 'accelerators', 'x']),
+            st.integers() | st.floats(allow_nan=False),
+        ),
+        'run_time_s': st.floats(allow_nan=False),
+    },
+)
+_bodies = (
+    st.binary(max_size=3 * MAX_BODY_BYTES)
+    | _fields.map(lambda value: json.dumps(value).encode())
+    | st.integers(1, 900).map(lambda depth: b'[' * depth)
+    | st.integers(1, 900).map(
+        lambda depth: b'{"payload":' + b'[' * depth + b']' * depth + b'}'
+    )
+)
+_paths = st.sampled_from(
+    [
+        '/v1/queues/free/requests',
+        '/v1/queues/work/requests',
+        '/v1/queues/free/jobs',
+        '/v1/requests/x',
+        '/v1/jobs/arree--x',
+        '/v1/jobs/arree--x/wait',
+        '/readyz',
+    ]
+) | st.text(max_size=60).map(lambda text: f'/v1/{text}')
+_latin = st.characters(max_codepoint=255)
+_headers = st.dictionaries(
+    st.sampled_from(
+        [
+            'Authorization',
+            'Samphirestack-Team',
+            'Content-Length',
+            'Idempotency-Key',
+            'X-Other',
+        ]
+    ),
+    st.text(_latin, max_size=40) | st.sampled_from(['Bearer a.b', '9' * 30]),
+)
+
+
+@given(
+    method=st.sampled_from(['GET', 'POST', 'DELETE', 'PUT']),
+    path=_paths,
+    body=_bodies,
+    cuts=st.lists(st.integers(0, MAX_BODY_BYTES), max_size=3),
+    headers=_headers,
+    query=st.text(_latin, max_size=30),
+)
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_call_gets_a_clear_answer(
+    method: str,
+    path: str,
+    body: bytes,
+    cuts: list[int],
+    headers: dict[str, str],
+    query: str,
+) -> None:
+    """Guards against crashes, unclear refusals and bodies that stay held."""
+
+    async def run() -> None:
+        world = fakes.World(deadline_s=0.05)
+        world.context = msgspec.structs.replace(
+            world.context,
+            settings=fakes.a_settings(max_body_bytes=MAX_BODY_BYTES),
+        )
+        world.grant_always()
+        dispatcher = dispatch.create(world.context, fakes.FAST)
+        app = edge.create_app(world.context, dispatcher)
+        edges = [0, *sorted(cuts), len(body)]
+        pieces = [body[start:end] for start, end in itertools.pairwise(edges)]
+        reply = await asgi.call(app, method, path, pieces, headers, query)
+        assert reply.status < 500 or reply.status in (503, 504)
+        if reply.status >= 400 and path != '/readyz':
+            assert reply.data['verdict'] in VERDICTS
+            assert reply.data['message']
+            assert len(reply.content) < 1000
+        assert dispatcher.held() == 0
+        assert all(
+            len(sent) <= MAX_BODY_BYTES for *_, sent in world.upstreams.sent
+        )
+
+    asyncio.run(run())
+
+
+@given(
+    content=st.binary(max_size=200)
+    | _json.map(lambda value: json.dumps(value).encode())
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_any_answer_is_embedded_as_valid_json(content: bytes) -> None:
+    """Guards against an upstream that breaks out of the answer's JSON."""
+    encoded = requests.encode_answer(records.Answer('r', 200, content))
+    data = json.loads(encoded)
+    assert set(data) <= {
+        'request_id',
+        'verdict',
+        'status',
+        'answer',
+        'encoding',
+    }
+    assert data['verdict'] == 'ran'
+
+
+@given(
+    sizes=st.lists(st.integers(0, 150), max_size=8),
+    broken=st.booleans(),
+)
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_held_bytes_return_to_zero(sizes: list[int], broken: bool) -> None:
+    """Guards against a memory bound that leaks after refused bodies."""
+
+    class Exchange:
+        body = b''
+
+        def __init__(self) -> None:
+            self.left = [b'x' * size for size in sizes]
+
+        async def receive(self) -> dict:
+            if not self.left:
+                return {'type': 'http.disconnect'}
+            more = broken or len(self.left) > 1
+            return {
+                'type': 'http.request',
+                'body': self.left.pop(0),
+                'more_body': more,
+            }
+
+    async def run() -> None:
+        reader = bodies.Bodies(300)
+        exchange = Exchange()
+        try:
+            await reader.read(exchange)
+        except (bodies.CallerGone, bodies.errors.SamphireError):
+            assert broken or not sizes or sum(sizes) > 300
+        assert reader.held_bytes <= 300
+        reader.release(exchange)
+        assert reader.held_bytes == 0
+
+    asyncio.run(run())
