Follow the request scheduler's rules for entries

Questions for a slot are numbered so that a later one is always higher, late grants of earlier attempts go back unused, a repeated grant keeps the verdict of its use, and nothing is sent 2 s after its grant.

--- a/packages/daemon/src/samphirestackd/dispatch/asks.py
+++ b/packages/daemon/src/samphirestackd/dispatch/asks.py
@@ -94,6 +94,7 @@
         errors.QueueFull,
         errors.DeadlineExceeded,
         errors.NotFound,
+        errors.Unauthorized,
         errors.ShuttingDown,
         errors.Cancelled,
     )
--- a/packages/daemon/src/samphirestackd/dispatch/attempts.py
+++ b/packages/daemon/src/samphirestackd/dispatch/attempts.py
@@ -5,16 +5,21 @@
 from collections.abc import Callable
 
 from samphirestack import errors
+from samphirestack.internal.decisions import retries
 from samphirestack import platform
 from samphirestack import verdict as verdicts
 from samphirestackd import context as contexts
-from samphirestackd.dispatch import budget as budgets
 from samphirestackd.dispatch import calls
 from samphirestackd.dispatch import held as held_grants
 from samphirestackd.dispatch import records
 from samphirestackd.dispatch import slots
 from samphirestackd.dispatch import timings as timing_types
 
+PREPARE_TIMEOUT_S = 0.8
+"""Time for what must be done under a grant before sending.  The leader
+takes a slot back if its request has not been sent 2 s after the grant; the
+upstream client needs at most 1.1 s of them to get a connection."""
+
 MAX_HARMLESS_ATTEMPTS = 8
 """Bound on sends that were all refused as not run, so that a request does
 not go round among upstreams that refuse everything until its deadline."""
@@ -33,7 +38,7 @@
         self._context = context
         self._timings = timings
         self._held = held_grants.HeldGrants(context, timings)
-        self._budget = budgets.RetryBudget()
+        self._budget = retries.RetryBudget()
         self._sender = calls.Sender(context, timings, self._held)
         self._background: set[asyncio.Task[platform.UpstreamAnswer]] = set()
         self.slots = slots.SlotBroker(context, timings, self._held)
@@ -51,7 +56,7 @@
             is sent; an error ends the request as not run.
         :raises errors.SamphireError: with the verdict over all attempts.
         """
-        self._budget.note_request(
+        self._budget.record_request(
             self._context.clock(), record.call.queue.service
         )
         prepared = False
@@ -74,7 +79,7 @@
                 f'request {record.call.request_id!r} was cancelled'
             )
         record.mark_waiting()
-        held = await self.slots.acquire(record, record.attempts + 1)
+        held = await self.slots.acquire(record)
         record.mark_granted()
         return held
 
@@ -85,7 +90,13 @@
         before_send: BeforeSend,
     ) -> None:
         try:
-            await before_send(record)
+            async with asyncio.timeout(PREPARE_TIMEOUT_S):
+                await before_send(record)
+        except TimeoutError:
+            self._held.release(held, verdicts.Verdict.NOT_RUN)
+            raise errors.StoreUnavailable(
+                f'the table did not answer within {PREPARE_TIMEOUT_S:g} s'
+            ) from None
         except BaseException:
             self._held.release(held, verdicts.Verdict.NOT_RUN)
             raise
@@ -129,7 +140,7 @@
             self.slots.cancel(record.call.request_id)
 
     async def _hedge(self, record: records.Record) -> platform.UpstreamAnswer:
-        held = await self.slots.acquire(record, record.attempts + 1)
+        held = await self.slots.acquire(record)
         if record.past is verdicts.Verdict.RAN:
             # The first send was answered while this one had no slot yet.
             self._held.release(held, verdicts.Verdict.NOT_RUN)
@@ -158,7 +169,7 @@
 
     def _may_hedge(self, record: records.Record) -> bool:
         return record.attempts < record.call.profile.max_attempts and (
-            self._budget.try_spend(
+            self._budget.try_retry(
                 self._context.clock(), record.call.queue.service
             )
         )
@@ -175,7 +186,7 @@
             return record.attempts < MAX_HARMLESS_ATTEMPTS
         if record.attempts >= call.profile.max_attempts:
             return False
-        return self._budget.try_spend(
+        return self._budget.try_retry(
             self._context.clock(), call.queue.service
         )
 
--- a/packages/daemon/src/samphirestackd/dispatch/held.py
+++ b/packages/daemon/src/samphirestackd/dispatch/held.py
@@ -1,6 +1,7 @@
 """Grants that this entry uses, and how they are given back."""
 
 import asyncio
+import collections
 
 from samphirestack.internal.leader import outgoing
 from samphirestack.internal import messages
@@ -14,6 +15,9 @@
 """Releases kept for a leader that can't be reached; a leader finds lost
 ones when the upstream no longer lists the request."""
 
+MAX_ENDED = 2000
+"""Grants whose use has ended that are recognized when they are repeated."""
+
 
 class Held:
     """A grant in use."""
@@ -50,6 +54,9 @@
         self._context = context
         self._timings = timings
         self._held_by_id: dict[model.GrantId, Held] = {}
+        self._verdicts_by_id: collections.OrderedDict[
+            model.GrantId, verdicts.Verdict
+        ] = collections.OrderedDict()
         self._unsent: list[outgoing.Outgoing] = []
         self._retry: asyncio.TimerHandle | None = None
 
@@ -74,6 +81,9 @@
         """Give a grant back to the present leader of its zone, once."""
         if self._held_by_id.pop(held.grant.grant_id, None) is None:
             return
+        self._verdicts_by_id[held.grant.grant_id] = verdict
+        if len(self._verdicts_by_id) > MAX_ENDED:
+            self._verdicts_by_id.popitem(last=False)
         leader = self._context.leaders.leader_of(held.zone)
         self._send(
             held.leader if leader is None else leader.vm_id,
@@ -93,7 +103,14 @@
             self.return_unused(held.leader, held.grant)
 
     def return_unused(self, leader: model.VmId, grant: messages.Grant) -> None:
-        """Give back a grant that was never registered."""
+        """Give back a grant that arrived without being wanted.
+
+        A repeated grant whose use has ended keeps the verdict of that use,
+        since the upstream may still be working on the request.
+        """
+        verdict = self._verdicts_by_id.get(
+            grant.grant_id, verdicts.Verdict.NOT_RUN
+        )
         self._context.events.record(
             'grant.returned',
             request_id=grant.request_id,
@@ -105,7 +122,7 @@
             messages.Release(
                 grant.grant_id,
                 grant.request_id,
-                verdicts.Verdict.NOT_RUN,
+                verdict,
                 False,
                 0.0,
             ),
@@ -127,6 +144,7 @@
                 held.queue,
                 held.team,
                 held.grant.epoch,
+                held.grant.attempt,
             )
             for held in self._held_by_id.values()
             if held.zone == zone
--- a/packages/daemon/src/samphirestackd/dispatch/idempotency.py
+++ b/packages/daemon/src/samphirestackd/dispatch/idempotency.py
@@ -86,10 +86,12 @@
         """
         call = record.call
         outcome = Outcome(call.request_id, uuid.uuid4().hex, _digest(call))
+        # Known from now on, so that a row whose insert is cut off by a
+        # time-out is removed as well.
+        self._outcomes_by_id[call.request_id] = outcome
         for _ in range(WRITE_ATTEMPTS):
             try:
                 await self._write(record, outcome, 0)
-                self._outcomes_by_id[call.request_id] = outcome
                 return
             except (errors.TransactionConflict, errors.OutcomeUnknown):
                 row = await self._read(call)
@@ -98,8 +100,8 @@
                 continue
             if _decode(row).attempt == outcome.attempt:
                 record.row_version = row.version
-                self._outcomes_by_id[call.request_id] = outcome
                 return
+            del self._outcomes_by_id[call.request_id]
             raise AnsweredBefore(_stored(call, row))
         raise errors.StoreUnavailable(
             'the row of the Idempotency-Key could not be written'
@@ -122,19 +124,33 @@
         )
         try:
             await self._write(record, filled, record.row_version)
-        except errors.PlatformError:
-            self._spawn(self._write_later(record, filled))
-        except errors.StoreUnavailable:
+        except (errors.PlatformError, errors.StoreUnavailable):
             self._spawn(self._write_later(record, filled))
 
     def remove(self, record: records.Record) -> None:
         """Delete the row of a request that certainly has not run."""
         outcome = self._outcomes_by_id.pop(record.call.request_id, None)
         if outcome is not None:
-            self._spawn(self._write_later(record, None))
+            self._spawn(self._remove_later(record.call, outcome))
+
+    async def _remove_later(
+        self, call: records.Call, outcome: Outcome
+    ) -> None:
+        """Delete the row if it is that of this submission."""
+        key = _row_key(call)
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                row = await self._read(call)
+                if row is None or _decode(row).attempt != outcome.attempt:
+                    return
+                write = platform.Write(TABLE, key, row.version, None)
+                await self._context.table.transact([write])
+                return
+            except (errors.PlatformError, errors.StoreUnavailable):
+                await asyncio.sleep(RETRY_PAUSE_S * 2**attempt)
 
     async def _write_later(
-        self, record: records.Record, outcome: Outcome | None
+        self, record: records.Record, outcome: Outcome
     ) -> None:
         for attempt in range(WRITE_ATTEMPTS):
             try:
@@ -157,10 +173,10 @@
     async def _write(
         self,
         record: records.Record,
-        outcome: Outcome | None,
+        outcome: Outcome,
         expect: int,
     ) -> None:
-        value = None if outcome is None else msgspec.to_builtins(outcome)
+        value = msgspec.to_builtins(outcome)
         write = platform.Write(TABLE, _row_key(record.call), expect, value)
         versions = await self._context.table.transact([write])
         record.row_version = versions[0]
--- a/packages/daemon/src/samphirestackd/dispatch/records.py
+++ b/packages/daemon/src/samphirestackd/dispatch/records.py
@@ -66,6 +66,7 @@
     """
 
     __slots__ = (
+        'asks',
         'attempts',
         'avoid',
         'call',
@@ -84,6 +85,7 @@
         self.state = model.RequestState.RECEIVED
         self.received_at = now
         self.deadline_at = now + call.deadline_s
+        self.asks = 0
         self.attempts = 0
         self.avoid: tuple[model.UpstreamId, ...] = ()
         self.spent_grants: set[model.GrantId] = set()
@@ -103,6 +105,16 @@
         present = _VERDICT_BY_STATE.get(self.state, verdicts.Verdict.NOT_RUN)
         return _worse(present, self.past)
 
+    def next_ask(self, wall_time_s: float) -> int:
+        """Return the number of the next question for a slot.
+
+        Leaders take a lower number for a late message.  Numbers that start
+        with the time of day also order the questions of a caller that
+        sends the same request id again, through whichever entry.
+        """
+        self.asks = max(self.asks + 1, int(wall_time_s * 1000))
+        return self.asks
+
     def info(self) -> RequestInfo:
         """Return what callers may know."""
         return RequestInfo(self.call.request_id, self.state, self.verdict)
--- a/packages/daemon/src/samphirestackd/dispatch/slots.py
+++ b/packages/daemon/src/samphirestackd/dispatch/slots.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 
 from samphirestack import errors
 from samphirestack.internal import messages
@@ -55,16 +56,17 @@
         """Return how many requests wait for a slot."""
         return len(self._asks_by_id)
 
-    async def acquire(
-        self, record: records.Record, attempt: int
-    ) -> held_grants.Held:
+    async def acquire(self, record: records.Record) -> held_grants.Held:
         """Wait for a slot and return the grant, registered as held.
 
         :raises errors.SamphireError: refused, cancelled or too late; the
             request holds no grant then.
         """
         ask = asks.Ask(
-            record, attempt, self._context.clock(), self._timings.resend_s
+            record,
+            record.next_ask(time.time()),
+            self._context.clock(),
+            self._timings.resend_s,
         )
         self._asks_by_id[ask.request_id] = ask
         self._ask_zone(ask, self._own_zone)
@@ -226,6 +228,7 @@
             or zone is None
             or message.epoch < self._epochs_by_zone.get(zone, 0)
             or ask.future.done()
+            or message.attempt not in (0, ask.attempt)
             or message.grant_id in ask.record.spent_grants
         ):
             self._held.return_unused(sender, message)
@@ -278,6 +281,8 @@
         assert isinstance(message, messages.LeaderChanged)
         zone = self._zone_of(message.leader)
         if zone is not None:
+            # A leader that got no report asks again.
+            self._reported_by_zone.pop(zone, None)
             self._leader_changed(
                 zone, interfaces.Leader(message.leader, message.epoch)
             )
--- a/packages/daemon/src/samphirestackd/upstream_http.py
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -25,7 +25,13 @@
 VERDICT_HEADER = 'Samphirestack-Verdict'
 NOT_RUN = 'not-run'
 
-CONNECT_TIMEOUT_S = 1.0
+PLACE_TIMEOUT_S = 0.5
+"""Longest wait for one of the allowed connections to an upstream."""
+
+CONNECT_TIMEOUT_S = 0.6
+"""Together with the wait for a place well below the 2 s after which the
+leader takes back the slot of a request that has not been sent."""
+
 STATUS_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 1.0
 """Age at which an idle connection is closed.  Common servers close idle
@@ -108,11 +114,16 @@
             'Content-Type': 'application/json',
         }
         try:
-            async with asyncio.timeout(deadline_s):
-                async with self._gate(address).places:
+            places = self._gate(address).places
+            async with asyncio.timeout(min(deadline_s, PLACE_TIMEOUT_S)):
+                await places.acquire()
+            try:
+                async with asyncio.timeout(deadline_s):
                     return await self._exchange(
                         address, request_id, headers, body, progress
                     )
+            finally:
+                places.release()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise _failure(address, progress, error) from error
 
--- a/tests/unit/daemon/test_idempotency.py
+++ b/tests/unit/daemon/test_idempotency.py
@@ -10,6 +10,7 @@
 from samphirestack import model
 from samphirestack import verdict as verdicts
 from samphirestackd import dispatch
+from samphirestackd.dispatch import attempts
 from samphirestackd.dispatch import dispatcher
 from samphirestackd.dispatch import jobs
 from samphirestackd.dispatch import sizes
@@ -104,6 +105,20 @@
         await _made(world).submit(world.call(idempotency_key='k1'))
         assert world.table.rows[ROW].value['done'] is True
 
+    async def test_slow_insert_gives_the_slot_back_in_time(
+        self, world: fakes.World, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against sending after the leader has taken the slot back.
+        monkeypatch.setattr(attempts, 'PREPARE_TIMEOUT_S', 0.01)
+        monkeypatch.setattr(
+            world.table, 'transact', lambda writes: asyncio.Event().wait()
+        )
+        error = await _fails(_made(world), world.call(idempotency_key='k1'))
+        assert error.code == 'store_unavailable'
+        assert error.verdict is verdicts.Verdict.NOT_RUN
+        (release,) = world.links.of(messages.Release)
+        assert release.verdict is verdicts.Verdict.NOT_RUN
+
     async def test_insert_that_never_happened_is_repeated(
         self, world: fakes.World
     ) -> None:
