--- a/tests/unit/daemon/test_dispatch.py
+++ b/tests/unit/daemon/test_dispatch.py
@@ -13,6 +13,7 @@
 from samphirestack import verdict as verdicts
 from samphirestackd import dispatch
 from samphirestackd.dispatch import dispatcher
+from samphirestackd.dispatch import records
 from tests.unit.daemon import fakes
 
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
@@ -357,6 +358,44 @@
         gate.set()
         await task
         assert len(world.upstreams.sent) == 1
+        assert len(world.links.of(messages.RequestSlot)) == 1
+
+
+class TestRecord:
+    """The state of a request refuses a second send by itself."""
+
+    def test_second_send_is_refused_until_the_first_has_not_run(self) -> None:
+        # Guards against any path to a second run, whoever decides on it.
+        world = fakes.World()
+        record = records.Record(world.call(), 0.0)
+        record.mark_sent()
+        with pytest.raises(errors.AlreadyDispatched):
+            record.mark_sent()
+        record.mark_ended(NOT_RUN)
+        record.mark_sent()
+        record.mark_ended(MAY_HAVE_RUN)
+        with pytest.raises(errors.AlreadyDispatched):
+            record.mark_sent()
+
+    @pytest.mark.parametrize('ending', ['cancelled', 'defect'])
+    async def test_unproven_end_of_a_send_is_in_doubt(
+        self, ending: str
+    ) -> None:
+        # Guards against a slot that is freed, or a request called not run,
+        # while the upstream may be working on it.
+        world, made = _made()
+        world.grant_always()
+        defect = ending == 'defect'
+        outcome = ZeroDivisionError() if defect else asyncio.Event()
+        world.upstreams.outcomes = [outcome]
+        task = asyncio.create_task(made.submit(world.call()))
+        await world.upstreams.arrived.wait()
+        if defect:
+            assert (await _refused(task)).verdict is MAY_HAVE_RUN
+        task.cancel()
+        await asyncio.wait({task})
+        assert _released(world) == [('g1', MAY_HAVE_RUN)]
+        assert made.info('r1', 'a').verdict is MAY_HAVE_RUN
 
 
 class TestSilence:
@@ -420,7 +459,9 @@
         world.upstreams.outcomes = [gate]
         task = asyncio.create_task(made.submit(world.call()))
         await world.upstreams.arrived.wait()
-        assert made.cancel('r1', 'a').verdict is MAY_HAVE_RUN
+        info = made.cancel('r1', 'a')
+        assert info.state is model.RequestState.SENT
+        assert info.verdict is MAY_HAVE_RUN
         gate.set()
         assert (await task).body == b'"late"'
 
