--- /dev/null
+++ b/packages/daemon/src/samphirestackd/admin/handlers.py
@@ -0,0 +1,232 @@
+"""Handlers of the operators' interface."""
+
+from typing import Annotated
+import urllib.parse
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack import model
+from samphirestackd.admin import parts as part_types
+from samphirestackd.admin import views
+from samphirestackd import context as contexts
+from samphirestackd.dispatch import dispatcher as dispatchers
+from samphirestackd.edge import bodies
+from samphirestackd.edge import exchange as exchanges
+from samphirestackd.edge import jobs as caller_jobs
+
+ACCEPTED = 202
+MAX_CHANGES = 10_000
+DEFAULT_LIMIT = 100
+MAX_LIMIT = 10_000
+MAX_EVENTS = 5000
+
+
+class ChangesBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /admin/v1/changes``."""
+
+    expected_revision: Annotated[int, msgspec.Meta(ge=0)]
+    changes: Annotated[
+        list[configuration.Change],
+        msgspec.Meta(min_length=1, max_length=MAX_CHANGES),
+    ]
+    author: Annotated[str, msgspec.Meta(max_length=200)] = ''
+    dry_run: bool = False
+
+
+class ChangesAnswer(msgspec.Struct, frozen=True):
+    """Answer to a change that was accepted, or would be."""
+
+    revision: int
+    dry_run: bool
+    configuration: configuration.Configuration
+
+
+class DrainAnswer(msgspec.Struct, frozen=True):
+    """Answer of a node that begins to shut down."""
+
+    draining: bool
+    in_flight: int
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """Why a job is in the state that it is in."""
+
+    job_id: model.JobId
+    state: model.JobState
+    reason: str
+    explanation: str
+
+
+_changes_decoder = msgspec.json.Decoder(ChangesBody)
+
+
+class AdminHandlers:
+    """Handlers of all paths under ``/admin/v1`` and of ``/metrics``."""
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        dispatcher: dispatchers.Dispatcher,
+        parts: part_types.Parts,
+        reader: bodies.Bodies,
+    ) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+        self._desk = dispatcher.jobs
+        self._parts = parts
+        self._bodies = reader
+
+    async def configuration(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the configuration in force, without key verifiers."""
+        await exchange.answer(views.redacted(exchange.configuration))
+
+    async def change(self, exchange: exchanges.Exchange) -> None:
+        """Apply changes, or try them out."""
+        await self._bodies.read(exchange)
+        try:
+            body = bodies.decode(_changes_decoder, exchange.body)
+        finally:
+            self._bodies.release(exchange)
+        accepted = await self._parts.configurator.change(
+            body.changes, body.expected_revision, body.author, body.dry_run
+        )
+        self._context.events.record(
+            'configuration.requested',
+            revision=accepted.revision,
+            author=body.author,
+            dry_run=body.dry_run,
+        )
+        await exchange.answer(
+            ChangesAnswer(
+                accepted.revision, body.dry_run, views.redacted(accepted)
+            )
+        )
+
+    async def history(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the newest accepted changes."""
+        limit = _number(exchange, 'limit', DEFAULT_LIMIT, MAX_LIMIT)
+        history = await self._parts.configurator.history(limit)
+        await exchange.answer(list(history))
+
+    async def nodes(self, exchange: exchanges.Exchange) -> None:
+        """Answer with all entry VMs."""
+        await exchange.answer(
+            views.nodes(
+                self._context,
+                self._dispatcher.is_draining,
+                self._parts.configuration_age_s(),
+            )
+        )
+
+    async def workers(self, exchange: exchanges.Exchange) -> None:
+        """Answer with all workers."""
+        await exchange.answer(
+            views.workers(self._context, self._parts.leading)
+        )
+
+    async def jobs(self, exchange: exchanges.Exchange) -> None:
+        """Answer with jobs, newest first, by team, state and zone."""
+        query = _query(exchange)
+        limit = _number(exchange, 'limit', DEFAULT_LIMIT, MAX_LIMIT)
+        zones = (
+            [model.ZoneId(query['zone'])]
+            if 'zone' in query
+            else list(map(model.ZoneId, exchange.configuration.zones_by_id))
+        )
+        found: list[model.JobRecord] = []
+        for zone in zones or [self._context.settings.zone]:
+            found += await self._desk.scan(zone)
+        chosen = [
+            record
+            for record in found
+            if query.get('team', record.job.team) == record.job.team
+            and query.get('state', record.state.value) == record.state.value
+        ]
+        chosen.sort(key=lambda record: -record.job.submitted_at_s)
+        await exchange.answer(
+            [caller_jobs.view_of(record) for record in chosen[:limit]]
+        )
+
+    async def job(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the row of a job."""
+        await exchange.answer(await self._find(exchange))
+
+    async def cancel(self, exchange: exchanges.Exchange) -> None:
+        """Cancel a job of any team."""
+        job_id = model.JobId(exchange.path['job_id'])
+        record = await self._desk.cancel(job_id, None)
+        await exchange.answer(caller_jobs.view_of(record), ACCEPTED)
+
+    async def explain_job(self, exchange: exchanges.Exchange) -> None:
+        """Answer with what a job waits for."""
+        record = await self._find(exchange)
+        job = record.job
+        text = 'The job has ended.'
+        if not record.state.is_final:
+            known = None
+            if job.home_zone == self._context.settings.zone:
+                known = self._parts.leading.explain_job(job.job_id)
+            if known is None:
+                raise self._ask_leader_of(job.home_zone)
+            text = known
+        await exchange.answer(
+            Explanation(job.job_id, record.state, record.reason, text)
+        )
+
+    async def share(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the standing of a team in this zone."""
+        team = model.TeamId(exchange.path['team'])
+        if team not in exchange.configuration.teams_by_id:
+            raise errors.NotFound(f'team {team[:80]!r} does not exist')
+        share = self._parts.leading.explain_share(team)
+        if share is None:
+            raise self._ask_leader_of(self._context.settings.zone)
+        await exchange.answer(share)
+
+    async def events(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the events above a number."""
+        since = _number(exchange, 'since', 0, 2**62)
+        limit = _number(exchange, 'limit', MAX_EVENTS, MAX_EVENTS)
+        await exchange.answer(list(self._parts.events.since(since, limit)))
+
+    async def drain(self, exchange: exchanges.Exchange) -> None:
+        """Begin the graceful shutdown of this node."""
+        self._context.events.record('node.drain_requested')
+        self._parts.start_drain()
+        await exchange.answer(
+            DrainAnswer(True, self._dispatcher.held()), ACCEPTED
+        )
+
+    async def metrics(self, exchange: exchanges.Exchange) -> None:
+        """Answer with the metrics of this process."""
+        text, kind = self._parts.metrics.render()
+        await exchange.answer_bytes(text, content_type=kind.encode())
+
+    async def _find(self, exchange: exchanges.Exchange) -> model.JobRecord:
+        job_id = model.JobId(exchange.path['job_id'])
+        return await self._desk.find(job_id, None)
+
+    def _ask_leader_of(self, zone: model.ZoneId) -> errors.NoLeader:
+        """Return the error that names the node that could answer."""
+        leader = self._context.leaders.leader_of(zone)
+        if leader is None:
+            return errors.NoLeader(f'zone {zone!r} has no leader at present')
+        return errors.NoLeader(
+            f'only the leader of zone {zone!r} knows this',
+            hint=f'Ask node {leader.vm_id!r}, which leads the zone.',
+        )
+
+
+def _query(exchange: exchanges.Exchange) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(exchange.query.decode('latin-1')))
+
+
+def _number(
+    exchange: exchanges.Exchange, name: str, default: int, most: int
+) -> int:
+    text = _query(exchange).get(name, str(default))
+    if not (text.isascii() and text.isdigit()) or len(text) > len(str(most)):
+        raise errors.BadRequest(f'{name} must be a number from 0 to {most}')
+    return min(int(text), most)
--- a/packages/daemon/src/samphirestackd/edge/exchange.py
+++ b/packages/daemon/src/samphirestackd/edge/exchange.py
@@ -9,7 +9,7 @@
 from samphirestack import errors
 from samphirestack import model
 
-_JSON_HEADER = (b'content-type', b'application/json')
+JSON = b'application/json'
 OK = 200
 
 
@@ -94,14 +94,15 @@
         content: bytes,
         status: int = OK,
         extra: tuple[tuple[bytes, bytes], ...] = (),
+        content_type: bytes = JSON,
     ) -> None:
-        """Answer with JSON that is already encoded."""
+        """Answer with content that is already encoded."""
         length = (b'content-length', str(len(content)).encode())
         await self.send(
             {
                 'type': 'http.response.start',
                 'status': status,
-                'headers': [_JSON_HEADER, length, *extra],
+                'headers': [(b'content-type', content_type), length, *extra],
             }
         )
         await self.send({'type': 'http.response.body', 'body': content})
--- a/tests/unit/daemon/fakes.py
+++ b/tests/unit/daemon/fakes.py
@@ -304,7 +304,7 @@
         return msgspec.structs.replace(call, **changes)
 
 
-def a_settings(**edge: int) -> settings.Settings:
+def a_settings(token_file: str = 'token', **edge: int) -> settings.Settings:
     return settings.from_data(
         'test.toml',
         {
@@ -317,7 +317,7 @@
             'platform': dict.fromkeys(
                 ('table_url', 'objects_url', 'vms_url'), 'http://127.0.0.1:1'
             ),
-            'security': {'operator_token_file': 'token'},
+            'security': {'operator_token_file': token_file},
             'edge': edge,
         },
     )
