--- /dev/null
+++ b/packages/client/src/samphirestack_client/changes.py
@@ -0,0 +1,89 @@
+"""Sends changes and says what they did."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack_client import api as apis
+from samphirestack_client import differences
+from samphirestack_client import options
+
+
+class Accepted(msgspec.Struct):
+    """Answer of a node to a change."""
+
+    revision: int
+    dry_run: bool
+    configuration: configuration.Configuration
+
+
+class Report(msgspec.Struct):
+    """What a change did."""
+
+    revision: int
+    dry_run: bool
+    differences: list[differences.Difference]
+
+
+class _Body(msgspec.Struct):
+    expected_revision: int
+    changes: Sequence[configuration.Change]
+    author: str
+    dry_run: bool
+
+
+async def send(
+    api: apis.Api,
+    current: configuration.Configuration,
+    changes: Sequence[configuration.Change],
+    change: options.ChangeOptions,
+) -> Report:
+    """Apply changes and return what is different.
+
+    :param current: the configuration that the command has read.
+    :raises failures.Conflict: the revision is not the expected one.
+    """
+    expected = change.expect_revision
+    if expected is None:
+        expected = current.revision
+    if not changes:
+        return Report(current.revision, change.dry_run, [])
+    body = _Body(expected, changes, change.named_author, change.dry_run)
+    accepted = await api.send('POST', '/changes', Accepted, body)
+    return Report(
+        accepted.revision,
+        change.dry_run,
+        differences.between(current, accepted.configuration),
+    )
+
+
+def show(report: Report, common: options.Common) -> None:
+    """Print what a change did."""
+    output = common.output
+    if output.as_json:
+        output.json(report)
+        return
+    differences.show(report.differences, output)
+    if not report.differences:
+        output.text('Nothing is different.', report)
+    elif report.dry_run:
+        output.text(
+            f'Revision {report.revision} would be accepted; nothing was '
+            'changed.',
+            report,
+        )
+    else:
+        output.text(f'Revision {report.revision} was accepted.', report)
+
+
+async def apply(
+    changes: Sequence[configuration.Change],
+    change: options.ChangeOptions,
+    common: options.Common,
+) -> None:
+    """Apply changes to the present configuration and print the result."""
+    async with common.connect() as api:
+        current = await apis.current(api)
+        report = await send(api, current, changes, change)
+    show(report, common)
--- /dev/null
+++ b/packages/client/src/samphirestack_client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line, a module per group."""
--- /dev/null
+++ b/packages/client/src/samphirestack_client/commands/key.py
@@ -0,0 +1,102 @@
+"""Commands on team keys."""
+
+import cyclopts
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import model
+from samphirestack_client import api as apis
+from samphirestack_client import changes
+from samphirestack_client import options
+
+app = cyclopts.App(name='key', help='Keys that teams present with work.')
+
+
+class GivenKey(msgspec.Struct):
+    """A key as it is handed to a team; shown only once."""
+
+    key_id: str
+    team: str
+    key: str
+    """What callers present; empty on a dry run."""
+    revision: int
+    dry_run: bool
+
+
+class ListedKey(msgspec.Struct):
+    """A key as operators see it."""
+
+    key_id: str
+    team: str
+
+
+@app.command(
+    name='list', help_epilogue=options.examples('samphirestack key list')
+)
+async def list_(*, common: options.Common = options.COMMON) -> None:
+    """List the keys of all teams, without their secrets."""
+    async with common.connect() as api:
+        current = await apis.current(api)
+    found = [
+        ListedKey(key.key_id, key.team) for key in current.keys_by_id.values()
+    ]
+    rows = [(key.key_id, key.team) for key in found]
+    common.output.rows(('key_id', 'team'), rows, found)
+
+
+@app.command(
+    help_epilogue=options.examples(
+        'samphirestack key give harbour',
+        'samphirestack key give harbour --json',
+    )
+)
+async def give(
+    team: str,
+    *,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Make a key for a team and print it once.
+
+    The secret is made here and never leaves this machine but in the
+    output; the nodes get its verifier.
+
+    Parameters
+    ----------
+    team
+        Name of the team.
+    """
+    key, text = configuration.new_key(model.TeamId(team))
+    async with common.connect() as api:
+        current = await apis.current(api)
+        report = await changes.send(
+            api, current, [configuration.PutKey(key)], change
+        )
+    given = GivenKey(
+        key.key_id,
+        team,
+        '' if change.dry_run else text,
+        report.revision,
+        change.dry_run,
+    )
+    common.output.fields(given)
+
+
+@app.command(
+    help_epilogue=options.examples('samphirestack key withdraw k0a1b2c3d4e5f')
+)
+async def withdraw(
+    key_id: str,
+    *,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Withdraw a key; it stops working within 4 s.
+
+    Parameters
+    ----------
+    key_id
+        Id of the key, the part before the dot.
+    """
+    withdrawn = configuration.WithdrawKey(model.KeyId(key_id))
+    await changes.apply([withdrawn], change, common)
--- /dev/null
+++ b/packages/client/src/samphirestack_client/commands/zone.py
@@ -0,0 +1,114 @@
+"""Commands on availability zones."""
+
+from typing import Annotated
+
+import cyclopts
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import model
+from samphirestack_client import api as apis
+from samphirestack_client import changes
+from samphirestack_client.commands import edits
+from samphirestack_client.commands import listing
+from samphirestack_client import failures
+from samphirestack_client import options
+
+app = cyclopts.App(name='zone', help='Availability zones.')
+
+
+@app.command(
+    name='list', help_epilogue=options.examples('samphirestack zone list')
+)
+async def list_(*, common: options.Common = options.COMMON) -> None:
+    """List all availability zones."""
+    await listing.show('zones_by_id', common)
+
+
+@app.command(
+    help_epilogue=options.examples(
+        'samphirestack zone put arree --arbiter arree-w1 --arbiter arree-w2'
+    )
+)
+async def put(
+    name: str,
+    *,
+    region: str | None = None,
+    arbiter: Annotated[
+        tuple[str, ...] | None, cyclopts.Parameter(negative='')
+    ] = None,
+    found_again: Annotated[bool, cyclopts.Parameter(negative='')] = False,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Create a zone or change the given fields of it.
+
+    Parameters
+    ----------
+    name
+        Name of the zone.
+    region
+        Region that it belongs to.
+    arbiter
+        Worker that arbitrates its leadership; may be given repeatedly.
+    found_again
+        Take back that the zone was declared lost.
+    """
+    await edits.put(
+        name,
+        'zones_by_id',
+        lambda: configuration.Zone(model.ZoneId(name)),
+        configuration.PutZone,
+        {
+            'region': region,
+            'arbiters': arbiter,
+            'lost': False if found_again else None,
+        },
+        change,
+        common,
+    )
+
+
+@app.command(
+    name='declare-lost',
+    help_epilogue=options.examples(
+        'samphirestack zone declare-lost arree --yes'
+    ),
+)
+async def declare_lost(
+    name: str,
+    *,
+    yes: Annotated[bool, cyclopts.Parameter(negative='')] = False,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Declare that nothing runs in a zone any more.
+
+    Its jobs are then started again in other zones, and its parts of the
+    teams' limits are used there. If something still runs in the zone, work
+    runs twice and limits are exceeded.
+
+    Parameters
+    ----------
+    name
+        Name of the zone.
+    yes
+        Confirm that all machines of the zone are known to be down.
+    """
+    if not yes and not change.dry_run:
+        raise failures.WrongUsage(
+            f'declaring zone {name!r} lost needs --yes',
+            'Make sure that all its machines are down, then add --yes.',
+        )
+    async with common.connect() as api:
+        current = await apis.current(api)
+        zone = current.zones_by_id.get(name)
+        if zone is None:
+            raise failures.ClientFailure(
+                f'zone {name!r} does not exist',
+                'List the zones with "samphirestack zone list".',
+            )
+        lost = msgspec.structs.replace(zone, lost=True)
+        wanted = [] if zone.lost else [configuration.PutZone(lost)]
+        report = await changes.send(api, current, wanted, change)
+    changes.show(report, common)
--- /dev/null
+++ b/packages/client/src/samphirestack_client/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""One timeline of the events of all processes."""
--- a/tests/unit/daemon/test_admin.py
+++ b/tests/unit/daemon/test_admin.py
@@ -2,97 +2,31 @@
 
 import pytest
 
-from samphirestack import configuration
 from samphirestack import errors
 from samphirestack import model
 from samphirestackd import admin
 from samphirestackd import dispatch
 from tests.unit.daemon import asgi
 from tests.unit.daemon import fakes
-
-TOKEN = 'a-token-of-operators'
-HEADERS = {'Authorization': f'Bearer {TOKEN}'}
-
-
-class _Parts:
-    """Fakes of all parts, which note what they are asked."""
-
-    def __init__(self, world: fakes.World) -> None:
-        self.world = world
-        self.leads = True
-        self.drained = 0
-
-    async def change(
-        self,
-        changes: list[configuration.Change],
-        expected_revision: int,
-        author: str,
-        dry_run: bool,
-    ) -> configuration.Configuration:
-        current = self.world.view.current
-        if expected_revision != current.revision:
-            raise errors.Conflict('another change came first')
-        return configuration.apply(
-            current, changes, author=author, wall_time_s=0.0
-        )
-
-    async def history(self, limit: int) -> list[int]:
-        return [limit]
-
-    def since(self, number: int, limit: int) -> list[dict]:
-        return [{'number': number + 1}]
-
-    def render(self) -> tuple[bytes, str]:
-        return b'requests 1\n', 'text/plain'
-
-    def explain_job(self, job_id: str) -> str | None:
-        return 'It waits.' if self.leads else None
-
-    def explain_share(self, team: str) -> object | None:
-        return {'team': team} if self.leads else None
-
-    def worker_states(self) -> dict[str, str]:
-        return {'w1': 'leased'}
-
-    def drain(self) -> None:
-        self.drained += 1
-
-
-class _Admin:
-    """A node's operator interface over fakes."""
-
-    def __init__(self) -> None:
-        self.world = fakes.World()
-        self.parts = _Parts(self.world)
-        self.dispatcher = dispatch.create(self.world.context, fakes.FAST)
-        parts = admin.Parts(
-            self.parts, self.parts, self.parts, self.parts, self.parts.drain
-        )
-        self.app = admin.create_app(
-            self.world.context, self.dispatcher, parts, TOKEN
-        )
-
-    async def call(
-        self,
-        path: str,
-        method: str = 'GET',
-        body: object = b'',
-        query: str = '',
-    ) -> asgi.Reply:
-        return await asgi.call(
-            self.app, method, f'/admin/v1{path}', body, HEADERS, query
-        )
+from tests.unit.daemon import operators
 
 
 class TestAdmin:
     """Operators see and change things; nobody else does."""
 
     @pytest.mark.parametrize(
-        'header', ['', 'Bearer', 'Bearer wrong', f'Basic {TOKEN}', TOKEN]
+        'header',
+        [
+            '',
+            'Bearer',
+            'Bearer wrong',
+            f'Basic {operators.TOKEN}',
+            operators.TOKEN,
+        ],
     )
     async def test_wrong_token_is_refused(self, header: str) -> None:
         # Guards against changes by anyone who reaches the port.
-        node = _Admin()
+        node = operators.Admin()
         headers = {'Authorization': header}
         for path in ('/admin/v1/configuration', '/metrics', '/none'):
             reply = await asgi.call(node.app, 'GET', path, b'', headers)
@@ -100,7 +34,7 @@
 
     async def test_configuration_hides_key_verifiers(self) -> None:
         # Guards against verifiers that end up in scripts and logs.
-        node = _Admin()
+        node = operators.Admin()
         (key,) = node.world.current.keys_by_id.values()
         reply = await node.call('/configuration')
         assert reply.data['revision'] == 1
@@ -108,7 +42,7 @@
 
     async def test_change_is_applied_at_the_expected_revision(self) -> None:
         # Guards against a change based on what is no longer there.
-        node = _Admin()
+        node = operators.Admin()
         change = {'type': 'put_team', 'team': {'name': 'c'}}
         body = {'expected_revision': 1, 'changes': [change], 'author': 'x'}
         reply = await node.call('/changes', 'POST', body)
@@ -134,12 +68,12 @@
     )
     async def test_malformed_change_is_refused(self, body: object) -> None:
         # Guards against a misspelled field that is silently dropped.
-        reply = await _Admin().call('/changes', 'POST', body)
+        reply = await operators.Admin().call('/changes', 'POST', body)
         assert (reply.status, reply.data['code']) == (400, 'bad_request')
 
     async def test_nodes_and_workers_are_listed(self) -> None:
         # Guards against a view that leaves out the answering node.
-        node = _Admin()
+        node = operators.Admin()
         node.world.vms.vms = {
             'w1': model.Vm('w1', 'a', model.VmRole.WORKER, 'arree')
         }
@@ -155,7 +89,7 @@
 
     async def test_job_is_listed_explained_and_cancelled(self) -> None:
         # Guards against explanations from nodes that know nothing.
-        node = _Admin()
+        node = operators.Admin()
         queue = node.world.current.queues_by_id['work']
         job_id = await node.dispatcher.jobs.submit(
             dispatch.jobs.JobRequest(
@@ -183,16 +117,21 @@
 
     async def test_other_questions_reach_their_parts(self) -> None:
         # Guards against routes that are not connected.
-        node = _Admin()
+        node = operators.Admin()
         assert (await node.call('/shares/a')).data == {'team': 'a'}
         assert (await node.call('/shares/none')).status == 404
-        assert (await node.call('/history', query='limit=3')).data == [3]
+        assert (await node.call('/history', query='limit=3')).data == [
+            {'revision': 3}
+        ]
         assert (await node.call('/history', query='limit=x')).status == 400
-        events = await node.call('/events', query='since=4')
-        assert events.data == [{'number': 5}]
+        node.parts.kept_events = [{'number': 1}, {'number': 2}]
+        events = await node.call('/events', query='since=1')
+        assert events.data == [{'number': 2}]
         assert (await node.call('/drain', 'POST')).status == 202
         assert node.parts.drained == 1
-        metrics = await asgi.call(node.app, 'GET', '/metrics', b'', HEADERS)
+        metrics = await asgi.call(
+            node.app, 'GET', '/metrics', b'', operators.HEADERS
+        )
         assert metrics.content == b'requests 1\n'
         assert (await node.call('/drain')).status == 400
 
@@ -203,5 +142,5 @@
         settings = fakes.a_settings(token_file=str(path))
         with pytest.raises(errors.SettingsError):
             admin.read_token(settings)
-        path.write_text(TOKEN + '\n')
-        assert admin.read_token(settings) == TOKEN
+        path.write_text(operators.TOKEN + '\n')
+        assert admin.read_token(settings) == operators.TOKEN
