Number questions for slots in microseconds

A test with the real request scheduler showed that a caller's resend of the same request id within a millisecond was taken for a late message and held up for 2 s.

--- a/packages/daemon/src/samphirestackd/dispatch/records.py
+++ b/packages/daemon/src/samphirestackd/dispatch/records.py
@@ -9,6 +9,8 @@
 from samphirestack import model
 from samphirestack import verdict as verdicts
 
+MICROSECONDS = 1_000_000
+
 
 class Call(msgspec.Struct, frozen=True):
     """A request as the edge hands it over, checked and authorized."""
@@ -112,7 +114,7 @@
         with the time of day also order the questions of a caller that
         sends the same request id again, through whichever entry.
         """
-        self.asks = max(self.asks + 1, int(wall_time_s * 1000))
+        self.asks = max(self.asks + 1, int(wall_time_s * MICROSECONDS))
         return self.asks
 
     def info(self) -> RequestInfo:
