--- a/packages/daemon/src/samphirestackd/upstream_http.py
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -186,11 +186,8 @@
                 # The connection may be out of step with its requests.
                 response.close()
                 raise
-            if _is_refusal(response):
-                raise errors.UpstreamRefused(
-                    f'upstream {address} refused the request with status '
-                    f'{response.status}'
-                )
+            if _claims_not_run(response):
+                raise _refusal(address, response.status)
             return platform.UpstreamAnswer(response.status, content)
 
     async def status(self, address: str) -> platform.UpstreamStatus:
@@ -309,7 +306,7 @@
     other request, since it can't be meant for another one.
     """
     named = response.headers.getall(REQUEST_ID_HEADER, [])
-    if not named and _is_refusal(response) and not progress.reused:
+    if not named and _claims_not_run(response) and not progress.reused:
         return
     if named != [request_id]:
         raise errors.UpstreamFailed(
@@ -348,10 +345,18 @@
     return bytes(content)
 
 
-def _is_refusal(response: aiohttp.ClientResponse) -> bool:
-    return (
-        response.status >= FIRST_REFUSAL_STATUS
-        and response.headers.get(VERDICT_HEADER) == NOT_RUN
+def _claims_not_run(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get(VERDICT_HEADER) == NOT_RUN
+
+
+def _refusal(address: str, status: int) -> errors.UpstreamFailed:
+    if status < FIRST_REFUSAL_STATUS:
+        return errors.UpstreamFailed(
+            f'upstream {address} answered with status {status} and said '
+            'that it has not run the request'
+        )
+    return errors.UpstreamRefused(
+        f'upstream {address} refused the request with status {status}'
     )
 
 
--- a/tests/unit/daemon/test_dispatch.py
+++ b/tests/unit/daemon/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of the dispatcher against fakes of links and upstreams."""
 
 import asyncio
+from collections.abc import Awaitable
 import contextlib
 
 import msgspec
@@ -27,7 +28,37 @@
     return world, dispatch.create(world.context, fakes.FAST)
 
 
-async def _refused(task: asyncio.Task) -> errors.SamphireError:
+def _granting(
+    **profile: object,
+) -> tuple[fakes.World, dispatcher.Dispatcher]:
+    world, made = _made(**profile)
+    world.grant_always()
+    return world, made
+
+
+async def _waiting(
+    **profile: object,
+) -> tuple[fakes.World, dispatcher.Dispatcher, asyncio.Task]:
+    """Return a world in which a request has asked its leader for a slot."""
+    world, made = _made(**profile)
+    task = asyncio.create_task(made.submit(world.call()))
+    await world.links.until(messages.RequestSlot)
+    return world, made, task
+
+
+async def _sent(
+    **profile: object,
+) -> tuple[fakes.World, dispatcher.Dispatcher, asyncio.Task, asyncio.Event]:
+    """Return a world whose upstream answers when the event is set."""
+    world, made = _granting(**profile)
+    gate = asyncio.Event()
+    world.upstreams.outcomes = [gate]
+    task = asyncio.create_task(made.submit(world.call()))
+    await world.upstreams.arrived.wait()
+    return world, made, task, gate
+
+
+async def _refused(task: Awaitable) -> errors.SamphireError:
     with pytest.raises(errors.SamphireError) as caught:
         async with asyncio.timeout(5):
             await task
@@ -88,10 +119,9 @@
 
     async def test_repeated_grant_keeps_the_verdict_of_its_use(self) -> None:
         # Guards against freeing a slot in which the request may still run.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         world.upstreams.outcomes = [BROKEN]
-        await _refused(asyncio.ensure_future(made.submit(world.call())))
+        await _refused(made.submit(world.call()))
         world.links.deliver(fakes.LEADER, world.grant(grant_id='g1'))
         assert _released(world) == [('g1', MAY_HAVE_RUN)] * 2
 
@@ -135,9 +165,7 @@
 
     async def test_cancelled_task_gives_its_grant_back(self) -> None:
         # Guards against a grant lost between its arrival and its use.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, _, task = await _waiting()
         world.links.deliver(fakes.LEADER, world.grant())
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -164,9 +192,7 @@
 
     async def test_message_alone_moves_waiting_requests(self) -> None:
         # Guards against relying on the order of two subscribers.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, _, task = await _waiting()
         change = messages.LeaderChanged(fakes.LEADER, model.Epoch(2))
         world.links.deliver(fakes.LEADER, change)
         assert len(world.links.of(messages.RequestSlot)) == 2
@@ -193,9 +219,7 @@
 
     async def test_granted_but_unsent_request_is_reported(self) -> None:
         # Guards against a gap between the arrival of a grant and its use.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, _, task = await _waiting()
         world.links.deliver(fakes.LEADER, world.grant())
         world.leaders.set(fakes.ZONE, fakes.OTHER_LEADER, 2)
         (report,) = world.links.of(messages.HeldReport, fakes.OTHER_LEADER)
@@ -204,9 +228,7 @@
 
     async def test_returning_leader_gets_everything_again(self) -> None:
         # Guards against messages lost while the leader seemed dead.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, _, task = await _waiting()
         world.leaders.set(fakes.ZONE, None)
         world.leaders.set(fakes.ZONE, fakes.LEADER, 1)
         assert len(world.links.of(messages.RequestSlot)) == 2
@@ -280,19 +302,15 @@
 
     async def test_non_idempotent_request_is_sent_once(self) -> None:
         # Guards against the second run of a non-idempotent request.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         world.upstreams.outcomes = [BROKEN]
-        error = await _refused(
-            asyncio.ensure_future(made.submit(world.call()))
-        )
+        error = await _refused(made.submit(world.call()))
         assert error.verdict is MAY_HAVE_RUN
         assert len(world.upstreams.sent) == 1
 
     async def test_refused_request_is_repeated_elsewhere(self) -> None:
         # Guards against giving up although nothing has run.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         world.upstreams.outcomes = [REFUSED, REFUSED]
         await made.submit(world.call())
         assert len(world.upstreams.sent) == 3
@@ -303,39 +321,35 @@
 
     async def test_attempts_of_the_profile_bound_repetition(self) -> None:
         # Guards against endless repetition of a failing request.
-        world, made = _made(max_attempts=2)
-        world.grant_always()
+        world, made = _granting(max_attempts=2)
         world.upstreams.outcomes = [BROKEN] * 9
         call = world.call(idempotent=True)
-        error = await _refused(asyncio.ensure_future(made.submit(call)))
+        error = await _refused(made.submit(call))
         assert error.verdict is MAY_HAVE_RUN
         assert len(world.upstreams.sent) == 2
 
     async def test_budget_bounds_repetition_over_requests(self) -> None:
         # Guards against retries that multiply an overload.
-        world, made = _made(max_attempts=3)
-        world.grant_always()
+        world, made = _granting(max_attempts=3)
         world.upstreams.outcomes = [BROKEN] * 99
         for number in range(20):
             call = world.call(idempotent=True, request_id=f'r{number}')
-            await _refused(asyncio.ensure_future(made.submit(call)))
+            await _refused(made.submit(call))
         assert 21 <= len(world.upstreams.sent) <= 23
 
     async def test_verdict_covers_earlier_attempts(self) -> None:
         # Guards against "not run" for a request whose first send may have
         # run.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         world.upstreams.outcomes = [BROKEN, *[REFUSED] * 20]
         call = world.call(idempotent=True)
-        error = await _refused(asyncio.ensure_future(made.submit(call)))
+        error = await _refused(made.submit(call))
         assert error.verdict is MAY_HAVE_RUN
 
     async def test_hedge_uses_the_first_answer_and_cuts_nothing(self) -> None:
         # Guards against waiting for a slow upstream, and against a slot
         # that is given back while the upstream still works in it.
-        world, made = _made(hedge_after_s=0.01)
-        world.grant_always()
+        world, made = _granting(hedge_after_s=0.01)
         gate = asyncio.Event()
         world.upstreams.outcomes = [gate, b'"fast"']
         answer = await made.submit(world.call(idempotent=True))
@@ -348,8 +362,7 @@
 
     async def test_non_idempotent_request_is_never_hedged(self) -> None:
         # Guards against a second run through a hedge.
-        world, made = _made(hedge_after_s=0.001)
-        world.grant_always()
+        world, made = _granting(hedge_after_s=0.001)
         gate = asyncio.Event()
         world.upstreams.outcomes = [gate]
         world.upstreams.active = (platform.ActiveRequest('r1', 'a'),)
@@ -383,8 +396,7 @@
     ) -> None:
         # Guards against a slot that is freed, or a request called not run,
         # while the upstream may be working on it.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         defect = ending == 'defect'
         outcome = ZeroDivisionError() if defect else asyncio.Event()
         world.upstreams.outcomes = [outcome]
@@ -403,19 +415,15 @@
 
     async def test_unlisted_request_is_dropped(self) -> None:
         # Guards against a caller that hangs on a dead connection.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         world.upstreams.outcomes = [asyncio.Event()]
-        error = await _refused(
-            asyncio.ensure_future(made.submit(world.call()))
-        )
+        error = await _refused(made.submit(world.call()))
         assert (error.code, error.verdict) == ('upstream_failed', MAY_HAVE_RUN)
         assert world.upstreams.statuses == 2
 
     async def test_listed_request_is_waited_for(self) -> None:
         # Guards against cutting off slow work.
-        world, made = _made()
-        world.grant_always()
+        world, made = _granting()
         gate = asyncio.Event()
         world.upstreams.outcomes = [gate]
         world.upstreams.active = (platform.ActiveRequest('r1', 'a'),)
@@ -430,9 +438,7 @@
 
     async def test_waiting_request_is_withdrawn(self) -> None:
         # Guards against a cancelled request that still takes a slot.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, made, task = await _waiting()
         assert made.cancel('r1', 'a').state is model.RequestState.CANCELLED
         error = await _refused(task)
         assert (error.code, error.verdict) == ('cancelled', NOT_RUN)
@@ -442,9 +448,7 @@
 
     async def test_granted_request_is_not_sent_after_cancelling(self) -> None:
         # Guards against "cancelled" for a request that is sent afterwards.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        world, made, task = await _waiting()
         world.links.deliver(fakes.LEADER, world.grant())
         assert made.cancel('r1', 'a').verdict is NOT_RUN
         assert (await _refused(task)).code == 'cancelled'
@@ -453,12 +457,7 @@
 
     async def test_sent_request_is_not_cut(self) -> None:
         # Guards against losing the answer of work that runs.
-        world, made = _made()
-        world.grant_always()
-        gate = asyncio.Event()
-        world.upstreams.outcomes = [gate]
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.upstreams.arrived.wait()
+        _, made, task, gate = await _sent()
         info = made.cancel('r1', 'a')
         assert info.state is model.RequestState.SENT
         assert info.verdict is MAY_HAVE_RUN
@@ -467,9 +466,7 @@
 
     async def test_other_team_can_not_cancel(self) -> None:
         # Guards against one team that withdraws the work of another.
-        world, made = _made()
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.links.until(messages.RequestSlot)
+        _, made, task = await _waiting()
         with pytest.raises(errors.NotFound):
             made.cancel('r1', 'b')
         task.cancel()
@@ -483,16 +480,11 @@
 
     async def test_drain_waits_for_work_in_flight(self) -> None:
         # Guards against a shutdown that cuts off a request.
-        world, made = _made()
-        world.grant_always()
-        gate = asyncio.Event()
-        world.upstreams.outcomes = [gate]
-        task = asyncio.create_task(made.submit(world.call()))
-        await world.upstreams.arrived.wait()
+        world, made, task, gate = await _sent()
         drained = asyncio.create_task(made.drain())
         await asyncio.sleep(0)
         refusal = made.submit(world.call(request_id='r2'))
-        error = await _refused(asyncio.ensure_future(refusal))
+        error = await _refused(refusal)
         assert error.code == 'shutting_down'
         assert not drained.done()
         gate.set()
