--- a/tests/unit/daemon/asgi.py
+++ b/packages/testing/src/samphirestack_testing/asgi.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import json
+from typing import Any
 
 import msgspec
-
 from starlette import types
 
 
@@ -16,7 +16,8 @@
     content: bytes
 
     @property
-    def data(self) -> dict:
+    def data(self) -> Any:
+        """The content, decoded."""
         return json.loads(self.content)
 
 
@@ -37,9 +38,9 @@
         body = pieces if isinstance(pieces, bytes) else json.dumps(pieces)
         pieces = [body if isinstance(body, bytes) else body.encode()]
     left = list(pieces)
-    sent: list[dict] = []
+    sent: list[types.Message] = []
 
-    async def receive() -> dict:
+    async def receive() -> types.Message:
         if left:
             piece = left.pop(0)
             return {
@@ -50,7 +51,7 @@
         await (gone or asyncio.Event()).wait()
         return {'type': 'http.disconnect'}
 
-    async def send(message: dict) -> None:
+    async def send(message: types.Message) -> None:
         sent.append(message)
 
     pairs = [
--- a/tests/unit/daemon/fakes.py
+++ b/packages/testing/src/samphirestack_testing/entry_world.py
@@ -1,8 +1,11 @@
-"""Small fakes of what the dispatcher and the edge are built from."""
+"""In-memory fakes of what the dispatcher and the edge are built from."""
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import time
+from typing import Any
+from typing import cast
 
 import msgspec
 
@@ -67,11 +70,13 @@
             for vm_id, zone in pairs
         }
 
-    def deliver(self, sender: model.VmId, message: object) -> None:
+    def deliver(self, sender: model.VmId, message: Any) -> None:
+        """Hand a message over as if it came from another node."""
         for handler in self.handlers.get(type(message), ()):
             handler(sender, message)
 
-    def of(self, kind: type, to: model.VmId | None = None) -> list:
+    def of(self, kind: type, to: model.VmId | None = None) -> list[Any]:
+        """Return the sent messages of a type, in order."""
         return [
             message
             for target, message in self.sent
@@ -80,7 +85,7 @@
 
     async def until(
         self, kind: type, to: model.VmId | None = None, count: int = 1
-    ) -> list:
+    ) -> list[Any]:
         """Wait until so many messages of a kind were sent to a node."""
         async with asyncio.timeout(5):
             while len(self.of(kind, to)) < count:
@@ -94,7 +99,7 @@
 
     def __init__(self) -> None:
         self.by_zone: dict[model.ZoneId, interfaces.Leader] = {}
-        self.handlers: list = []
+        self.handlers: list[Any] = []
 
     def leader_of(self, zone: model.ZoneId) -> interfaces.Leader | None:
         return self.by_zone.get(zone)
@@ -108,6 +113,7 @@
     def set(
         self, zone: model.ZoneId, vm_id: model.VmId | None, epoch: int = 1
     ) -> None:
+        """Change the leader of a zone, or take it away, and tell all."""
         leader = vm_id and interfaces.Leader(vm_id, model.Epoch(epoch))
         if leader:
             self.by_zone[zone] = leader
@@ -175,7 +181,7 @@
             if name == table and key.startswith(prefix)
         ]
 
-    async def transact(self, writes: list[platform.Write]) -> list[int]:
+    async def transact(self, writes: Sequence[platform.Write]) -> list[int]:
         if self.down:
             raise errors.StoreUnavailable('down')
         if self.faults:
@@ -219,7 +225,7 @@
     ) -> platform.UpstreamAnswer:
         self.sent.append((address, request_id, body))
         self.arrived.set()
-        outcome = self.outcomes.pop(0) if self.outcomes else b'"ok"'
+        outcome: Any = self.outcomes.pop(0) if self.outcomes else b'"ok"'
         if isinstance(outcome, asyncio.Event):
             await outcome.wait()
             outcome = b'"late"'
@@ -228,6 +234,7 @@
         return platform.UpstreamAnswer(200, outcome)
 
     async def until_statuses(self, count: int) -> None:
+        """Wait until the status was asked for so many times."""
         async with asyncio.timeout(5):
             while self.statuses < count:
                 self.asked.clear()
@@ -244,7 +251,7 @@
 class World:
     """All fakes together, and grants on demand."""
 
-    def __init__(self, **profile: object) -> None:
+    def __init__(self, **profile: Any) -> None:
         self.current, self.key = a_configuration(**profile)
         self.links = Links()
         self.leaders = Leaders()
@@ -261,11 +268,11 @@
             links=self.links,
             view=self.view,
             leaders=self.leaders,
-            terms=None,
+            terms=cast(interfaces.OwnTerms, None),
             vms=self.vms,
             events=self.events,
             table=self.table,
-            agent_at=None,
+            agent_at=cast(Callable[[str], platform.WorkerAgent], None),
             upstreams=self.upstreams,
         )
 
@@ -281,22 +288,24 @@
     def grant(
         self, request_id: str = 'r1', epoch: int = 1, grant_id: str = ''
     ) -> messages.Grant:
+        """Return a new grant."""
         self.granted += 1
         return messages.Grant(
-            request_id,
-            grant_id or f'g{self.granted}',
+            model.RequestId(request_id),
+            model.GrantId(grant_id or f'g{self.granted}'),
             model.UpstreamId(f'u{self.granted}'),
             f'10.0.0.{self.granted}:80',
             model.Epoch(epoch),
         )
 
-    def call(self, **changes: object) -> records.Call:
+    def call(self, **changes: Any) -> records.Call:
+        """Return a non-idempotent call of team a on queue work."""
         queue = self.current.queues_by_id['work']
         call = records.Call(
-            request_id='r1',
+            request_id=model.RequestId('r1'),
             queue=queue,
             profile=self.current.profile_of(queue),
-            team='a',
+            team=model.TeamId('a'),
             body=b'{}',
             idempotent=False,
             deadline_s=5.0,
@@ -305,6 +314,7 @@
 
 
 def a_settings(token_file: str = 'token', **edge: int) -> settings.Settings:
+    """Return settings of an entry with other bounds of the edge."""
     return settings.from_data(
         'test.toml',
         {
@@ -324,18 +334,23 @@
 
 
 def a_configuration(
-    **profile: object,
+    **profile: Any,
 ) -> tuple[configuration.Configuration, str]:
     """Return queues ``work`` (keyed) and ``free`` (open) and team a's key."""
     key, secret = configuration.new_key(model.TeamId('a'))
-    changes = [
-        configuration.PutProfile(configuration.Profile('p', **profile)),
-        configuration.PutService(configuration.Service('s', 'p')),
-        configuration.PutTeam(configuration.Team('a')),
-        configuration.PutTeam(configuration.Team('b')),
-        configuration.PutTeam(configuration.Team('public')),
-        configuration.PutQueue(configuration.Queue('work', 's')),
-        configuration.PutQueue(configuration.Queue('free', 's', open=True)),
+    name = model.ProfileId('p')
+    service = configuration.Service(model.ServiceId('s'), name)
+    work = configuration.Queue(model.QueueId('work'), service.name)
+    free = configuration.Queue(model.QueueId('free'), service.name, open=True)
+    changes: list[configuration.Change] = [
+        configuration.PutProfile(configuration.Profile(name, **profile)),
+        configuration.PutService(service),
+        *(
+            configuration.PutTeam(configuration.Team(model.TeamId(team)))
+            for team in ('a', 'b', 'public')
+        ),
+        configuration.PutQueue(work),
+        configuration.PutQueue(free),
         configuration.PutKey(key),
         configuration.PutZone(configuration.Zone(ZONE)),
         configuration.PutZone(configuration.Zone(OTHER_ZONE)),
--- a/tests/unit/daemon/operators.py
+++ b/packages/testing/src/samphirestack_testing/operator_world.py
@@ -1,11 +1,14 @@
 """A node's operator interface over fakes."""
 
+from typing import Any
+
 from samphirestack import configuration
 from samphirestack import errors
+from samphirestack import model
+from samphirestack_testing import asgi
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import admin
 from samphirestackd import dispatch
-from tests.unit.daemon import asgi
-from tests.unit.daemon import fakes
 
 TOKEN = 'a-token-of-operators'
 HEADERS = {'Authorization': f'Bearer {TOKEN}'}
@@ -18,7 +21,7 @@
         self.world = world
         self.leads = True
         self.drained = 0
-        self.kept_events: list[dict] = []
+        self.kept_events: list[dict[str, Any]] = []
 
     async def change(
         self,
@@ -37,10 +40,10 @@
             self.world.view.current = changed
         return changed
 
-    async def history(self, limit: int) -> list[dict]:
+    async def history(self, limit: int) -> list[dict[str, Any]]:
         return [{'revision': limit}]
 
-    def since(self, number: int, limit: int) -> list[dict]:
+    def since(self, number: int, limit: int) -> list[dict[str, Any]]:
         return self.kept_events[number : number + limit]
 
     def render(self) -> tuple[bytes, str]:
@@ -52,8 +55,8 @@
     def explain_share(self, team: str) -> object | None:
         return {'team': team} if self.leads else None
 
-    def worker_states(self) -> dict[str, str]:
-        return {'w1': 'leased'}
+    def worker_states(self) -> dict[model.VmId, str]:
+        return {model.VmId('w1'): 'leased'}
 
     def drain(self) -> None:
         self.drained += 1
--- a/tests/property/test_edge_fuzz.py
+++ b/tests/property/test_edge_fuzz.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 import msgspec
 
+from samphirestack_testing import asgi
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import dispatch
 from samphirestackd.dispatch import records
 from samphirestackd import edge
 from samphirestackd.edge import bodies
 from samphirestackd.edge import requests
-from tests.unit.daemon import asgi
-from tests.unit.daemon import fakes
 
 MAX_BODY_BYTES = 2000
 VERDICTS = {'ran', 'not_run', 'may_have_run'}
--- a/tests/unit/client/test_commands.py
+++ b/tests/unit/client/test_commands.py
@@ -14,8 +14,8 @@
 from samphirestack import configuration
 from samphirestack_client import failures
 from samphirestack_client import main
+from samphirestack_testing import operator_world as operators
 from samphirestackd import edge
-from tests.unit.daemon import operators
 
 Run = Callable[..., int]
 
--- a/tests/unit/daemon/test_admin.py
+++ b/tests/unit/daemon/test_admin.py
@@ -4,11 +4,11 @@
 
 from samphirestack import errors
 from samphirestack import model
+from samphirestack_testing import asgi
+from samphirestack_testing import entry_world as fakes
+from samphirestack_testing import operator_world as operators
 from samphirestackd import admin
 from samphirestackd import dispatch
-from tests.unit.daemon import asgi
-from tests.unit.daemon import fakes
-from tests.unit.daemon import operators
 
 
 class TestAdmin:
--- a/tests/unit/daemon/test_dispatch.py
+++ b/tests/unit/daemon/test_dispatch.py
@@ -12,10 +12,10 @@
 from samphirestack import model
 from samphirestack import platform
 from samphirestack import verdict as verdicts
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import dispatch
 from samphirestackd.dispatch import dispatcher
 from samphirestackd.dispatch import records
-from tests.unit.daemon import fakes
 
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 NOT_RUN = verdicts.Verdict.NOT_RUN
--- a/tests/unit/daemon/test_dispatch_with_leader.py
+++ b/tests/unit/daemon/test_dispatch_with_leader.py
@@ -12,8 +12,8 @@
 from samphirestack.internal import messages
 from samphirestack import model
 from samphirestack import platform
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import dispatch
-from tests.unit.daemon import fakes
 
 
 class _Leader:
--- a/tests/unit/daemon/test_edge.py
+++ b/tests/unit/daemon/test_edge.py
@@ -11,11 +11,11 @@
 from samphirestack.internal import messages
 from samphirestack import model
 from samphirestack import platform
+from samphirestack_testing import asgi
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import dispatch
 from samphirestackd import edge
 from samphirestackd.edge import server
-from tests.unit.daemon import asgi
-from tests.unit.daemon import fakes
 
 WORK = '/v1/queues/work/requests'
 FREE = '/v1/queues/free/requests'
--- a/tests/unit/daemon/test_idempotency.py
+++ b/tests/unit/daemon/test_idempotency.py
@@ -9,12 +9,12 @@
 from samphirestack.internal import messages
 from samphirestack import model
 from samphirestack import verdict as verdicts
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import dispatch
 from samphirestackd.dispatch import attempts
 from samphirestackd.dispatch import dispatcher
 from samphirestackd.dispatch import jobs
 from samphirestackd.dispatch import sizes
-from tests.unit.daemon import fakes
 
 ROW = ('idempotency', 'a/k1')
 BROKEN = errors.UpstreamFailed('broke off')
--- a/tests/unit/daemon/test_upstream_http.py
+++ b/tests/unit/daemon/test_upstream_http.py
@@ -11,8 +11,8 @@
 from samphirestack import errors
 from samphirestack import model
 from samphirestack import platform
+from samphirestack_testing import entry_world as fakes
 from samphirestackd import upstream_http
-from tests.unit.daemon import fakes
 
 CONNECTIONS = 4
 ABORT = b'abort'
