Digest answers independently of the order of fields

A trial with a toy entry reported every answer as cut: structs keep their order of fields under the deterministic encoding, while parsed answers are sorted. Refusals of the upstream stand-in now echo the request id, since the daemon's client trusts no refusal without it.

--- a/packages/testing/src/samphirestack_testing/ledger.py
+++ b/packages/testing/src/samphirestack_testing/ledger.py
@@ -146,5 +146,5 @@
 
 def digest_of(answer: object) -> str:
     """Return a digest of a JSON value that ignores the order of keys."""
-    text = msgspec.json.encode(answer, order='deterministic')
+    text = msgspec.json.encode(answer, order='sorted')
     return hashlib.sha256(text).hexdigest()[:32]
--- a/packages/testing/src/samphirestack_testing/processes.py
+++ b/packages/testing/src/samphirestack_testing/processes.py
@@ -38,6 +38,11 @@
         """Whether the process exists and has not ended."""
         return self._child is not None and self._child.poll() is None
 
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status, negative after a signal; ``None`` while it runs."""
+        return self._child.poll() if self._child else None
+
     def start(self) -> None:
         """Start the process, again if it has ended."""
         with self._log.open('ab') as output:
--- a/packages/testing/src/samphirestack_testing/standins/upstreams.py
+++ b/packages/testing/src/samphirestack_testing/standins/upstreams.py
@@ -146,12 +146,10 @@
         )
 
     def _refuse(self, request: web.Request) -> web.Response:
-        self._write(
-            time.monotonic(),
-            ledger.Event.REFUSED,
-            id=request.headers.get(REQUEST_ID_HEADER, ''),
-        )
-        return web.Response(status=503, headers={VERDICT_HEADER: 'not-run'})
+        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        self._write(time.monotonic(), ledger.Event.REFUSED, id=request_id)
+        headers = {VERDICT_HEADER: 'not-run', REQUEST_ID_HEADER: request_id}
+        return web.Response(status=503, headers=headers)
 
     def _mode(self) -> Mode:
         self._count += 1
--- a/tests/unit/testing/test_oracle.py
+++ b/tests/unit/testing/test_oracle.py
@@ -186,6 +186,12 @@
         path.write_bytes(path.read_bytes() + b'{"at_s":')
         assert ledger.read(path, ledger.Line) == [LEAVING]
 
+    def test_digest_ignores_the_way_through_json(self) -> None:
+        """Guards against answers that look cut because they were parsed."""
+        line = _work(1.0, 2.0)[0]
+        parsed = msgspec.json.decode(msgspec.json.encode(line))
+        assert ledger.digest_of(line) == ledger.digest_of(parsed)
+
 
 class TestMeasures:
     """Waits and shares are counted from ledgers."""
