--- a/packages/testing/src/samphirestack_testing/faultproxy.py
+++ b/packages/testing/src/samphirestack_testing/faultproxy.py
@@ -5,9 +5,10 @@
 
 A connection belongs to a *source*.  Where one address is given to several
 clients, such as the peer address of a daemon, ``sources`` holds the names
-that clients may send; the first name found in what a client sends, encoded
-as a MessagePack string, is its source.  Nothing that contains the name is
-forwarded before the faults of this source are applied.
+that clients may send; the first name found in what a client sends, as a
+MessagePack string or as a property of the ZMTP handshake, is its source.
+Nothing that contains the name is forwarded before the faults of this source
+are applied.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 
 CHUNK_BYTES = 65_536
 UNKNOWN_SOURCE = ''
+ZMTP_LENGTH_BYTES = 4
 _OVERLAP_BYTES = 64
 
 
@@ -94,7 +96,9 @@
         self.target = target
         self.address = ''
         self._needles = [
-            (source, _packed(source)) for source in sorted(sources)
+            (source, needle)
+            for source in sorted(sources)
+            for needle in _needles(source)
         ]
         self._faults_by_source: dict[str, Faults] = {}
         self._default = Faults()
@@ -225,8 +229,11 @@
         return min(found)[1] if found else UNKNOWN_SOURCE
 
 
-def _packed(source: str) -> bytes:
-    return msgspec.msgpack.encode(source)
+def _needles(source: str) -> list[bytes]:
+    """Return the source as MessagePack string and as ZMTP property."""
+    name = source.encode()
+    length = len(name).to_bytes(ZMTP_LENGTH_BYTES, 'big')
+    return [msgspec.msgpack.encode(source), length + name]
 
 
 async def _read(reader: asyncio.StreamReader) -> bytes:
