--- a/packages/testing/src/samphirestack_testing/demo.py
+++ b/packages/testing/src/samphirestack_testing/demo.py
@@ -20,15 +20,19 @@
 from samphirestack_testing import load
 from samphirestack_testing import measures
 from samphirestack_testing import oracle
+from samphirestack_testing import processes
 from samphirestack_testing import scenario
+from samphirestack_testing import waiting
 
 PROGRESS_EVERY_S = 2.0
 DEFAULT_SECONDS = 20.0
 FINDINGS_SHOWN = 20
+BROKEN_PROMISE = 1
+CANNOT_RUN = 2
 
 
 def main() -> None:
-    """Run the demo and exit with status 1 on a broken promise."""
+    """Run the demo; exit with 1 on a broken promise, 2 if nothing ran."""
     arguments = _parser().parse_args()
     plan = scenario.builtin(arguments.deployment)
     if arguments.scenario:
@@ -39,10 +43,16 @@
             directory = stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(directory)
         path.mkdir(parents=True, exist_ok=True)
-        figures = asyncio.run(_run_until_signal(plan, path, arguments.seconds))
+        try:
+            figures = asyncio.run(
+                _run_until_signal(plan, path, arguments.seconds)
+            )
+        except (processes.ProcessFailed, waiting.ConditionNotMet) as error:
+            _say(f'the cluster did not start: {error}')
+            sys.exit(CANNOT_RUN)
     print(msgspec.json.encode(figures).decode(), flush=True)
     broken = figures.lost + figures.doubled + figures.cut
-    sys.exit(1 if broken else 0)
+    sys.exit(BROKEN_PROMISE if broken else 0)
 
 
 def _parser() -> argparse.ArgumentParser:
