--- a/packages/core/src/samphirestack/internal/messages.py
+++ b/packages/core/src/samphirestack/internal/messages.py
@@ -31,6 +31,9 @@
     revision: model.Revision
     leader: model.VmId
     epoch: model.Epoch
+    draining: bool = False
+    address: str = ''
+    """Peer address of the sender, for receivers that don't know it yet."""
 
 
 class Pong(Message, frozen=True):
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/leaders.py
@@ -0,0 +1,74 @@
+"""Which node leads each zone, as heartbeats and announcements tell."""
+
+from collections.abc import Callable
+import functools
+
+from samphirestack import model
+from samphirestackd import interfaces
+from samphirestackd import logs
+
+LeaderHandler = Callable[[model.ZoneId, interfaces.Leader | None], None]
+
+
+class LeaderTable:
+    """The leaders of all zones as last seen.
+
+    :param is_alive: returns whether a node can be reached.
+    """
+
+    def __init__(self, is_alive: Callable[[model.VmId], bool]) -> None:
+        self._is_alive = is_alive
+        self._seen_by_zone: dict[model.ZoneId, interfaces.Leader] = {}
+        self._told_by_zone: dict[model.ZoneId, interfaces.Leader | None] = {}
+        self._handlers: list[LeaderHandler] = []
+
+    def on_change(self, handler: LeaderHandler) -> None:
+        """Call ``handler`` when the leader of a zone changes."""
+        self._handlers.append(handler)
+
+    def leader_of(self, zone: model.ZoneId) -> interfaces.Leader | None:
+        """Return the leader with the highest epoch seen, if it is alive."""
+        leader = self._seen_by_zone.get(zone)
+        if leader is None or not self._is_alive(leader.vm_id):
+            return None
+        return leader
+
+    def saw(
+        self,
+        zone: model.ZoneId,
+        sender: model.VmId,
+        leader: model.VmId,
+        epoch: model.Epoch,
+    ) -> None:
+        """Note what an entry of another zone says of its leader."""
+        known = self._seen_by_zone.get(zone)
+        if leader:
+            if known is None or epoch >= known.epoch:
+                self._seen_by_zone[zone] = interfaces.Leader(leader, epoch)
+        elif known is not None and known.vm_id == sender:
+            del self._seen_by_zone[zone]
+        self.check(zone)
+
+    def set_own(
+        self, zone: model.ZoneId, leader: interfaces.Leader | None
+    ) -> None:
+        """Note the leader of this node's own zone."""
+        if leader is None:
+            self._seen_by_zone.pop(zone, None)
+        else:
+            self._seen_by_zone[zone] = leader
+        self.check(zone)
+
+    def check_all(self) -> None:
+        """Tell of leaders that are no longer alive."""
+        for zone in list(self._seen_by_zone):
+            self.check(zone)
+
+    def check(self, zone: model.ZoneId) -> None:
+        """Tell of a changed leader of one zone."""
+        leader = self.leader_of(zone)
+        if self._told_by_zone.get(zone) == leader:
+            return
+        self._told_by_zone[zone] = leader
+        for handler in self._handlers:
+            logs.guard(functools.partial(handler, zone, leader))
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/leadership.py
@@ -0,0 +1,280 @@
+"""Drives the election of this zone and knows the leaders of the others."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+
+from samphirestack import configuration
+from samphirestack import errors
+from samphirestack.internal import leadership
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import platform
+from samphirestack import settings as settings_types
+from samphirestackd.controllers import leaders
+from samphirestackd import interfaces
+from samphirestackd import logs
+from samphirestackd import peers
+
+TICK_S = 0.05
+PROBE_INTERVAL_S = 0.2
+PROBE_TIMEOUT_S = 0.3
+MAX_CALLS_PER_WORKER = 2
+"""A second call may overtake one that hangs; more would pile up."""
+
+TermHandler = Callable[[interfaces.Term | None], None]
+
+
+class LeadershipController:
+    """Implements ``LeaderDirectory`` and ``OwnTerms``.
+
+    Created before the parts that answer a new leader, so that a term of
+    this node ends before they report what they hold.
+
+    :param agent_at: returns a client of the agent at an address.
+    """
+
+    def __init__(
+        self,
+        settings: settings_types.Settings,
+        clock: Callable[[], float],
+        links: peers.PeerLinks,
+        vms: interfaces.VmDirectory,
+        events: interfaces.EventSink,
+        agent_at: Callable[[str], platform.WorkerAgent],
+    ) -> None:
+        timing = settings.timing
+        self._settings = settings
+        self._clock = clock
+        self._links = links
+        self._vms = vms
+        self._events = events
+        self._agent_at = agent_at
+        self._state = leadership.Leadership(
+            settings.vm_id,
+            clock(),
+            leadership.Timing(
+                timing.leader_ttl_s,
+                timing.leader_renew_s,
+                timing.worker_ttl_s,
+                timing.peer_timeout_s,
+            ),
+        )
+        self._leaders = leaders.LeaderTable(self._is_alive)
+        self._term_handlers: list[TermHandler] = []
+        self._told_term: leadership.LeaderTerm | None = None
+        self._calls_by_worker: dict[model.WorkerId, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_probe_at = 0.0
+        links.on_pong(self._on_pong)
+        links.subscribe(messages.Ping, self._on_ping)
+        links.subscribe(messages.LeaderChanged, self._on_leader_changed)
+        links.subscribe(messages.HeldReport, self._on_held_report)
+
+    def set_configuration(self, current: configuration.Configuration) -> None:
+        """Take over the arbiters of a new configuration."""
+        zone = current.zones_by_id.get(self._settings.zone)
+        self._state.set_arbiters(() if zone is None else zone.arbiters)
+
+    def leader_of(self, zone: model.ZoneId) -> interfaces.Leader | None:
+        """Return the leader with the highest epoch seen, if it is alive."""
+        return self._leaders.leader_of(zone)
+
+    def is_valid_leader(self, now: float) -> bool:
+        """Return whether this node leads its zone and may act now."""
+        return self._state.may_act(now)
+
+    def on_leader_change(self, handler: leaders.LeaderHandler) -> None:
+        """Call ``handler`` when the leader of a zone changes."""
+        self._leaders.on_change(handler)
+
+    def on_term(self, handler: TermHandler) -> None:
+        """Call ``handler`` with each new term, and ``None`` at its end.
+
+        A term is told again, with the same epoch, when its ``grant_from``
+        turns out to be earlier.
+        """
+        self._term_handlers.append(handler)
+
+    def fenced_off(self, epoch: model.Epoch) -> None:
+        """Report that an agent refused this node's epoch."""
+        self._state.outranked(self._clock(), epoch)
+
+    def heard_leader(self) -> tuple[model.VmId, model.Epoch]:
+        """Return what this node's heartbeats tell of its zone."""
+        heard = self._state.leader(self._clock())
+        return heard or (model.VmId(''), self._state.highest_epoch)
+
+    def highest_epoch(self) -> model.Epoch:
+        """Return the highest epoch of the zone that this node has seen."""
+        return self._state.highest_epoch
+
+    async def run(self) -> None:
+        """Take part in the election until cancelled."""
+        try:
+            while True:
+                self._turn(self._clock())
+                await asyncio.sleep(TICK_S)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    async def drain(self) -> None:
+        """Hand leadership over; the heartbeat tells the others at once."""
+        self._state.resign(self._clock())
+        self._tell()
+        self._links.heartbeat_now()
+
+    def _turn(self, now: float) -> None:
+        call = self._state.tick(now)
+        self._tell()
+        if call is not None:
+            for worker in call.workers:
+                self._call(worker, call.epoch)
+        silent = self._state.silent_leader(now)
+        if silent is not None and now >= self._next_probe_at:
+            self._next_probe_at = now + PROBE_INTERVAL_S
+            self._spawn(self._probe(silent))
+
+    def _tell(self) -> None:
+        term = self._state.term
+        if term != self._told_term:
+            self._tell_term(self._told_term, term)
+        heard = self._state.leader(self._clock())
+        own_zone = self._settings.zone
+        leader = None if heard is None else interfaces.Leader(*heard)
+        self._leaders.set_own(own_zone, leader)
+        self._leaders.check_all()
+
+    def _tell_term(
+        self,
+        before: leadership.LeaderTerm | None,
+        term: leadership.LeaderTerm | None,
+    ) -> None:
+        self._told_term = term
+        if before is not None and (term is None or term.epoch != before.epoch):
+            self._events.record('leader.term_ended', epoch=before.epoch)
+            self._call_handlers(None)
+        if term is None:
+            return
+        if before is None or before.epoch != term.epoch:
+            self._events.record('leader.term_began', epoch=term.epoch)
+            self._links.broadcast(
+                messages.LeaderChanged(self._settings.vm_id, term.epoch)
+            )
+        self._call_handlers(
+            interfaces.Term(
+                term.epoch, term.grant_from, term.restart_lost_after
+            )
+        )
+
+    def _call_handlers(self, term: interfaces.Term | None) -> None:
+        for handler in self._term_handlers:
+            logs.guard(functools.partial(handler, term))
+
+    def _call(self, worker: model.WorkerId, epoch: model.Epoch) -> None:
+        vm = self._vms.vms_by_id().get(model.VmId(worker))
+        running = self._calls_by_worker.get(worker, 0)
+        if vm is None or running >= MAX_CALLS_PER_WORKER:
+            return
+        self._calls_by_worker[worker] = running + 1
+        agent = self._agent_at(vm.address)
+        self._spawn(self._lease(worker, agent, epoch))
+
+    async def _lease(
+        self,
+        worker: model.WorkerId,
+        agent: platform.WorkerAgent,
+        epoch: model.Epoch,
+    ) -> None:
+        sent_at = self._clock()
+        ttl_s = self._settings.timing.worker_ttl_s
+        try:
+            await agent.lease(self._settings.vm_id, epoch, ttl_s, False)
+        except errors.FencedOff as error:
+            held = model.Epoch(error.epoch)
+            self._state.rejected(self._clock(), worker, held, epoch)
+        except errors.SamphireError as error:
+            logs.debug('lease.failed', worker=worker, reason=error.message)
+        else:
+            self._state.granted(self._clock(), worker, epoch, sent_at)
+        finally:
+            self._calls_by_worker[worker] -= 1
+        self._tell()
+
+    async def _probe(self, vm_id: model.VmId) -> None:
+        """Find out whether a silent node's port refuses connections."""
+        peer = self._links.peers_by_id().get(vm_id)
+        if peer is None:
+            return
+        host, _, port = peer.address.rpartition(':')
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            self._state.refused(vm_id)
+            self._tell()
+        except (OSError, ValueError):
+            return
+        else:
+            writer.close()
+
+    def _spawn(self, work: object) -> None:
+        assert asyncio.iscoroutine(work)
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _is_alive(self, vm_id: model.VmId) -> bool:
+        return vm_id == self._settings.vm_id or self._links.is_alive(vm_id)
+
+    def _on_pong(
+        self, sender: model.VmId, pong: messages.Pong, sent_at: float
+    ) -> None:
+        self._heard(sender, pong.zone, pong.leader, pong.epoch, pong.draining)
+
+    def _on_ping(
+        self, sender: model.VmId, message: messages.AnyMessage
+    ) -> None:
+        assert isinstance(message, messages.Ping)
+        self._heard(
+            sender,
+            message.zone,
+            message.leader,
+            message.epoch,
+            message.draining,
+        )
+
+    def _on_leader_changed(
+        self, sender: model.VmId, message: messages.AnyMessage
+    ) -> None:
+        assert isinstance(message, messages.LeaderChanged)
+        peer = self._links.peers_by_id().get(sender)
+        if peer is not None:
+            self._heard(
+                sender, peer.zone, message.leader, message.epoch, False
+            )
+
+    def _on_held_report(
+        self, sender: model.VmId, message: messages.AnyMessage
+    ) -> None:
+        assert isinstance(message, messages.HeldReport)
+        self._state.held_report(self._clock(), sender, message.epoch)
+        self._tell()
+
+    def _heard(
+        self,
+        sender: model.VmId,
+        zone: model.ZoneId,
+        leader: model.VmId,
+        epoch: model.Epoch,
+        draining: bool,
+    ) -> None:
+        if sender == self._settings.vm_id:
+            return
+        if zone == self._settings.zone:
+            now = self._clock()
+            self._state.heard(now, sender, leader, epoch, draining)
+            self._tell()
+        else:
+            self._leaders.saw(zone, sender, leader, epoch)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/roster.py
@@ -0,0 +1,144 @@
+"""Changes that keep the roster and the arbiters in step with the VMs."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+
+import msgspec
+
+from samphirestack import configuration
+from samphirestack import model
+
+GONE_AFTER_S = 60.0
+"""Time off the platform's list, or of silence, after which a VM is gone.
+The list lags, so a shorter absence says little."""
+
+MAX_ARBITERS = 9
+
+
+class Absences:
+    """Since when VMs are missing from the platform's list."""
+
+    def __init__(self) -> None:
+        self._since: dict[str, float] = {}
+
+    def update(
+        self, now: float, wanted: Collection[str], listed: Collection[str]
+    ) -> None:
+        """Compare the VMs that matter with the list."""
+        missing = set(wanted) - set(listed)
+        self._since = {vm_id: self._since.get(vm_id, now) for vm_id in missing}
+
+    def gone(self, now: float) -> set[str]:
+        """Return the VMs that have been missing for long enough."""
+        return {
+            vm_id
+            for vm_id, since in self._since.items()
+            if now - since >= GONE_AFTER_S
+        }
+
+
+def choose_arbiters(workers: list[model.Vm]) -> tuple[model.WorkerId, ...]:
+    """Return up to nine of a zone's workers, spread over its racks."""
+    chosen: list[model.Vm] = []
+    rest = sorted(workers, key=lambda vm: (vm.rack, vm.vm_id))
+    while rest and len(chosen) < MAX_ARBITERS:
+        chosen.append(_from_rarest_rack(chosen, rest))
+        rest.remove(chosen[-1])
+    return tuple(sorted(model.WorkerId(vm.vm_id) for vm in chosen))
+
+
+def _from_rarest_rack(
+    chosen: list[model.Vm], rest: list[model.Vm]
+) -> model.Vm:
+    racks = [vm.rack for vm in chosen]
+    return min(rest, key=lambda vm: (racks.count(vm.rack), vm.vm_id))
+
+
+def updated_arbiters(
+    current: tuple[model.WorkerId, ...],
+    workers: list[model.Vm],
+    gone: Collection[str],
+    may_grow: bool,
+) -> tuple[model.WorkerId, ...]:
+    """Return the arbiters with those that are gone replaced.
+
+    A node that is cut off may lead by an older set.  Any majority of that
+    set meets any majority of the new one as long as only arbiters that no
+    longer exist are replaced and the number stays the same.  The set may
+    therefore grow only by one at a time, and only while no node of the zone
+    uses an older one.
+
+    :param gone: workers that no longer exist.
+    :param may_grow: whether all entries of the zone use ``current``.
+    """
+    if not current:
+        return choose_arbiters(workers)
+    kept = [worker for worker in current if worker not in gone]
+    by_id = {model.WorkerId(vm.vm_id): vm for vm in workers}
+    chosen = [by_id[worker] for worker in kept if worker in by_id]
+    spare = [vm for vm in workers if model.WorkerId(vm.vm_id) not in current]
+    wanted = len(current)
+    if may_grow and len(kept) == wanted and wanted < MAX_ARBITERS:
+        wanted += 1
+    while spare and len(kept) < wanted:
+        vm = _from_rarest_rack(chosen, spare)
+        spare.remove(vm)
+        chosen.append(vm)
+        kept.append(model.WorkerId(vm.vm_id))
+    # Without a spare worker the place is kept for one that comes later.
+    kept += [worker for worker in current if worker not in kept][
+        : wanted - len(kept)
+    ]
+    return tuple(sorted(kept))
+
+
+def keep_arbiters(
+    current: configuration.Configuration,
+    changes: list[configuration.Change],
+) -> list[configuration.Change]:
+    """Return changes that leave existing arbiters as they are.
+
+    Operators edit zones as a whole and may send arbiters of an older
+    revision; only the rules of :func:`updated_arbiters` may change them.
+    """
+    return [_keep_in(current, change) for change in changes]
+
+
+def _keep_in(
+    current: configuration.Configuration, change: configuration.Change
+) -> configuration.Change:
+    if not isinstance(change, configuration.PutZone):
+        return change
+    known = current.zones_by_id.get(change.zone.name)
+    if known is None or not known.arbiters:
+        return change
+    return configuration.PutZone(
+        msgspec.structs.replace(change.zone, arbiters=known.arbiters)
+    )
+
+
+def zone_changes(
+    current: configuration.Configuration,
+    vms: Mapping[model.VmId, model.Vm],
+    gone: Collection[str],
+    may_grow: Collection[model.ZoneId],
+) -> list[configuration.Change]:
+    """Return the changes that the list of VMs asks for in zones."""
+    changes: list[configuration.Change] = []
+    workers_by_zone: dict[model.ZoneId, list[model.Vm]] = {}
+    for vm in vms.values():
+        workers = workers_by_zone.setdefault(vm.zone, [])
+        if vm.role is model.VmRole.WORKER and vm.state is model.VmState.LIVE:
+            workers.append(vm)
+    for name, workers in sorted(workers_by_zone.items()):
+        zone = current.zones_by_id.get(name) or configuration.Zone(name)
+        arbiters = updated_arbiters(
+            zone.arbiters, workers, gone, name in may_grow
+        )
+        if arbiters != zone.arbiters or name not in current.zones_by_id:
+            changes.append(
+                configuration.PutZone(
+                    msgspec.structs.replace(zone, arbiters=arbiters)
+                )
+            )
+    return changes
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -0,0 +1,248 @@
+"""Builds the parts of the daemon, runs them and shuts them down."""
+
+import asyncio
+
+import time
+from typing import Any
+
+import eliot
+
+from samphirestack.internal import freshness
+from samphirestack import model
+from samphirestack import settings as settings_types
+from samphirestackd import admin
+from samphirestackd import context as contexts
+from samphirestackd.controllers import config_store
+from samphirestackd.controllers import configuration
+from samphirestackd.controllers import leadership
+from samphirestackd import dispatch
+from samphirestackd import edge
+from samphirestackd import events
+from samphirestackd import gauges
+from samphirestackd import interfaces
+from samphirestackd import lamport
+from samphirestackd import leading
+from samphirestackd import logs
+from samphirestackd import metrics
+from samphirestackd import peers
+from samphirestackd import platform_http
+from samphirestackd import serving
+from samphirestackd import upstream_http
+from samphirestackd import vms
+
+RESTART_PAUSE_S = 1.0
+"""Pause before a part that failed is run again."""
+
+MIN_CONNECTIONS = 2
+"""One for requests and one for status calls, as the upstream client asks."""
+
+
+class Daemon:
+    """One entry VM.
+
+    :param token: what operators present.
+    """
+
+    def __init__(
+        self,
+        settings: settings_types.Settings,
+        keys: peers.Keys | None,
+        token: str,
+        writer: logs.LineWriter,
+    ) -> None:
+        self._settings = settings
+        self._stop_requests = 0
+        self._stopping = asyncio.Event()
+        self._stop_now = asyncio.Event()
+        self._draining = False
+        self._lamport = lamport.LamportClock()
+        self._freshness = freshness.Freshness(
+            settings.vm_id, settings.timing.freshness_s
+        )
+        self.events = events.EventLog(
+            settings.node.vm_id, settings.log.events_kept, self._lamport
+        )
+        self._metrics = metrics.Metrics()
+        self.events.listen(self._metrics.count_event)
+        self._connect_platform()
+        self.links = peers.PeerLinks(
+            settings, time.monotonic, self._lamport, keys, self._status
+        )
+        self._create_controllers()
+        self.context = self._create_context()
+        self._dispatcher = dispatch.create(self.context)
+        self._components = self._create_components()
+        gauges.add(self._metrics, self, writer)
+        self._servers = self._create_servers(token)
+
+    def stop(self) -> None:
+        """Drain and end; a second call ends without waiting."""
+        self._stop_requests += 1
+        self._stopping.set()
+        if self._stop_requests > 1:
+            self._stop_now.set()
+
+    async def run(self) -> None:
+        """Serve until :meth:`stop` was called and the drain has ended.
+
+        :raises OSError: an address can't be used.
+        """
+        self.links.listen()
+        tasks = [
+            asyncio.create_task(self._keep_running(component))
+            for component in self._components
+        ]
+        for server in self._servers:
+            server.start()
+        self.events.record('node.started', zone=self._settings.node.zone)
+        try:
+            await self._stopping.wait()
+            await self._drain()
+        finally:
+            for server in self._servers:
+                await server.stop()
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+            for client in self._clients:
+                await client.close()
+
+    async def _drain(self) -> None:
+        self._draining = True
+        self.events.record('node.draining')
+        parts = [
+            asyncio.create_task(component.drain())
+            for component in self._components
+        ]
+        ended = asyncio.ensure_future(self._stop_now.wait())
+        everything = asyncio.gather(*parts, return_exceptions=True)
+        waited: list[asyncio.Future[Any]] = [everything, ended]
+        await asyncio.wait(
+            waited,
+            timeout=self._settings.timing.drain_timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        complete = everything.done()
+        everything.cancel()
+        ended.cancel()
+        self.events.record('node.drained', complete=complete)
+
+    async def _keep_running(self, component: interfaces.Component) -> None:
+        # Each part drives a state machine, which stays as it was when one
+        # step fails, so the part can go on.
+        while True:
+            try:
+                await component.run()
+                return
+            except Exception:
+                eliot.write_traceback()
+                self.events.record(
+                    'node.part_failed', part=type(component).__name__
+                )
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+    def _connect_platform(self) -> None:
+        urls = self._settings.platform
+        seconds = urls.timeout_s
+        self._table = platform_http.HttpTable(urls.table_url, seconds)
+        vm_list = platform_http.HttpVmList(urls.vms_url, seconds)
+        self._agents = platform_http.Agents(seconds)
+        self._upstreams = upstream_http.HttpUpstreamClient(
+            self._connections_of
+        )
+        self._clients = (self._table, vm_list, self._agents, self._upstreams)
+        self.vms = vms.VmDirectory(
+            vm_list, self._settings.timing.vm_list_poll_s, time.monotonic
+        )
+        self._connections_by_address: dict[str, int] = {}
+        self.vms.on_vms(self._vms_changed)
+
+    def _create_controllers(self) -> None:
+        common = (
+            self._settings,
+            time.monotonic,
+            self.links,
+            self.vms,
+            self.events,
+        )
+        store = config_store.ConfigStore(self._table, time.monotonic)
+        self.configuration = configuration.ConfigurationController(
+            *common,
+            store,
+            self._freshness,
+            lambda: self.links.own_address,
+        )
+        # Before all parts that answer a new leader: see the class.
+        self.leadership = leadership.LeadershipController(
+            *common, self._agents.at
+        )
+        self.configuration.on_change(self.leadership.set_configuration)
+
+    def _create_context(self) -> contexts.Context:
+        return contexts.Context(
+            self._settings,
+            time.monotonic,
+            self.links,
+            self.configuration,
+            self.leadership,
+            self.leadership,
+            self.vms,
+            self.events,
+            self._table,
+            self._agents.at,
+            self._upstreams,
+        )
+
+    def _create_components(self) -> list[interfaces.Component]:
+        return [
+            self.links,
+            self.vms,
+            self.configuration,
+            self.leadership,
+            self._dispatcher,
+        ]
+
+    def _create_servers(self, token: str) -> list[serving.HttpServer]:
+        settings = self._settings
+        callers = edge.create_app(self.context, self._dispatcher)
+        parts = admin.Parts(
+            self.configuration,
+            self.events,
+            self._metrics,
+            leading.Leading(),
+            self.stop,
+            self.configuration.age_s,
+        )
+        operators = admin.create_app(
+            self.context, self._dispatcher, parts, token
+        )
+        return [
+            serving.HttpServer(edge.server_config(app, address, settings.edge))
+            for app, address in (
+                (callers, settings.listen.callers),
+                (operators, settings.listen.operators),
+            )
+        ]
+
+    def _status(self) -> peers.NodeStatus:
+        leader, epoch = self.leadership.heard_leader()
+        return peers.NodeStatus(
+            self._freshness.revision,
+            self._freshness.promised,
+            leader,
+            epoch,
+            self._draining,
+            self._freshness.is_fresh(time.monotonic()),
+        )
+
+    def _vms_changed(self, listed: dict[model.VmId, model.Vm]) -> None:
+        self.links.set_vms(listed)
+        entries = sum(vm.role is model.VmRole.ENTRY for vm in listed.values())
+        self._connections_by_address = {
+            vm.address: max(MIN_CONNECTIONS, vm.connections // max(1, entries))
+            for vm in listed.values()
+            if vm.role is model.VmRole.UPSTREAM
+        }
+
+    def _connections_of(self, address: str) -> int:
+        return self._connections_by_address.get(address, MIN_CONNECTIONS)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/gauges.py
@@ -0,0 +1,93 @@
+"""Samples of the daemon's state for its metrics."""
+
+from collections.abc import Iterator
+import os
+import pathlib
+import time
+from typing import Protocol
+
+from samphirestackd.controllers import configuration
+from samphirestackd.controllers import leadership
+from samphirestackd import logs
+from samphirestackd import metrics
+from samphirestackd import peers
+from samphirestackd import vms
+
+STATM = pathlib.Path('/proc/self/statm')
+RESIDENT_FIELD = 1
+"""Index of the resident pages in ``statm``."""
+
+
+class Observed(Protocol):
+    """The parts whose state is reported."""
+
+    links: peers.PeerLinks
+    vms: vms.VmDirectory
+    configuration: configuration.ConfigurationController
+    leadership: leadership.LeadershipController
+
+
+def add(
+    registry: metrics.Metrics, parts: Observed, writer: logs.LineWriter
+) -> None:
+    """Report the state of the parts whenever metrics are rendered."""
+
+    def sample() -> Iterator[metrics.Sample]:
+        yield from _of_configuration(parts)
+        yield from _of_leadership(parts)
+        yield from _of_peers(parts)
+        yield from _of_process(writer)
+
+    registry.add_source(sample)
+
+
+def _of_configuration(parts: Observed) -> Iterator[metrics.Sample]:
+    now, view = time.monotonic(), parts.configuration
+    prefix = 'samphirestack_configuration'
+    yield metrics.Sample(f'{prefix}_revision', view.current.revision)
+    yield metrics.Sample(f'{prefix}_age_seconds', view.age_s())
+    yield metrics.Sample(f'{prefix}_fresh', float(view.is_fresh(now)))
+    if parts.vms.read_at is not None:
+        age_s = now - parts.vms.read_at
+        yield metrics.Sample('samphirestack_vm_list_age_seconds', age_s)
+
+
+def _of_leadership(parts: Observed) -> Iterator[metrics.Sample]:
+    leads = parts.leadership.is_valid_leader(time.monotonic())
+    yield metrics.Sample('samphirestack_leader', float(leads))
+    epoch = parts.leadership.highest_epoch()
+    yield metrics.Sample('samphirestack_leader_epoch', epoch)
+
+
+def _of_peers(parts: Observed) -> Iterator[metrics.Sample]:
+    counts: dict[tuple[str, str], int] = {}
+    for peer in parts.links.peers_by_id().values():
+        for alive in (True, False):
+            key = (peer.zone, str(alive).lower())
+            counts[key] = counts.get(key, 0) + (peer.alive is alive)
+    for (zone, alive_text), count in counts.items():
+        labels = {'zone': zone, 'alive': alive_text}
+        yield metrics.Sample('samphirestack_peers', count, labels)
+    for reason, dropped in parts.links.dropped_by_reason.items():
+        yield metrics.Sample(
+            'samphirestack_peer_messages_dropped_total',
+            dropped,
+            {'reason': reason},
+        )
+    yield metrics.Sample(
+        'samphirestack_peer_connections_reopened_total', parts.links.reopened
+    )
+    yield metrics.Sample(
+        'samphirestack_peer_keys_rejected_total', parts.links.rejected_keys
+    )
+
+
+def _of_process(writer: logs.LineWriter) -> Iterator[metrics.Sample]:
+    yield metrics.Sample(
+        'samphirestack_log_lines_dropped_total', writer.dropped
+    )
+    pages = int(STATM.read_text().split()[RESIDENT_FIELD])
+    yield metrics.Sample(
+        'process_resident_memory_bytes', pages * os.sysconf('SC_PAGE_SIZE')
+    )
+    yield metrics.Sample('process_cpu_seconds_total', time.process_time())
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -0,0 +1,172 @@
+"""Logs as JSON lines through eliot.
+
+Lines go to a thread over a bounded buffer.  A full disk or a pipe that
+nobody reads costs log lines, never service.
+"""
+
+import collections
+from collections.abc import Callable
+import os
+import sys
+import threading
+import time
+
+import eliot
+import msgspec
+
+from samphirestack import settings as settings_types
+from samphirestackd import redaction
+
+LEVELS = {'debug': 10, 'info': 20, 'warning': 30, 'error': 40}
+MAX_WAITING_LINES = 10_000
+REOPEN_AFTER_S = 5.0
+STANDARD_ERROR = '-'
+FLUSH_TIMEOUT_S = 1.0
+
+_TRACEBACK = 'eliot:traceback'
+_UNUSED_FIELDS = ('task_uuid', 'task_level')
+
+_threshold = LEVELS['info']
+
+
+def debug(kind: str, /, **fields: object) -> None:
+    """Log what helps to follow the daemon's decisions."""
+    _log('debug', kind, fields)
+
+
+def info(kind: str, /, **fields: object) -> None:
+    """Log a change that operators want to see."""
+    _log('info', kind, fields)
+
+
+def warning(kind: str, /, **fields: object) -> None:
+    """Log a failure that the daemon handles."""
+    _log('warning', kind, fields)
+
+
+def error(kind: str, /, **fields: object) -> None:
+    """Log a failure that needs an operator."""
+    _log('error', kind, fields)
+
+
+def guard(call: Callable[[], object]) -> None:
+    """Call a handler of another part and log its failure."""
+    try:
+        call()
+    except Exception:
+        eliot.write_traceback()
+
+
+def _log(level: str, kind: str, fields: dict[str, object]) -> None:
+    if LEVELS[level] >= _threshold:
+        fields.update(message_type=kind, level=level)
+        eliot.log_message(**fields)
+
+
+class LineWriter:
+    """Thread that writes lines to a file or the standard error stream.
+
+    :param path: file to append to, or ``-``.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._wake = threading.Event()
+        self._stopping = False
+        self._descriptor: int | None = None
+        self._retry_at = 0.0
+        self.dropped = 0
+        """Lines that were lost."""
+        self._thread = threading.Thread(
+            target=self._run, name='log-writer', daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def put(self, line: bytes) -> None:
+        """Hand a line over without waiting, or drop it."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Write what waits, but don't wait long for it."""
+        self._stopping = True
+        self._wake.set()
+        self._thread.join(FLUSH_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while not self._stopping or self._lines:
+            self._wake.wait()
+            self._wake.clear()
+            while self._lines:
+                batch = [
+                    self._lines.popleft() for _ in range(len(self._lines))
+                ]
+                self._write(batch)
+
+    def _write(self, batch: list[bytes]) -> None:
+        data = b''.join(batch)
+        try:
+            while data:
+                data = data[os.write(self._open(), data) :]
+        except OSError:
+            self.dropped += len(batch)
+            self._close()
+
+    def _open(self) -> int:
+        if self._path == STANDARD_ERROR:
+            return sys.stderr.fileno()
+        if self._descriptor is None:
+            if time.monotonic() < self._retry_at:
+                raise OSError('the log file could not be opened')
+            self._retry_at = time.monotonic() + REOPEN_AFTER_S
+            self._descriptor = os.open(
+                self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o640
+            )
+        return self._descriptor
+
+    def _close(self) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+
+
+class Destination:
+    """Where eliot sends messages: filtered and without secrets.
+
+    :param node: name of this VM, written into each line.
+    """
+
+    def __init__(self, writer: LineWriter, level: str, node: str) -> None:
+        self._writer = writer
+        self._least = LEVELS[level]
+        self._node = node
+
+    def __call__(self, message: dict[str, object]) -> None:
+        """Write one message of eliot."""
+        kind = str(message.get('message_type', message.get('action_type')))
+        usual = 'error' if kind == _TRACEBACK else 'info'
+        level = str(message.get('level', usual))
+        if LEVELS.get(level, LEVELS['error']) < self._least:
+            return
+        fields = redaction.clean(message)
+        for name in _UNUSED_FIELDS:
+            fields.pop(name, None)
+        fields.update(level=level, node=self._node)
+        self._writer.put(msgspec.json.encode(fields) + b'\n')
+
+
+def start(settings: settings_types.LogSettings, node: str) -> LineWriter:
+    """Send eliot's messages where the settings say; return the writer."""
+    global _threshold
+    _threshold = LEVELS[settings.level]
+    writer = LineWriter(settings.file)
+    writer.start()
+    eliot.add_destinations(Destination(writer, settings.level, node))
+    return writer
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/metrics.py
@@ -0,0 +1,233 @@
+"""The metrics of this process.
+
+``METRICS`` declares them as data, so that documentation can be generated.
+Metrics of requests and jobs are derived from the events of the time line;
+states are read when the metrics are rendered.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import enum
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+import msgspec
+
+MAX_LABEL_VALUES = 100
+"""Bound on the values of a label; further ones count as ``other``."""
+
+OTHER = 'other'
+
+
+class Kind(enum.Enum):
+    """Type of a metric in Prometheus's terms."""
+
+    COUNTER = 'counter'
+    GAUGE = 'gauge'
+
+
+class Metric(msgspec.Struct, frozen=True):
+    """Declaration of one metric."""
+
+    name: str
+    kind: Kind
+    help: str
+    labels: tuple[str, ...] = ()
+    event: str = ''
+    """Kind of the events that it counts; the labels are their fields."""
+
+
+METRICS = (
+    Metric(
+        'samphirestack_events_total',
+        Kind.COUNTER,
+        'Events on the time line by kind.',
+        ('kind',),
+    ),
+    Metric(
+        'samphirestack_requests_received_total',
+        Kind.COUNTER,
+        'Requests that passed all filters, by queue.',
+        ('queue',),
+        'request.received',
+    ),
+    Metric(
+        'samphirestack_requests_ended_total',
+        Kind.COUNTER,
+        'Requests by final state and verdict.',
+        ('state', 'verdict'),
+        'request.ended',
+    ),
+    Metric(
+        'samphirestack_requests_sent_total',
+        Kind.COUNTER,
+        'Attempts sent to upstreams.',
+        (),
+        'request.sent',
+    ),
+    Metric(
+        'samphirestack_requests_retried_total',
+        Kind.COUNTER,
+        'Further attempts after a failed one.',
+        (),
+        'request.retried',
+    ),
+    Metric(
+        'samphirestack_requests_spilled_total',
+        Kind.COUNTER,
+        'Requests offered to other availability zones.',
+        (),
+        'request.spilled',
+    ),
+    Metric(
+        'samphirestack_jobs_accepted_total',
+        Kind.COUNTER,
+        'Jobs whose row was written.',
+        (),
+        'job.accepted',
+    ),
+    Metric(
+        'samphirestack_configuration_revision',
+        Kind.GAUGE,
+        'Revision in force at this node.',
+    ),
+    Metric(
+        'samphirestack_configuration_age_seconds',
+        Kind.GAUGE,
+        'Time since the revision was confirmed to be the newest.',
+    ),
+    Metric(
+        'samphirestack_configuration_fresh',
+        Kind.GAUGE,
+        '1 while the revision is known to be the newest, else 0.',
+    ),
+    Metric(
+        'samphirestack_leader',
+        Kind.GAUGE,
+        '1 while this node leads its zone and may act, else 0.',
+    ),
+    Metric(
+        'samphirestack_leader_epoch',
+        Kind.GAUGE,
+        'Highest epoch of the zone that this node has seen.',
+    ),
+    Metric(
+        'samphirestack_peers',
+        Kind.GAUGE,
+        'Other entry VMs by zone and whether they answer heartbeats.',
+        ('zone', 'alive'),
+    ),
+    Metric(
+        'samphirestack_peer_messages_dropped_total',
+        Kind.COUNTER,
+        'Messages between entry VMs that were dropped, by reason.',
+        ('reason',),
+    ),
+    Metric(
+        'samphirestack_peer_connections_reopened_total',
+        Kind.COUNTER,
+        'Silent connections between entry VMs that were replaced.',
+    ),
+    Metric(
+        'samphirestack_peer_keys_rejected_total',
+        Kind.COUNTER,
+        'Connections of other daemons refused for an unknown key.',
+    ),
+    Metric(
+        'samphirestack_vm_list_age_seconds',
+        Kind.GAUGE,
+        "Time since the platform's list of VMs was read.",
+    ),
+    Metric(
+        'samphirestack_log_lines_dropped_total',
+        Kind.COUNTER,
+        'Log lines that could not be written.',
+    ),
+    Metric(
+        'process_resident_memory_bytes',
+        Kind.GAUGE,
+        'Resident memory of this process.',
+    ),
+    Metric(
+        'process_cpu_seconds_total',
+        Kind.COUNTER,
+        'Processor time of this process in user and system mode.',
+    ),
+)
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """A value that a source reports when metrics are rendered."""
+
+    name: str
+    value: float
+    labels: dict[str, str] = {}
+
+
+Source = Callable[[], Iterator[Sample]]
+
+
+class Metrics:
+    """All metrics in one registry."""
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self._collectors_by_name: dict[
+            str, collectors.Counter | collectors.Gauge
+        ] = {}
+        self._by_event: dict[str, Metric] = {}
+        self._declared = {metric.name: metric for metric in METRICS}
+        self._seen: dict[tuple[str, str], set[str]] = {}
+        self._sources: list[Source] = []
+        for metric in METRICS:
+            kind = (
+                collectors.Counter
+                if metric.kind is Kind.COUNTER
+                else collectors.Gauge
+            )
+            self._collectors_by_name[metric.name] = kind(
+                metric.name, metric.help, registry=self._registry
+            )
+            if metric.event:
+                self._by_event[metric.event] = metric
+
+    def add_source(self, source: Source) -> None:
+        """Ask ``source`` for its samples whenever metrics are rendered."""
+        self._sources.append(source)
+
+    def count_event(self, kind: str, fields: dict[str, object]) -> None:
+        """Count an event of the time line."""
+        self._add('samphirestack_events_total', {'kind': kind})
+        metric = self._by_event.get(kind)
+        if metric is not None:
+            labels = {
+                name: str(fields.get(name, '')) for name in metric.labels
+            }
+            self._add(metric.name, labels)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text of all metrics and its content type."""
+        for source in self._sources:
+            for sample in source():
+                collector = self._collectors_by_name[sample.name]
+                labels = self._bounded(sample.name, sample.labels)
+                collector.set_value(labels, sample.value)
+        content, headers = renderer.render(self._registry, ())
+        return content, headers['Content-Type']
+
+    def _add(self, name: str, labels: dict[str, str]) -> None:
+        collector = self._collectors_by_name[name]
+        collector.inc(self._bounded(name, labels))
+
+    def _bounded(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+        bounded = {}
+        for label in self._declared[name].labels:
+            value = labels.get(label, '')
+            seen = self._seen.setdefault((name, label), set())
+            if value not in seen:
+                if len(seen) >= MAX_LABEL_VALUES:
+                    value = OTHER
+                else:
+                    seen.add(value)
+            bounded[label] = value
+        return bounded
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/peers/links.py
@@ -0,0 +1,390 @@
+"""Links to all other daemons over ZeroMQ.
+
+A ROUTER socket takes what peers send; a DEALER socket for each peer sends
+to it.  Heartbeats are answered on the connection on which they came, so a
+connection that went silent shows itself and is replaced.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import itertools
+
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from samphirestack import configuration
+from samphirestack.internal import messages
+from samphirestack import model
+from samphirestack import settings as settings_types
+from samphirestackd import interfaces
+from samphirestackd import lamport
+from samphirestackd.peers import directory
+from samphirestackd.peers import link as link_types
+from samphirestackd.peers import security
+from samphirestackd.peers import status
+from samphirestackd.peers import subscribers
+
+MESSAGES_PER_TURN = 64
+"""Messages handled before the loop lets other work run."""
+
+TURNS_PER_HEARTBEAT = 5
+SEED_RETRY_S = 2.0
+NO_ONE = model.VmId('')
+
+
+class PeerLinks:
+    """The links of this node; see :class:`interfaces.PeerLinks`."""
+
+    def __init__(
+        self,
+        settings: settings_types.Settings,
+        clock: Callable[[], float],
+        lamport_clock: lamport.LamportClock,
+        keys: security.Keys | None,
+        node_status: Callable[[], status.NodeStatus],
+    ) -> None:
+        self._settings = settings
+        self._timing = settings.timing
+        self._clock = clock
+        self._lamport = lamport_clock
+        self._keys = keys
+        self._node_status = node_status
+        self._context = zmq.asyncio.Context()
+        self._known_keys = security.KnownKeys(keys.public if keys else b'')
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = (
+            None
+        )
+        self._router: zmq.asyncio.Socket | None = None
+        self._directory = directory.PeerDirectory(settings.vm_id)
+        self._own_address = settings.listen.peers
+        self._links_by_id: dict[model.VmId, link_types.Link] = {}
+        self._seeds: list[link_types.Link] = []
+        self._next_seeds_at = 0.0
+        self._receivers: dict[link_types.Link, asyncio.Task[None]] = {}
+        self._subscribers = subscribers.Subscribers()
+        self.subscribe = self._subscribers.subscribe
+        self.on_pong = self._subscribers.on_pong
+        self._numbers = itertools.count(1)
+        self.dropped_by_reason = {
+            'malformed': 0,
+            'no_link': 0,
+            'queue_full': 0,
+            'unexpected': 0,
+        }
+        """Messages that were dropped, counted by reason."""
+
+    @property
+    def own_id(self) -> model.VmId:
+        """Name of this VM."""
+        return self._settings.vm_id
+
+    @property
+    def own_address(self) -> str:
+        """Address under which other daemons reach this node."""
+        return self._own_address
+
+    @property
+    def rejected_keys(self) -> int:
+        """Number of connections refused for an unknown key."""
+        return self._known_keys.rejected
+
+    @property
+    def reopened(self) -> int:
+        """Number of silent connections that were replaced."""
+        return sum(link.reopened for link in self._links_by_id.values())
+
+    def set_vms(self, vms: Mapping[model.VmId, model.Vm]) -> None:
+        """Take over a new list of VMs."""
+        own = vms.get(self.own_id)
+        if own is not None and own.address:
+            self._own_address = own.address
+        self._directory.set_vms(vms)
+        self._sync_links()
+
+    def set_configuration(self, current: configuration.Configuration) -> None:
+        """Take over a new roster."""
+        self._directory.set_members(current)
+        self._sync_links()
+
+    def peers_by_id(self) -> dict[model.VmId, interfaces.Peer]:
+        """Return all known peers, without this node."""
+        now = self._clock()
+        return {
+            vm_id: interfaces.Peer(
+                vm_id,
+                link.zone,
+                link.address,
+                link.is_alive(now, self._timeout_s(link.zone)),
+                link.draining,
+                link.fresh,
+                link.revision,
+            )
+            for vm_id, link in self._links_by_id.items()
+        }
+
+    def is_alive(self, vm_id: model.VmId) -> bool:
+        """Return whether a peer answered a heartbeat lately."""
+        link = self._links_by_id.get(vm_id)
+        return link is not None and link.is_alive(
+            self._clock(), self._timeout_s(link.zone)
+        )
+
+    def send(self, to: model.VmId, message: messages.AnyMessage) -> bool:
+        """Send and return false if the peer is unknown or dead."""
+        if to == self.own_id:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._subscribers.dispatch, self.own_id, message)
+            return True
+        link = self._links_by_id.get(to)
+        if link is None or not self.is_alive(to):
+            self.dropped_by_reason['no_link'] += 1
+            return False
+        if not link.send(self._encode(message)):
+            self.dropped_by_reason['queue_full'] += 1
+            return False
+        return True
+
+    def broadcast(self, message: messages.AnyMessage) -> None:
+        """Send to all peers that are alive."""
+        for vm_id in list(self._links_by_id):
+            if self.is_alive(vm_id):
+                self.send(vm_id, message)
+
+    def heartbeat_now(self) -> None:
+        """Send a heartbeat to every peer without waiting for its time."""
+        for link in self._links_by_id.values():
+            self._ping(link, self._clock())
+
+    def listen(self) -> None:
+        """Bind the socket for peers.
+
+        :raises zmq.ZMQError: the address can't be used.
+        """
+        router = self._context.socket(zmq.ROUTER)
+        router.linger = 0
+        router.maxmsgsize = messages.MAX_MESSAGE_BYTES
+        if self._keys is not None:
+            self._authenticator = security.start_authenticator(
+                self._context, self._known_keys
+            )
+            security.protect_server(router, self._keys)
+        router.bind(f'tcp://{self._settings.listen.peers}')
+        self._router = router
+
+    async def run(self) -> None:
+        """Send heartbeats and take messages until cancelled."""
+        if self._router is None:
+            self.listen()
+        assert self._router is not None
+        taking = asyncio.create_task(self._take_from_peers(self._router))
+        try:
+            while True:
+                self._turn(self._clock())
+                await asyncio.sleep(
+                    self._timing.heartbeat_s / TURNS_PER_HEARTBEAT
+                )
+        finally:
+            taking.cancel()
+            self._close()
+
+    async def drain(self) -> None:
+        """Return at once: links are needed until the end."""
+
+    def _close(self) -> None:
+        for link in [*self._links_by_id.values(), *self._seeds]:
+            self._drop(link)
+        self._links_by_id.clear()
+        self._seeds.clear()
+        if self._router is not None:
+            self._router.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.term()
+
+    def _turn(self, now: float) -> None:
+        self._try_seeds(now)
+        for vm_id, link in list(self._links_by_id.items()):
+            timeout_s = self._timeout_s(link.zone)
+            if link.is_silent(now, timeout_s):
+                self._directory.forget_caller(vm_id)
+                if vm_id not in self._directory.places_by_id():
+                    self._drop(self._links_by_id.pop(vm_id))
+                    continue
+                self._reopen(link, now)
+        for link in [*self._links_by_id.values(), *self._seeds]:
+            if now >= link.next_ping_at:
+                self._ping(link, now)
+
+    def _try_seeds(self, now: float) -> None:
+        if now < self._next_seeds_at:
+            return
+        self._next_seeds_at = now + SEED_RETRY_S
+        for link in self._seeds:
+            self._drop(link)
+        self._seeds.clear()
+        if any(self.is_alive(vm_id) for vm_id in self._links_by_id):
+            return
+        for address in self._settings.cluster.seeds:
+            if address not in (self._own_address, self._settings.listen.peers):
+                link = self._new_link(NO_ONE, model.ZoneId(''), address)
+                self._seeds.append(link)
+
+    def _sync_links(self) -> None:
+        places = self._directory.places_by_id()
+        for vm_id, link in list(self._links_by_id.items()):
+            place = places.get(vm_id)
+            if place is None or place.address != link.address:
+                self._drop(self._links_by_id.pop(vm_id))
+        for vm_id, place in places.items():
+            if vm_id not in self._links_by_id:
+                self._links_by_id[vm_id] = self._new_link(
+                    vm_id, place.zone, place.address
+                )
+
+    def _new_link(
+        self, vm_id: model.VmId, zone: model.ZoneId, address: str
+    ) -> link_types.Link:
+        link = link_types.Link(
+            self._context, self._keys, vm_id, zone, address, self._clock()
+        )
+        self._receive_from(link)
+        return link
+
+    def _receive_from(self, link: link_types.Link) -> None:
+        task = asyncio.ensure_future(self._take_from_link(link, link.socket))
+        self._receivers[link] = task
+
+    def _reopen(self, link: link_types.Link, now: float) -> None:
+        self._receivers.pop(link).cancel()
+        link.reopen(now)
+        self._receive_from(link)
+
+    def _drop(self, link: link_types.Link) -> None:
+        self._receivers.pop(link).cancel()
+        link.close()
+
+    def _ping(self, link: link_types.Link, now: float) -> None:
+        local = link.zone in (self._settings.zone, '')
+        link.next_ping_at = now + (
+            self._timing.heartbeat_s
+            if local
+            else self._timing.remote_heartbeat_s
+        )
+        number = next(self._numbers)
+        own = self._node_status()
+        ping = messages.Ping(
+            number,
+            self._settings.zone,
+            own.revision,
+            own.leader,
+            own.epoch,
+            own.draining,
+            self._own_address,
+        )
+        link.ping_sent(number, now)
+        link.send(self._encode(ping))
+
+    def _timeout_s(self, zone: model.ZoneId) -> float:
+        if zone in (self._settings.zone, ''):
+            return self._timing.peer_timeout_s
+        return self._timing.remote_peer_timeout_s
+
+    def _encode(self, message: messages.AnyMessage) -> bytes:
+        return messages.encode(self.own_id, self._lamport.tick(), message)
+
+    async def _take_from_peers(self, router: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await router.recv_multipart()
+            for _ in range(MESSAGES_PER_TURN):
+                self._from_peer(router, frames)
+                more = link_types.outcome(
+                    router.recv_multipart(flags=zmq.DONTWAIT)
+                )
+                if more.exception() is not None:
+                    break
+                frames = more.result()
+            else:
+                self._from_peer(router, frames)
+            await asyncio.sleep(0)
+
+    def _from_peer(
+        self, router: zmq.asyncio.Socket, frames: list[bytes]
+    ) -> None:
+        envelope = messages.decode(frames[1]) if len(frames) == 2 else None
+        if envelope is None:
+            self.dropped_by_reason['malformed'] += 1
+            return
+        self._lamport.observe(envelope.clock)
+        if isinstance(envelope.message, messages.Ping):
+            pong = self._encode(self._answer(envelope.message))
+            reply = [frames[0], pong]
+            link_types.outcome(
+                router.send_multipart(reply, flags=zmq.DONTWAIT)
+            ).exception()
+            self._note_caller(envelope.sender, envelope.message)
+        self._subscribers.dispatch(envelope.sender, envelope.message)
+
+    def _answer(self, ping: messages.Ping) -> messages.Pong:
+        own = self._node_status()
+        return messages.Pong(
+            ping.number,
+            self._settings.zone,
+            own.revision,
+            own.promised,
+            own.leader,
+            own.epoch,
+            own.draining,
+            own.fresh,
+        )
+
+    def _note_caller(self, sender: model.VmId, ping: messages.Ping) -> None:
+        place = directory.Place(ping.zone, ping.address)
+        if self._directory.heard_from(sender, place):
+            self._sync_links()
+
+    async def _take_from_link(
+        self, link: link_types.Link, socket: zmq.asyncio.Socket
+    ) -> None:
+        while True:
+            data = await socket.recv()
+            envelope = messages.decode(data)
+            if envelope is None:
+                self.dropped_by_reason['malformed'] += 1
+                continue
+            self._lamport.observe(envelope.clock)
+            if isinstance(envelope.message, messages.Pong):
+                self._take_pong(link, envelope.sender, envelope.message)
+            else:
+                self.dropped_by_reason['unexpected'] += 1
+
+    def _take_pong(
+        self,
+        link: link_types.Link,
+        sender: model.VmId,
+        pong: messages.Pong,
+    ) -> None:
+        sent_at = link.take_sent_at(pong.number)
+        if sent_at is None:
+            return
+        if link.vm_id == NO_ONE:
+            self._identified(link, sender, pong)
+            return
+        if sender != link.vm_id:
+            # Another VM has got the address of the one that was here.
+            self.dropped_by_reason['unexpected'] += 1
+            return
+        link.replied_at = self._clock()
+        link.draining = pong.draining
+        link.fresh = pong.fresh
+        link.revision = pong.revision
+        self._subscribers.dispatch_pong(sender, pong, sent_at)
+
+    def _identified(
+        self, link: link_types.Link, sender: model.VmId, pong: messages.Pong
+    ) -> None:
+        place = directory.Place(pong.zone, link.address)
+        if sender != self.own_id:
+            self._directory.heard_from(sender, place)
+            self._sync_links()
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/platform_http/calls.py
@@ -0,0 +1,185 @@
+"""HTTP calls whose failures tell whether anything was sent.
+
+A failure before a connection was in hand certainly had no effect.  After
+that the request may have arrived, whatever the failure looks like.
+"""
+
+import asyncio
+import types
+from typing import Any
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import yarl
+
+IDLE_TIMEOUT_S = 3.0
+"""Age at which idle connections are closed; common servers close them after
+5 s or more, and a call that meets such a close has an unknown outcome."""
+
+MAX_CONNECTIONS = 32
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Bound on an answer, since it is held in memory as a whole."""
+
+
+T = TypeVar('T')
+
+
+class NotSent(Exception):
+    """The call failed before anything was sent."""
+
+
+class NoAnswer(Exception):
+    """The call was sent, or may have been, and no whole answer came."""
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer with any status."""
+
+    status: int
+    body: bytes
+    etag: str = ''
+
+
+class _Progress:
+    """Whether a call had a connection, so that bytes may have been sent."""
+
+    __slots__ = ('connected',)
+
+    def __init__(self) -> None:
+        self.connected = False
+
+
+class _Pool:
+    """A session and the number of calls that use it."""
+
+    __slots__ = ('retired', 'session', 'users')
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.users = 0
+        self.retired = False
+
+    async def leave(self) -> None:
+        self.users -= 1
+        if self.retired and not self.users:
+            await self.session.close()
+
+
+class Caller:
+    """Calls to one server.
+
+    After a time-out the other connections are not trusted either: they are
+    used for calls in progress only, and the next call opens a new one.
+
+    :param timeout_s: deadline of each call, in seconds.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._pool: _Pool | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        pool, self._pool = self._pool, None
+        if pool is not None:
+            await pool.session.close()
+
+    async def call(
+        self,
+        method: str,
+        url: yarl.URL,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        extra_s: float = 0.0,
+    ) -> Answer:
+        """Send a request and return the answer.
+
+        :param extra_s: time that the server may wait before it answers.
+        :raises NotSent: it certainly had no effect.
+        :raises NoAnswer: it may have had an effect.
+        """
+        pool, progress = self._enter(), _Progress()
+        try:
+            async with asyncio.timeout(self._timeout_s + extra_s):
+                return await _exchange(
+                    pool.session, method, url, body, headers, progress
+                )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # TimeoutError is an OSError; ValueError comes from malformed
+            # answers.
+            self._retire(pool)
+            text = f'{method} {url.path}: {type(error).__name__} {error}'
+            if progress.connected:
+                raise NoAnswer(text) from None
+            raise NotSent(text) from None
+        finally:
+            await pool.leave()
+
+    def _enter(self) -> _Pool:
+        if self._pool is None:
+            self._pool = _Pool(_new_session())
+        self._pool.users += 1
+        return self._pool
+
+    def _retire(self, pool: _Pool) -> None:
+        pool.retired = True
+        if self._pool is pool:
+            self._pool = None
+
+
+async def _exchange(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: yarl.URL,
+    body: bytes | None,
+    headers: dict[str, str] | None,
+    progress: _Progress,
+) -> Answer:
+    async with session.request(
+        method,
+        url,
+        data=body,
+        headers=headers,
+        allow_redirects=False,
+        trace_request_ctx=progress,
+    ) as response:
+        length = response.content_length
+        if length is not None and length > MAX_ANSWER_BYTES:
+            raise ValueError(f'answer of {length} bytes')
+        content = await response.read()
+        return Answer(
+            response.status, content, response.headers.get('ETag', '')
+        )
+
+
+def _new_session() -> aiohttp.ClientSession:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_connected)
+    trace.on_connection_reuseconn.append(_connected)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=MAX_CONNECTIONS,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            ttl_dns_cache=None,
+        ),
+        # The deadline is one for the whole call, set by the caller.
+        timeout=aiohttp.ClientTimeout(total=None),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[trace],
+        trust_env=False,
+    )
+
+
+async def _connected(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    parameters: Any,
+) -> None:
+    context.trace_request_ctx.connected = True
+
+
+def join(base: str, path: str, **query: str) -> yarl.URL:
+    """Return the URL of a path below ``base``; ``path`` is not encoded."""
+    url = yarl.URL(base.rstrip('/')) / path.lstrip('/')
+    return url.with_query(query) if query else url
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/redaction.py
@@ -0,0 +1,53 @@
+"""Keeps keys, tokens and bodies out of logs and events."""
+
+import re
+
+REDACTED = '[redacted]'
+MAX_TEXT = 2000
+"""Longer texts are cut: they may hold what a caller sent."""
+
+SECRET_NAMES = frozenset(
+    {
+        'answer',
+        'authorization',
+        'body',
+        'digest',
+        'key',
+        'operator_token',
+        'password',
+        'payload',
+        'salt',
+        'secret',
+        'secret_key',
+        'token',
+    }
+)
+"""Names of fields that are never written."""
+
+_SECRETS = re.compile(
+    # The text of a team key: ``<key id>.<secret>``.
+    r'\bk[0-9a-f]{12}\.[\w-]{16,}'
+    r'|(?i:bearer)\s+\S+'
+)
+
+
+def clean(fields: dict[str, object]) -> dict[str, object]:
+    """Return fields without secrets."""
+    return {
+        name: REDACTED if name.lower() in SECRET_NAMES else clean_value(value)
+        for name, value in fields.items()
+    }
+
+
+def clean_value(value: object) -> object:
+    """Return a value for JSON without secrets."""
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    if isinstance(value, str):
+        return _SECRETS.sub(REDACTED, value[:MAX_TEXT])
+    if isinstance(value, dict):
+        return clean({str(name): item for name, item in value.items()})
+    if isinstance(value, list | tuple | set | frozenset):
+        return [clean_value(item) for item in value]
+    # Other objects could show anything, such as bytes that callers sent.
+    return f'<{type(value).__name__}>'
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/serving.py
@@ -0,0 +1,51 @@
+"""HTTP servers inside the daemon's own event loop."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import socket
+
+import uvicorn
+
+CLOSE_TIMEOUT_S = 2.0
+"""Longest wait for answers that are being written when a server stops."""
+
+
+class _Server(uvicorn.Server):
+    """Leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers."""
+        yield
+
+
+class HttpServer:
+    """A uvicorn server on a socket that is bound at once.
+
+    :raises OSError: the address can't be used.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        self._server = _Server(config)
+        self._socket = socket.create_server(
+            (config.host, config.port), backlog=config.backlog
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._task = asyncio.create_task(
+            self._server.serve(sockets=[self._socket])
+        )
+
+    async def stop(self) -> None:
+        """Close idle connections, finish answers and end."""
+        if self._task is None:
+            self._socket.close()
+            return
+        self._server.should_exit = True
+        await asyncio.wait([self._task], timeout=CLOSE_TIMEOUT_S)
+        self._server.force_exit = True
+        self._task.cancel()
+        await asyncio.wait([self._task])
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/vms.py
@@ -0,0 +1,70 @@
+"""The platform's list of VMs, read again and again."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+
+from samphirestack import errors
+from samphirestack import model
+from samphirestack import platform
+from samphirestackd import logs
+
+VmsHandler = Callable[[dict[model.VmId, model.Vm]], None]
+
+
+class VmDirectory:
+    """The list as last read; an outage leaves it unchanged.
+
+    :param source: client of the list.
+    :param poll_s: time between reads, in seconds.
+    """
+
+    def __init__(
+        self,
+        source: platform.VmList,
+        poll_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._source = source
+        self._poll_s = poll_s
+        self._clock = clock
+        self._last: list[model.Vm] = []
+        self._by_id: dict[model.VmId, model.Vm] = {}
+        self._handlers: list[VmsHandler] = []
+        self.read_at: float | None = None
+        """When the list was last read."""
+
+    def vms_by_id(self) -> dict[model.VmId, model.Vm]:
+        """Return all VMs of all zones; empty before the first read."""
+        return self._by_id
+
+    def on_vms(self, handler: VmsHandler) -> None:
+        """Call ``handler`` after each read that changed the list."""
+        self._handlers.append(handler)
+
+    async def run(self) -> None:
+        """Read the list until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(self._poll_s)
+
+    async def drain(self) -> None:
+        """Return at once: other parts need the list until the end."""
+
+    async def refresh(self) -> None:
+        """Read the list once and keep the old one if that fails."""
+        try:
+            listed = await self._source.list_vms()
+        except errors.PlatformError as error:
+            logs.debug('vms.unavailable', reason=error.message)
+            return
+        except errors.StoreUnavailable as error:
+            logs.debug('vms.unavailable', reason=error.message)
+            return
+        self.read_at = self._clock()
+        if listed == self._last:
+            return
+        self._last = listed
+        self._by_id = {vm.vm_id: vm for vm in listed}
+        for handler in self._handlers:
+            logs.guard(functools.partial(handler, self._by_id))
