Grant slots from the daemon: connect the request scheduler

A term that is told again with an earlier grant_from no longer restarts the schedulers, which would forget what they had learned.

--- a/packages/core/src/samphirestack/internal/leader/requests.py
+++ b/packages/core/src/samphirestack/internal/leader/requests.py
@@ -153,6 +153,14 @@
         self._reports.start_term()
         self._pool.require_status()
 
+    def grant_earlier(self, grant_from: float) -> None:
+        """Move the first time to grant forward.
+
+        :param grant_from: the former leader turned out to have stopped
+            granting before this time.
+        """
+        self._grant_from = min(self._grant_from, grant_from)
+
     def end_term(self, now: float) -> None:
         """Stop leading and forget all requests and slots."""
         self._epoch = None
--- a/packages/daemon/src/samphirestackd/controllers/tasks.py
+++ b/packages/daemon/src/samphirestackd/controllers/tasks.py
@@ -86,7 +86,13 @@
 
     def _on_term(self, term: interfaces.Term | None) -> None:
         now = self._context.clock()
-        if self._term is not None:
+        before = self._term
+        if term is not None and before and term.epoch == before.epoch:
+            # Only the time from which tasks may start has moved.
+            self._term = term
+            self._work.set()
+            return
+        if before is not None:
             self._workers.end_term()
             self._rows.end_term()
             self._scheduler.end_term(now)
--- a/packages/daemon/src/samphirestackd/daemon.py
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -1,7 +1,6 @@
 """Builds the parts of the daemon, runs them and shuts them down."""
 
 import asyncio
-
 import time
 from typing import Any
 
@@ -15,6 +14,9 @@
 from samphirestackd.controllers import config_store
 from samphirestackd.controllers import configuration
 from samphirestackd.controllers import leadership
+from samphirestackd.controllers import requests
+from samphirestackd.controllers import shared
+from samphirestackd.controllers import tasks
 from samphirestackd import dispatch
 from samphirestackd import edge
 from samphirestackd import events
@@ -194,12 +196,17 @@
         )
 
     def _create_components(self) -> list[interfaces.Component]:
+        common = shared.create_shared()
+        self._requests = requests.create(self.context, common)
+        self._tasks = tasks.create(self.context, common)
         return [
             self.links,
             self.vms,
             self.configuration,
             self.leadership,
             self._dispatcher,
+            self._requests,
+            self._tasks,
         ]
 
     def _create_servers(self, token: str) -> list[serving.HttpServer]:
@@ -209,7 +216,7 @@
             self.configuration,
             self.events,
             self._metrics,
-            leading.Leading(),
+            leading.Leading(self._requests, self._tasks),
             self.stop,
             self.configuration.age_s,
         )
