--- a/packages/testing/src/samphirestack_testing/cluster.py
+++ b/packages/testing/src/samphirestack_testing/cluster.py
@@ -101,6 +101,16 @@
             sorted(self.directory.glob('jobs*.jsonl')),
         )
 
+    def stand_in_ports(self) -> dict[str, set[int]]:
+        """Return the ports that each stand-in or proxy listens on."""
+        return {
+            name: {
+                int(address.rpartition(':')[2])
+                for address in ready.addresses_by_id.values()
+            }
+            for name, ready in self._ready.items()
+        }
+
     async def control(self, process: str, name: str, body: object) -> None:
         """Send a command to the control interface of a stand-in."""
         url = f'http://{self._ready[process].control}/control/{name}'
