Make StoreUnavailable a PlatformError

platform.py says that all calls to the platform raise PlatformError, and the readers and writers of job rows catch just that. In a trial of the whole daemon with a table outage of 3 s StoreUnavailable went past them and ended the task controller of each leader; the jobs of two zones stayed waiting for 30 s after all faults were over.

--- a/packages/core/src/samphirestack/errors.py
+++ b/packages/core/src/samphirestack/errors.py
@@ -176,14 +176,6 @@
     hint = 'Send it to another availability zone; it has not run.'
 
 
-class StoreUnavailable(SamphireError):
-    """The platform's table did not answer in time."""
-
-    code = 'store_unavailable'
-    http_status = 503
-    hint = 'Send it again when the platform answers.'
-
-
 class NoLeader(SamphireError):
     """No zone leader could be reached before the deadline."""
 
@@ -234,6 +226,14 @@
     http_status = 503
 
 
+class StoreUnavailable(PlatformError):
+    """The platform's table did not answer in time."""
+
+    code = 'store_unavailable'
+    http_status = 503
+    hint = 'Send it again when the platform answers.'
+
+
 class TransactionConflict(PlatformError):
     """A conditional write found another version than expected.
 
