Count tasks that fail at once as ended in the oracle

A trial with a worker that fails everything was reported as tasks in two places: start and end of such a task have the same time, and the end was ordered before its own start.

--- a/packages/testing/src/samphirestack_testing/oracle.py
+++ b/packages/testing/src/samphirestack_testing/oracle.py
@@ -15,6 +15,7 @@
 from samphirestack import model
 from samphirestack_testing import ledger
 
+Event = ledger.Event
 LEAVING_GRACE_S = 4.0
 """Time after which a leaving upstream must receive no new work."""
 EVIDENCE_LINES = 6
@@ -90,10 +91,25 @@
 
 
 def _ordered(lines: Iterable[ledger.Line]) -> list[ledger.Line]:
-    # What ends at the moment at which something starts makes room for it.
-    return sorted(
-        lines, key=lambda line: (line.at_s, line.event is ledger.Event.START)
-    )
+    """Return the lines by time.
+
+    What ends at the moment at which something else starts makes room for
+    it; what ends at the moment of its own start comes after the start.
+    """
+    every = list(lines)
+    starts = {_attempt_of(line) for line in every if line.event is Event.START}
+
+    def key(line: ledger.Line) -> tuple[float, int]:
+        if line.event is Event.START:
+            return line.at_s, 1
+        ends_at_start = line.event is Event.END and _attempt_of(line) in starts
+        return line.at_s, 2 if ends_at_start else 0
+
+    return sorted(every, key=key)
+
+
+def _attempt_of(line: ledger.Line) -> tuple[str, str, int, float]:
+    return line.place, line.id, line.attempt, line.at_s
 
 
 def _finding(
@@ -119,8 +135,8 @@
 def _check_call(
     call: ledger.CallRecord, lines: list[ledger.Line]
 ) -> list[Finding]:
-    starts = [line for line in lines if line.event is ledger.Event.START]
-    ends = [line for line in lines if line.event is ledger.Event.END]
+    starts = [line for line in lines if line.event is Event.START]
+    ends = [line for line in lines if line.event is Event.END]
     evidence = [*lines, call]
     found: list[tuple[Kind, str]] = []
     if call.outcome is ledger.Outcome.NO_ANSWER:
@@ -177,7 +193,7 @@
         successes = _count(own, model.TaskState.SUCCEEDED)
         finished += min(successes, 1)
         resumed = _count(own, model.TaskState.CHECKPOINTED)
-        starts = sum(line.event is ledger.Event.START for line in own)
+        starts = sum(line.event is Event.START for line in own)
         repeated = not job.idempotent and starts > 1 + resumed
         if not service and (successes > 1 or repeated):
             reason = f'started {starts} times, finished {successes} times'
@@ -194,7 +210,7 @@
 
 def _count(lines: list[ledger.Line], state: model.TaskState) -> int:
     return sum(
-        line.event is ledger.Event.END and line.outcome == state.value
+        line.event is Event.END and line.outcome == state.value
         for line in lines
     )
 
@@ -208,7 +224,7 @@
         if line.subject is not ledger.Subject.TASK:
             continue
         place = line.place
-        if line.event is ledger.Event.OFFERED:
+        if line.event is Event.OFFERED:
             capacity[place] = line.resources
         used[place] = _step(used.get(place, model.Resources()), line)
         if place in reported or place not in capacity:
@@ -223,9 +239,9 @@
 
 
 def _step(used: model.Resources, line: ledger.Line) -> model.Resources:
-    if line.event is ledger.Event.START:
+    if line.event is Event.START:
         return used + line.resources
-    if line.event is ledger.Event.END:
+    if line.event is Event.END:
         return used - line.resources
     return used
 
@@ -237,7 +253,7 @@
         if line.subject is not ledger.Subject.TASK or not line.id:
             continue
         present = running.setdefault(line.id, [])
-        if line.event is ledger.Event.START:
+        if line.event is Event.START:
             if present:
                 reason = f'runs at {present[0].place} and {line.place}'
                 findings.append(
@@ -246,7 +262,7 @@
                     )
                 )
             present.append(line)
-        elif line.event is ledger.Event.END:
+        elif line.event is Event.END:
             running[line.id] = [
                 start for start in present if not _ends(line, start)
             ]
@@ -266,9 +282,9 @@
 
     def step(self, line: ledger.Line) -> None:
         """Count a start or an end."""
-        if line.event is ledger.Event.START:
+        if line.event is Event.START:
             self.running += 1
-        elif line.event is ledger.Event.END:
+        elif line.event is Event.END:
             self.running -= 1
         self.resources = _step(self.resources, line)
 
@@ -311,10 +327,10 @@
     leaving: dict[str, ledger.Line] = {}
     findings = []
     for line in lines:
-        if line.event is ledger.Event.LEAVING:
+        if line.event is Event.LEAVING:
             leaving.setdefault(line.place, line)
         said = leaving.get(line.place)
-        if said is None or line.event is not ledger.Event.START:
+        if said is None or line.event is not Event.START:
             continue
         if line.subject is not ledger.Subject.REQUEST:
             continue
--- a/tests/unit/testing/test_oracle.py
+++ b/tests/unit/testing/test_oracle.py
@@ -158,6 +158,12 @@
         lines = [*_work(2, 3, 'b'), *_work(1, 2, 'a')]
         assert _kinds(oracle.Run(lines), LIMITS) == []
 
+    def test_task_that_fails_at_once_has_ended(self) -> None:
+        """Guards against false reports of tasks without duration."""
+        failed = _task(1, 1, outcome='failed')
+        lines = [WORKER, *failed, *_task(1.5, 3, attempt=2)]
+        assert _kinds(oracle.Run(lines)) == []
+
     def test_team_above_its_limit_over_requests_and_tasks(self) -> None:
         lines = _work(1, 3) + _task(2, 4)
         found = oracle.check(oracle.Run(lines), LIMITS)
