--- a/packages/testing/src/samphirestack_testing/standins/platform.py
+++ b/packages/testing/src/samphirestack_testing/standins/platform.py
@@ -188,8 +188,14 @@
             raise web.HTTPNotFound
         return web.Response(body=content)
 
-    async def _list_vms(self, _: web.Request) -> web.Response:
-        return serving.json_response(self.vms.visible(time.monotonic()))
+    async def _list_vms(self, request: web.Request) -> web.Response:
+        listed = self.vms.visible(time.monotonic())
+        etag = f'"{ledger.digest_of(listed)}"'
+        if request.headers.get('If-None-Match') == etag:
+            return web.Response(status=304, headers={'ETag': etag})
+        response = serving.json_response(listed)
+        response.headers['ETag'] = etag
+        return response
 
 
 def create(settings: Settings) -> Platform:
