Compare eight workers of a class in place of 32 across classes

Cause: a profile of placement at 1,100 workers showed three quarters of the time in the scan of up to 32 workers through nested generators. Entries of a class are sorted by free processors, so later ones rarely fit tighter.

--- a/packages/core/src/samphirestack/internal/decisions/placement.py
+++ b/packages/core/src/samphirestack/internal/decisions/placement.py
@@ -63,8 +63,8 @@
         allowed: Allowed = anywhere,
     ) -> model.WorkerId | None:
         """Return the worker with the least left over of those looked at."""
-        for group in index.groups(need):
-            best = _tightest(group, need, allowed)
+        for batch in index.batches(need):
+            best = _tightest(batch, need, allowed)
             if best is not None:
                 return best
         return None
@@ -111,20 +111,18 @@
 
 
 def _tightest(
-    slots: Iterable[worker_index.Slot], need: model.Resources, allowed: Allowed
+    slots: Sequence[worker_index.Slot],
+    need: model.Resources,
+    allowed: Allowed,
 ) -> model.WorkerId | None:
     best: model.WorkerId | None = None
     best_left = 0.0
-    looked_at = 0
     for slot in slots:
-        if not allowed(slot.worker_id):
+        if allowed is not anywhere and not allowed(slot.worker_id):
             continue
         left = _left_over(slot, need)
         if best is None or left < best_left:
             best, best_left = slot.worker_id, left
-        looked_at += 1
-        if looked_at == worker_index.SCAN_LIMIT:
-            break
     return best
 
 
--- a/packages/core/src/samphirestack/internal/decisions/worker_index.py
+++ b/packages/core/src/samphirestack/internal/decisions/worker_index.py
@@ -14,6 +14,10 @@
 SCAN_LIMIT = 32
 """Workers looked at in a class before the next class is tried."""
 
+BATCH_LIMIT = 8
+"""Workers of a class that are compared for the tightest fit.  They are
+sorted by free processors, so that later ones fit less tightly."""
+
 NONE = model.Resources()
 
 
@@ -51,8 +55,10 @@
     def __init__(self) -> None:
         self._slots_by_id: dict[model.WorkerId, Slot] = {}
         self._groups: dict[tuple[bool, int], dict[int, list[_Entry]]] = {}
+        self._class_order: dict[tuple[bool, int], list[int]] = {}
+        """The memory classes of each group that have workers, sorted."""
         self._rack_members: dict[model.RackId, dict[model.WorkerId, Slot]] = {}
-        self._rack_free: dict[model.RackId, model.Resources] = {}
+        self._rack_free: dict[model.RackId, list[int]] = {}
 
     def __contains__(self, worker_id: model.WorkerId) -> bool:
         return worker_id in self._slots_by_id
@@ -95,11 +101,11 @@
             self._insert(slot)
             members = self._rack_members.setdefault(slot.rack, {})
             members[worker_id] = slot
-            self._add_rack_free(slot.rack, slot.free)
+            self._add_rack_free(slot.rack, slot.free, 1)
         else:
             self._discard(slot)
             del self._rack_members[slot.rack][worker_id]
-            self._add_rack_free(slot.rack, NONE - slot.free)
+            self._add_rack_free(slot.rack, slot.free, -1)
 
     def commit(self, worker_id: model.WorkerId, need: model.Resources) -> None:
         """Count ``need`` as used, even beyond the capacity.
@@ -107,13 +113,13 @@
         Tasks that an agent reports are facts; callers that place new tasks
         select a worker that has room.
         """
-        self._change_free(worker_id, NONE - need)
+        self._change_free(worker_id, need, -1)
 
     def release(
         self, worker_id: model.WorkerId, need: model.Resources
     ) -> None:
         """Count ``need`` as free again."""
-        self._change_free(worker_id, need)
+        self._change_free(worker_id, need, 1)
 
     def slot(self, worker_id: model.WorkerId) -> Slot:
         """Return the entry of a worker."""
@@ -128,12 +134,33 @@
 
     def rack_free(self) -> Mapping[model.RackId, model.Resources]:
         """Return the sum of free resources of the usable workers by rack."""
-        return self._rack_free
+        return {
+            rack: model.Resources(*free)
+            for rack, free in self._rack_free.items()
+        }
 
     def in_rack(self, rack: model.RackId) -> Iterable[Slot]:
         """Return the usable workers of a rack."""
         return self._rack_members.get(rack, {}).values()
 
+    def batches(self, need: model.Resources) -> Iterator[list[Slot]]:
+        """Yield lists of workers with room, the tightest list first.
+
+        Each list is a bounded part of one class of :meth:`groups`.  Lists
+        are cheaper than iterators of single workers.
+        """
+        for key in self._group_keys(need):
+            classes = self._groups[key]
+            lowest = _memory_class(need.memory_mb)
+            order = self._class_order[key]
+            for memory_class in order[bisect.bisect_left(order, lowest) :]:
+                entries = classes[memory_class]
+                if entries[-1][0] >= need.millicores:
+                    yield self._batch(entries, need, BATCH_LIMIT)
+            if len(classes.get(lowest, ())) > BATCH_LIMIT:
+                whole = len(classes[lowest])
+                yield self._batch(classes[lowest], need, whole)
+
     def groups(self, need: model.Resources) -> Iterator[Iterator[Slot]]:
         """Yield groups of workers with room, the preferred group first.
 
@@ -141,6 +168,10 @@
         then those with the fewest free accelerators.  Inside a group the
         workers with the least free processors of each class come first.
         """
+        for key in self._group_keys(need):
+            yield self._in_group(key, need)
+
+    def _group_keys(self, need: model.Resources) -> list[tuple[bool, int]]:
         keys = [
             key
             for key, classes in self._groups.items()
@@ -148,8 +179,20 @@
         ]
         if need.accelerators:
             keys = [key for key in keys if key[0]]
-        for key in sorted(keys):
-            yield self._in_group(key, need)
+        keys.sort()
+        return keys
+
+    def _batch(
+        self, entries: list[_Entry], need: model.Resources, limit: int
+    ) -> list[Slot]:
+        start = bisect.bisect_left(entries, (need.millicores,))
+        memory_mb = need.memory_mb
+        slots = self._slots_by_id
+        return [
+            slots[entry[2]]
+            for entry in entries[start : start + limit]
+            if entry[1] >= memory_mb
+        ]
 
     def _in_group(
         self, key: tuple[bool, int], need: model.Resources
@@ -172,20 +215,27 @@
                 yield self._slots_by_id[entry[2]]
 
     def _change_free(
-        self, worker_id: model.WorkerId, change: model.Resources
+        self, worker_id: model.WorkerId, need: model.Resources, sign: int
     ) -> None:
         slot = self._slots_by_id[worker_id]
-        if slot.usable:
-            self._discard(slot)
-            self._add_rack_free(slot.rack, change)
-        slot.free = slot.free + change
-        if slot.usable:
-            self._insert(slot)
+        free = slot.free + need if sign > 0 else slot.free - need
+        if not slot.usable:
+            slot.free = free
+            return
+        self._discard(slot)
+        self._add_rack_free(slot.rack, need, sign)
+        slot.free = free
+        self._insert(slot)
 
     def _add_rack_free(
-        self, rack: model.RackId, change: model.Resources
+        self, rack: model.RackId, change: model.Resources, sign: int
     ) -> None:
-        self._rack_free[rack] = self._rack_free.get(rack, NONE) + change
+        free = self._rack_free.get(rack)
+        if free is None:
+            free = self._rack_free[rack] = [0, 0, 0]
+        free[0] += sign * change.millicores
+        free[1] += sign * change.memory_mb
+        free[2] += sign * change.accelerators
 
     def _insert(self, slot: Slot) -> None:
         free = slot.free
@@ -193,7 +243,11 @@
         place = (has, free.accelerators, _memory_class(free.memory_mb))
         entry = (free.millicores, free.memory_mb, slot.worker_id)
         classes = self._groups.setdefault(place[:2], {})
-        bisect.insort(classes.setdefault(place[2], []), entry)
+        if place[2] not in classes:
+            classes[place[2]] = []
+            order = self._class_order.setdefault(place[:2], [])
+            bisect.insort(order, place[2])
+        bisect.insort(classes[place[2]], entry)
         slot.place = (place, entry)
 
     def _discard(self, slot: Slot) -> None:
@@ -205,6 +259,7 @@
         del entries[bisect.bisect_left(entries, entry)]
         if not entries:
             del classes[place[2]]
+            self._class_order[place[:2]].remove(place[2])
         slot.place = None
 
 
