--- a/tests/property/test_request_scheduler.py
+++ b/tests/property/test_request_scheduler.py
@@ -28,8 +28,8 @@
 ZONE = model.ZoneId('z')
 SERVICE = model.ServiceId('s')
 SLICES = {'a': 2, 'b': None}
-SLOTS = {'u1': 2, 'u2': 1, 'u3': 1}
-LEAVABLE = ('u1', 'u2')
+SLOTS = {'u1': 2, 'u2': 1}
+LEAVABLE = ('u1',)
 ENTRIES = ('e1', 'e2')
 LEADERS = ('n1', 'n2')
 LEADER_TTL_S = 1.5
@@ -121,6 +121,16 @@
         self.held[entry][request.name] = request
         self.ask(entry, request)
 
+    @stateful.rule(
+        entry=strategies.sampled_from(ENTRIES),
+        team=strategies.sampled_from(tuple(SLICES)),
+    )
+    def saturate(self, entry: str, team: str) -> None:
+        """Fill all slots, the state in which a wrong count does harm."""
+        self.submit(entry, team, 'patient', 1000.0, 4)
+        self.progress()
+        self.deliver_all()
+
     @stateful.rule(seconds=strategies.sampled_from((0.1, 0.5, 1.0)))
     def wait(self, seconds: float) -> None:
         self.now += seconds
@@ -435,7 +445,7 @@
 
 
 ZoneMachine.TestCase.settings = hypothesis.settings(
-    max_examples=100,
+    max_examples=300,
     stateful_step_count=60,
     deadline=None,
     derandomize=True,
