--- a/tests/property/test_request_scheduler.py
+++ b/tests/property/test_request_scheduler.py
@@ -112,14 +112,18 @@
         team=strategies.sampled_from(tuple(SLICES)),
         queue=strategies.sampled_from(('urgent', 'patient')),
         lasts_s=strategies.sampled_from((5.0, 1000.0)),
+        count=strategies.integers(1, 5),
     )
     def submit(
-        self, entry: str, team: str, queue: str, lasts_s: float
+        self, entry: str, team: str, queue: str, lasts_s: float, count: int
     ) -> None:
-        self.counter += 1
-        request = Request(f'r{self.counter}', team, queue, self.now + lasts_s)
-        self.held[entry][request.name] = request
-        self.ask(entry, request)
+        for _ in range(count):
+            self.counter += 1
+            request = Request(
+                f'r{self.counter}', team, queue, self.now + lasts_s
+            )
+            self.held[entry][request.name] = request
+            self.ask(entry, request)
 
     @stateful.rule(
         entry=strategies.sampled_from(ENTRIES),
