--- a/packages/core/src/samphirestack/internal/decisions/limits.py
+++ b/packages/core/src/samphirestack/internal/decisions/limits.py
@@ -238,15 +238,21 @@
 
 
 def raised(
-    slices_by_zone: Slices, limit: configuration.Limit
+    slices_by_zone: Slices,
+    limit: configuration.Limit,
+    reachable: Collection[model.ZoneId] | None = None,
 ) -> dict[model.ZoneId, configuration.Limit]:
     """Share out what the limit allows above the sum of the slices.
 
     Zones get equal parts; the remainder goes to the first ones by name.
     Dimensions that are not limited become ``None``.
+
+    :param reachable: zones that get something, all if ``None``.
     """
     result = _cleaned(slices_by_zone, limit)
-    zones = sorted(result)
+    zones = sorted(
+        zone for zone in result if reachable is None or zone in reachable
+    )
     for dimension in DIMENSIONS:
         bound = getattr(limit, dimension)
         if bound is None or not zones:
@@ -341,6 +347,27 @@
     return max(0, min(asked, (unused + 1) // 2))
 
 
+def within(
+    held: configuration.Limit, limit: configuration.Limit
+) -> configuration.Limit:
+    """Return what a slice allows under a limit; ``None`` if not limited."""
+    return _as_limit(_clamped(_as_tuple(held), _as_tuple(limit)))
+
+
+def differs(
+    slices_by_zone: Slices, limit: configuration.Limit, above: bool
+) -> bool:
+    """Return whether a sum of slices is above (or below) the limit."""
+    for dimension in DIMENSIONS:
+        bound = getattr(limit, dimension)
+        if bound is None:
+            continue
+        excess = total(slices_by_zone, dimension) - bound
+        if excess > 0 if above else excess < 0:
+            return True
+    return False
+
+
 def _cleaned(
     slices_by_zone: Slices, limit: configuration.Limit
 ) -> dict[model.ZoneId, configuration.Limit]:
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/controllers/shared.py
@@ -0,0 +1,18 @@
+"""What the request scheduler and the task scheduler of a leader share."""
+
+import msgspec
+
+from samphirestack.internal.decisions import fairshare
+from samphirestack.internal.decisions import limits
+
+
+class Shared(msgspec.Struct, frozen=True):
+    """Use of limits and shares, over requests and tasks together."""
+
+    ledger: limits.TeamLedger
+    shares: fairshare.ShareTracker
+
+
+def create_shared() -> Shared:
+    """Return an empty ledger and an empty tracker."""
+    return Shared(limits.TeamLedger(), fairshare.ShareTracker())
