--- a/tests/property/test_limit_slices.py
+++ b/tests/property/test_limit_slices.py
@@ -126,6 +126,7 @@
         self.set_limit(10)
         for name in ZONES:
             self.take_over(name)
+        self.settle()
 
     def leader_of(self, zone: str) -> interfaces.Leader | None:
         return interfaces.Leader(zone, model.Epoch(self.epoch))
