--- a/packages/daemon/src/samphirestackd/edge/server.py
+++ b/packages/daemon/src/samphirestackd/edge/server.py
@@ -1,6 +1,7 @@
 """The server under the callers' interface, with its bounds."""
 
 import asyncio
+import http
 from typing import Any
 
 from starlette import types
@@ -35,7 +36,11 @@
             HEADER_TIMEOUT_S, self._check_headers
         )
         if len(self.connections) > self.max_connections:
-            transport.write(_refusal(self.max_connections))
+            error = errors.QueueFull(
+                f'this entry has {self.max_connections} connections already',
+                hint='Use another entry VM or reuse connections.',
+            )
+            transport.write(_last_answer(error))
             transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -43,6 +48,13 @@
         self._header_timer.cancel()
         super().connection_lost(exc)
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is not HTTP or has too large headers."""
+        cycle: Any = self.cycle
+        if cycle is None or cycle.response_complete:
+            self.transport.write(_last_answer(errors.BadRequest(msg)))
+        self.transport.close()
+
     def _check_headers(self) -> None:
         """Close a connection on which no call has begun for a while."""
         cycle: Any = self.cycle
@@ -63,15 +75,12 @@
         return self.cycle is None or bool(self.conn.trailing_data[0])
 
 
-def _refusal(max_connections: int) -> bytes:
-    content = exchanges.error_body(
-        errors.QueueFull(
-            f'this entry has {max_connections} connections already',
-            hint='Use another entry VM or reuse connections.',
-        )
-    )
+def _last_answer(error: errors.SamphireError) -> bytes:
+    """Return a whole answer after which the connection is closed."""
+    content = exchanges.error_body(error)
+    status = http.HTTPStatus(error.http_status)
     head = (
-        'HTTP/1.1 503 Service Unavailable\r\n'
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
         'content-type: application/json\r\n'
         f'content-length: {len(content)}\r\n'
         'connection: close\r\n\r\n'
--- a/tests/property/test_edge_fuzz.py
+++ b/tests/property/test_edge_fuzz.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
+import uvicorn
 
 from samphirestack_testing import asgi
 from samphirestack_testing import entry_world as fakes
@@ -177,3 +178,74 @@
         assert reader.held_bytes == 0
 
     asyncio.run(run())
+
+
+class _Transport(asyncio.Transport):
+    """Keeps what a protocol writes."""
+
+    def __init__(self) -> None:
+        super().__init__({'peername': ('127.0.0.1', 1)})
+        self.written = b''
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        return None
+
+    resume_reading = pause_reading
+
+
+_starts = st.sampled_from(
+    [b'', b'POST /v1/queues/free/requests HTTP/1.1\r\nhost: x\r\n']
+)
+_lines = st.sampled_from(
+    [
+        b'\r\n',
+        b'content-length: 5\r\n',
+        b'transfer-encoding: chunked\r\n',
+        b'5\r\nhello\r\n',
+        b'0\r\n\r\n',
+        b'a: ' + b'x' * 20_000,
+        b'GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n',
+    ]
+)
+
+
+@given(start=_starts, pieces=st.lists(_lines | st.binary(), max_size=8))
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_bytes_on_a_connection(start: bytes, pieces: list[bytes]) -> None:
+    """Guards against bytes that crash the server or fill its memory."""
+
+    async def run() -> None:
+        world = fakes.World()
+        world.grant_always()
+        dispatcher = dispatch.create(world.context, fakes.FAST)
+        app = edge.create_app(world.context, dispatcher)
+        edge_settings = world.context.settings.edge
+        config = edge.server_config(app, '127.0.0.1:1', edge_settings)
+        config.load()
+        state = uvicorn.Server(config).server_state
+        protocol = config.http_protocol_class(config, state, {})
+        transport = _Transport()
+        protocol.connection_made(transport)
+        for piece in [start, *pieces]:
+            # A transport never hands over an empty piece.
+            if piece and not transport.closed:
+                protocol.data_received(piece)
+                await asyncio.sleep(0)
+        assert len(protocol.conn.trailing_data[0]) < 64_000
+        protocol.connection_lost(None)
+        if state.tasks:
+            await asyncio.wait(state.tasks, timeout=5)
+        assert not state.tasks
+        assert transport.written[:9] in (b'', b'HTTP/1.1 ')
+
+    asyncio.run(run())
--- a/tests/unit/daemon/test_edge.py
+++ b/tests/unit/daemon/test_edge.py
@@ -322,4 +322,5 @@
         endless = b'x' * (server.MAX_HEADER_BYTES + 1)
         call = b'GET /healthz HTTP/1.1\r\nhost: ' + endless
         (answer,) = await self._exchange(_Node(), call)
-        assert answer.startswith(b'HTTP/1.1 4')
+        assert answer.startswith(b'HTTP/1.1 400 Bad Request')
+        assert b'"code":"bad_request"' in answer
