--- a/packages/daemon/src/samphirestackd/upstream_http.py
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import types
 from typing import Any
 
@@ -18,6 +19,7 @@
 from samphirestack import errors
 from samphirestack import model
 from samphirestack import platform
+from samphirestackd import interfaces
 
 REQUEST_ID_HEADER = 'Samphirestack-Request-Id'
 TEAM_HEADER = 'Samphirestack-Team'
@@ -25,13 +27,22 @@
 VERDICT_HEADER = 'Samphirestack-Verdict'
 NOT_RUN = 'not-run'
 
-CONNECT_TIMEOUT_S = 1.0
+PLACE_TIMEOUT_S = 0.5
+"""Longest wait for one of the allowed connections to an upstream."""
+
+CONNECT_TIMEOUT_S = 0.6
+"""Together with the wait for a place well below the 2 s after which the
+leader takes back the slot of a request that has not been sent."""
+
 STATUS_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 1.0
 """Age at which an idle connection is closed.  Common servers close idle
 connections after 5 s or more; a connection that idled for at most a second
 is not closed by the upstream while a request is on its way to it."""
 
+MIN_CONNECTIONS = 2
+"""One for work and one for the status."""
+
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bound on an answer, since it is held in memory as a whole."""
 
@@ -45,10 +56,12 @@
 class _Progress:
     """Whether a call has a connection, so that bytes may have been sent."""
 
-    __slots__ = ('connected',)
+    __slots__ = ('connected', 'reused')
 
     def __init__(self) -> None:
         self.connected = False
+        self.reused = False
+        """Whether the connection has carried another request before."""
 
 
 class _Gate:
@@ -62,6 +75,33 @@
         self.pending: asyncio.Task[platform.UpstreamStatus] | None = None
 
 
+class ConnectionShares:
+    """How many connections this entry may open to each upstream.
+
+    All entries share the connections that an upstream accepts.
+
+    :param vms: the platform's list of VMs.
+    """
+
+    def __init__(self, vms: interfaces.VmDirectory) -> None:
+        self._shares_by_address: dict[str, int] = {}
+        vms.on_vms(self._update)
+        self._update(vms.vms_by_id())
+
+    def __call__(self, address: str) -> int:
+        """Return the share of this entry, at least ``MIN_CONNECTIONS``."""
+        return self._shares_by_address.get(address, MIN_CONNECTIONS)
+
+    def _update(self, vms_by_id: Mapping[model.VmId, model.Vm]) -> None:
+        vms = vms_by_id.values()
+        entries = sum(vm.role is model.VmRole.ENTRY for vm in vms)
+        self._shares_by_address = {
+            vm.address: max(MIN_CONNECTIONS, vm.connections // max(1, entries))
+            for vm in vms
+            if vm.role is model.VmRole.UPSTREAM
+        }
+
+
 class HttpUpstreamClient:
     """An :class:`samphirestack.platform.UpstreamClient` over aiohttp.
 
@@ -106,11 +146,19 @@
             'Content-Type': 'application/json',
         }
         try:
-            async with asyncio.timeout(deadline_s):
-                async with self._gate(address).places:
+            places = self._gate(address).places
+            if places.locked():
+                async with asyncio.timeout(min(deadline_s, PLACE_TIMEOUT_S)):
+                    await places.acquire()
+            else:
+                await places.acquire()
+            try:
+                async with asyncio.timeout(deadline_s):
                     return await self._exchange(
                         address, request_id, headers, body, progress
                     )
+            finally:
+                places.release()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise _failure(address, progress, error) from error
 
@@ -131,18 +179,15 @@
             trace_request_ctx=progress,
         ) as response:
             try:
-                _check_identity(address, request_id, response)
+                _check_identity(address, request_id, response, progress)
                 _check_framing(address, response)
                 content = await _read_bounded(address, response)
             except errors.UpstreamFailed:
                 # The connection may be out of step with its requests.
                 response.close()
                 raise
-            if _is_refusal(response):
-                raise errors.UpstreamRefused(
-                    f'upstream {address} refused the request with status '
-                    f'{response.status}'
-                )
+            if _claims_not_run(response):
+                raise _refusal(address, response.status)
             return platform.UpstreamAnswer(response.status, content)
 
     async def status(self, address: str) -> platform.UpstreamStatus:
@@ -235,9 +280,17 @@
     ) -> None:
         context.trace_request_ctx.connected = True
 
+    async def reused(
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        params: object,
+    ) -> None:
+        context.trace_request_ctx.connected = True
+        context.trace_request_ctx.reused = True
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(connected)
-    trace.on_connection_reuseconn.append(connected)
+    trace.on_connection_reuseconn.append(reused)
     return trace
 
 
@@ -245,9 +298,16 @@
     address: str,
     request_id: model.RequestId,
     response: aiohttp.ClientResponse,
+    progress: _Progress,
 ) -> None:
-    """Raise unless the answer names this request, and no other."""
+    """Raise unless the answer names this request, and no other.
+
+    A refusal may leave the id out on a connection that has carried no
+    other request, since it can't be meant for another one.
+    """
     named = response.headers.getall(REQUEST_ID_HEADER, [])
+    if not named and _claims_not_run(response) and not progress.reused:
+        return
     if named != [request_id]:
         raise errors.UpstreamFailed(
             f'upstream {address} answered request {request_id!r} with the '
@@ -285,10 +345,18 @@
     return bytes(content)
 
 
-def _is_refusal(response: aiohttp.ClientResponse) -> bool:
-    return (
-        response.status >= FIRST_REFUSAL_STATUS
-        and response.headers.get(VERDICT_HEADER) == NOT_RUN
+def _claims_not_run(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get(VERDICT_HEADER) == NOT_RUN
+
+
+def _refusal(address: str, status: int) -> errors.UpstreamFailed:
+    if status < FIRST_REFUSAL_STATUS:
+        return errors.UpstreamFailed(
+            f'upstream {address} answered with status {status} and said '
+            'that it has not run the request'
+        )
+    return errors.UpstreamRefused(
+        f'upstream {address} refused the request with status {status}'
     )
 
 
