--- a/tests/unit/daemon/test_task_controllers.py
+++ b/tests/unit/daemon/test_task_controllers.py
@@ -17,12 +17,12 @@
 from samphirestack.internal import messages
 from samphirestack import model
 from samphirestack import platform
+from samphirestack_testing import entry_world as parts
 from samphirestack_testing import fakes
 from samphirestackd import context as contexts
 from samphirestackd.controllers import tasks
 from samphirestackd.controllers import worker_link
 from samphirestackd import interfaces
-from tests.unit.daemon import fakes as parts
 
 SMALL = model.Resources(1000, 1000)
 TTL_S = 0.6
