--- a/tests/unit/core/test_request_scheduler.py
+++ b/tests/unit/core/test_request_scheduler.py
@@ -163,6 +163,20 @@
         zone.status()
         assert _grants(zone.after(0.1))
 
+    def test_status_older_than_a_hold_frees_nothing(self) -> None:
+        """Fails if a status frees a slot that was taken after it."""
+        zone = _Zone(slots=1).ready()
+        asked_at = zone.now
+        zone.now += 0.1
+        (grant,) = _grants(zone.send(_slot('r')))
+        zone.now += 0.1
+        zone.release(grant, UNSURE)
+        idle = platform.UpstreamStatus(1, (), False)
+        for _ in range(holds.MISSES_TO_FREE):
+            zone.scheduler.upstream_status(zone.now, U1, idle, asked_at)
+        assert not _grants(zone.send(_slot('next')))
+        assert zone.ledger.usage(TEAM).running == 1
+
     def test_unlisted_grant_is_sent_again(self) -> None:
         """Fails if a lost release keeps a slot for ever."""
         zone = _Zone(slots=1).ready()
