--- a/tests/property/test_limit_slices.py
+++ b/tests/property/test_limit_slices.py
@@ -183,6 +183,18 @@
             asyncio.run(self.zones[name].controller.step())
         self.table.mode = 'works'
 
+    @stateful.rule(
+        name=strategies.sampled_from(ZONES),
+        mode=strategies.sampled_from(MODES),
+    )
+    def move(self, name: str, mode: str) -> None:
+        """Let a zone that lacks room ask the others, whose writes fail."""
+        self.start_work(name, 8)
+        self.step(name, 'works')
+        for donor in ZONES:
+            if donor != name:
+                self.step(donor, mode)
+
     @stateful.rule(index=strategies.integers(0, 5))
     def arrive(self, index: int) -> None:
         if self.table.late:
