--- a/packages/daemon/src/samphirestackd/controllers/requests.py
+++ b/packages/daemon/src/samphirestackd/controllers/requests.py
@@ -121,18 +121,27 @@
 
     def _on_term(self, term: interfaces.Term | None) -> None:
         now = self._context.clock()
-        self._inbox.clear()
-        self._seen_entries.clear()
-        self._lost_entries.clear()
+        before = self._term
         self._term = term
         if term is None:
+            self._forget_entries()
             self._scheduler.end_term(now)
+            self._limits.set_term(None)
+        elif before is not None and before.epoch == term.epoch:
+            # Only the time from which slots may be granted has moved.
+            self._scheduler.grant_earlier(term.grant_from)
         else:
+            self._forget_entries()
             self._scheduler.start_term(now, term.epoch, term.grant_from)
-        self._limits.set_term(term)
+            self._limits.set_term(term)
         self._polls.set_term(term)
         self._work.set()
 
+    def _forget_entries(self) -> None:
+        self._inbox.clear()
+        self._seen_entries.clear()
+        self._lost_entries.clear()
+
     def _on_configuration(self, current: configuration.Configuration) -> None:
         now = self._context.clock()
         self._scheduler.configure(now, current)
