Read log lines in the timeline and name the code of a refused request

A run of the demo left 88 requests refused with nothing that said why; the event now carries the code. Log lines have their time in another field than the nodes' events.

--- a/packages/client/src/samphirestack_client/timeline/events.py
+++ b/packages/client/src/samphirestack_client/timeline/events.py
@@ -12,6 +12,9 @@
 import msgspec
 
 _COMMON = frozenset({'clock', 'at_s', 'node', 'kind', 'number', 'fields'})
+_LOG_ONLY = frozenset({'timestamp', 'message_type', 'level', 'monotonic_s'})
+"""Fields that the log adds to an event; ``timestamp`` is its wall clock."""
+
 _REQUEST = 'request_id'
 _JOB = 'job_id'
 _TEAM = 'team'
@@ -70,7 +73,10 @@
         return None
     nested = data.get('fields')
     fields = dict(nested) if isinstance(nested, dict) else {}
-    fields |= {key: val for key, val in data.items() if key not in _COMMON}
+    known = _COMMON | _LOG_ONLY
+    fields |= {key: val for key, val in data.items() if key not in known}
+    if 'at_s' not in data and 'timestamp' in data:
+        data = data | {'at_s': data['timestamp']}
     common = {key: data[key] for key in _COMMON - {'fields'} if key in data}
     try:
         return msgspec.convert(common | {'fields': fields}, Event)
--- a/packages/daemon/src/samphirestackd/dispatch/dispatcher.py
+++ b/packages/daemon/src/samphirestackd/dispatch/dispatcher.py
@@ -204,6 +204,7 @@
             request_id=call.request_id,
             state=record.state.value,
             verdict=record.verdict.value,
+            code=record.code,
         )
         self._finished_by_id[call.team, call.request_id] = record.info()
         if len(self._finished_by_id) > MAX_FINISHED:
--- a/packages/daemon/src/samphirestackd/dispatch/jobs.py
+++ b/packages/daemon/src/samphirestackd/dispatch/jobs.py
@@ -173,7 +173,7 @@
         )
 
     async def _insert(self, job: model.Job) -> None:
-        value = msgspec.to_builtins(model.JobRecord(job), str_keys=True)
+        value = model.job_to_row(model.JobRecord(job))
         key = f'{job.home_zone}/{job.job_id}'
         write = platform.Write(TABLE, key, 0, value)
         for _ in range(WRITE_ATTEMPTS):
@@ -234,11 +234,8 @@
 
 
 def _record_of(row: platform.Row) -> model.JobRecord | None:
-    """Return the job in a row, ``None`` if its shape is unknown.
-
-    Keys of objects are text in JSON, also those that are numbers.
-    """
+    """Return the job in a row, ``None`` if its shape is unknown."""
     try:
-        return msgspec.convert(row.value, model.JobRecord, str_keys=True)
+        return model.job_from_row(row.value)
     except msgspec.ValidationError:
         return None
--- a/packages/daemon/src/samphirestackd/dispatch/records.py
+++ b/packages/daemon/src/samphirestackd/dispatch/records.py
@@ -73,6 +73,7 @@
         'avoid',
         'call',
         'cancelled',
+        'code',
         'deadline_at',
         'past',
         'received_at',
@@ -92,6 +93,8 @@
         self.avoid: tuple[model.UpstreamId, ...] = ()
         self.spent_grants: set[model.GrantId] = set()
         self.cancelled = False
+        self.code = ''
+        """Code of the error that the caller gets, empty if there is none."""
         self.unresolved = 0
         """Sends whose outcome is not known yet."""
         self.past = verdicts.Verdict.NOT_RUN
@@ -163,6 +166,7 @@
 
     def mark_refused(self, error: errors.SamphireError) -> None:
         """Note that the caller gets an error."""
+        self.code = error.code
         if self.state is model.RequestState.ANSWERED:
             return
         self.state = (
--- a/packages/daemon/src/samphirestackd/upstream_http.py
+++ b/packages/daemon/src/samphirestackd/upstream_http.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Mapping
 import types
 from typing import Any
 
@@ -19,7 +18,6 @@
 from samphirestack import errors
 from samphirestack import model
 from samphirestack import platform
-from samphirestackd import interfaces
 
 REQUEST_ID_HEADER = 'Samphirestack-Request-Id'
 TEAM_HEADER = 'Samphirestack-Team'
@@ -40,9 +38,6 @@
 connections after 5 s or more; a connection that idled for at most a second
 is not closed by the upstream while a request is on its way to it."""
 
-MIN_CONNECTIONS = 2
-"""One for work and one for the status."""
-
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bound on an answer, since it is held in memory as a whole."""
 
@@ -75,33 +70,6 @@
         self.pending: asyncio.Task[platform.UpstreamStatus] | None = None
 
 
-class ConnectionShares:
-    """How many connections this entry may open to each upstream.
-
-    All entries share the connections that an upstream accepts.
-
-    :param vms: the platform's list of VMs.
-    """
-
-    def __init__(self, vms: interfaces.VmDirectory) -> None:
-        self._shares_by_address: dict[str, int] = {}
-        vms.on_vms(self._update)
-        self._update(vms.vms_by_id())
-
-    def __call__(self, address: str) -> int:
-        """Return the share of this entry, at least ``MIN_CONNECTIONS``."""
-        return self._shares_by_address.get(address, MIN_CONNECTIONS)
-
-    def _update(self, vms_by_id: Mapping[model.VmId, model.Vm]) -> None:
-        vms = vms_by_id.values()
-        entries = sum(vm.role is model.VmRole.ENTRY for vm in vms)
-        self._shares_by_address = {
-            vm.address: max(MIN_CONNECTIONS, vm.connections // max(1, entries))
-            for vm in vms
-            if vm.role is model.VmRole.UPSTREAM
-        }
-
-
 class HttpUpstreamClient:
     """An :class:`samphirestack.platform.UpstreamClient` over aiohttp.
 
--- a/tests/unit/client/test_timeline.py
+++ b/tests/unit/client/test_timeline.py
@@ -41,6 +41,14 @@
         lines = capsys.readouterr().out.splitlines()
         assert [json.loads(line)['clock'] for line in lines] == [1, 3, 5]
 
+    def test_line_of_a_log_is_the_same_event(self) -> None:
+        # Guards against events without a time, and doubled ones, when logs
+        # and nodes are merged.
+        event = events.parse(_event(1, 'a', 1, team='t', monotonic_s=5.0))
+        line = _event(1, 'a', 1, team='t', monotonic_s=5.0, level='info')
+        line |= {'timestamp': line.pop('at_s'), 'message_type': 'event'}
+        assert events.parse(line) == event
+
     @pytest.mark.parametrize(
         ('selection', 'numbers'),
         [
