--- a/packages/client/src/samphirestack_client/output.py
+++ b/packages/client/src/samphirestack_client/output.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import datetime
 import enum
 import sys
 
@@ -11,6 +12,10 @@
 
 from samphirestack_client import failures
 
+PIPE_COLUMNS = 200
+"""Width of tables that do not go to a terminal."""
+
+WALL_CLOCK_SUFFIX = '_at_s'
 NONE = '–'  # noqa: RUF001
 
 
@@ -22,7 +27,8 @@
 
     def __init__(self, as_json: bool) -> None:
         self.as_json = as_json
-        self._console = console.Console(highlight=False)
+        width = None if sys.stdout.isatty() else PIPE_COLUMNS
+        self._console = console.Console(highlight=False, width=width)
 
     def rows(
         self,
@@ -34,9 +40,13 @@
         if self.as_json:
             self.json(data)
             return
-        shown = table.Table(*columns, box=None, pad_edge=False)
+        shown = table.Table(box=None, pad_edge=False)
+        for number, column in enumerate(columns):
+            # The name in the first column is needed whole to be copied.
+            shown.add_column(column, overflow='fold', no_wrap=number == 0)
         for row in rows:
-            shown.add_row(*(cell(value) for value in row))
+            pairs = zip(columns, row, strict=True)
+            shown.add_row(*(_cell_of(column, item) for column, item in pairs))
         self._console.print(shown)
 
     def fields(self, value: msgspec.Struct) -> None:
@@ -62,6 +72,13 @@
         sys.stdout.write('\n')
 
 
+def _cell_of(column: str, value: object) -> str:
+    if column.endswith(WALL_CLOCK_SUFFIX) and isinstance(value, float):
+        moment = datetime.datetime.fromtimestamp(value, datetime.UTC)
+        return moment.isoformat(' ', 'seconds')
+    return cell(value)
+
+
 def cell(value: object) -> str:
     """Return a value as the text of a table cell."""
     if value is None or value == '' or value == ():
@@ -72,6 +89,8 @@
         return str(value.value)
     if isinstance(value, float):
         return f'{value:g}'
+    if isinstance(value, dict):
+        return ', '.join(f'{key}={cell(val)}' for key, val in value.items())
     if isinstance(value, list | tuple):
         return ', '.join(cell(item) for item in value)
     if isinstance(value, msgspec.Struct):
--- a/tests/unit/client/test_commands.py
+++ b/tests/unit/client/test_commands.py
@@ -14,6 +14,7 @@
 from samphirestack import configuration
 from samphirestack_client import failures
 from samphirestack_client import main
+from samphirestack_client import output
 from samphirestack_testing import operator_world as operators
 from samphirestackd import edge
 
@@ -218,6 +219,19 @@
         assert cell.capsys.readouterr().out
         cell.json(*command.split())
 
+    def test_table_shows_whole_names_and_readable_times(
+        self, cell: _Cell
+    ) -> None:
+        # Guards against ids that can't be copied into the next command.
+        name = 'a-rather-long-name-of-a-team-that-fills-a-narrow-terminal'
+        assert cell.run('team', 'put', name) == 0
+        assert cell.run('team', 'list') == 0
+        assert name in cell.capsys.readouterr().out
+        output.Output(False).rows(('changed_at_s', 'b'), [(0.0, {'x': 1})], 0)
+        shown = cell.capsys.readouterr().out
+        assert '1970-01-01 00:00:00+00:00' in shown
+        assert 'x=1' in shown
+
     def test_drain_reaches_the_named_node_only(self, cell: _Cell) -> None:
         # Guards against draining another node than the one named.
         assert cell.run('drain', cell.address, address='127.0.0.1:1') == 0
