--- a/packages/daemon/src/samphirestackd/controllers/shared.py
+++ b/packages/daemon/src/samphirestackd/controllers/shared.py
@@ -1,4 +1,4 @@
-"""What the schedulers of requests and tasks of a zone leader share."""
+"""What the request scheduler and the task scheduler of a leader share."""
 
 import msgspec
 
@@ -7,12 +7,12 @@
 
 
 class Shared(msgspec.Struct, frozen=True):
-    """Counts requests and tasks against the same slices and shares."""
+    """Use of limits and shares, over requests and tasks together."""
 
     ledger: limits.TeamLedger
     shares: fairshare.ShareTracker
 
 
 def create_shared() -> Shared:
-    """Return an empty ledger and an empty share tracker."""
+    """Return an empty ledger and an empty tracker."""
     return Shared(limits.TeamLedger(), fairshare.ShareTracker())
