Begin the load when every entry has answered a request

In a trial of the demo 83 of 4,435 requests were refused as not_found within the first 2 s, because an entry is ready before it has the published queues, and urgent requests waited up to 1.6 s for the first leaders.

--- a/packages/testing/src/samphirestack_testing/cluster.py
+++ b/packages/testing/src/samphirestack_testing/cluster.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import pathlib
 import signal
 from types import TracebackType
@@ -18,6 +19,7 @@
 from samphirestack_testing import daemons
 from samphirestack_testing import faultproxy
 from samphirestack_testing import oracle
+from samphirestack_testing import probing
 from samphirestack_testing import processes
 from samphirestack_testing import publishing
 from samphirestack_testing import scenario
@@ -209,6 +211,15 @@
             self.http, self.plan, self.entries, self._zone_of_entry
         )
         await self._wait_for_daemons('/readyz')
+        for vm_id in self.entries:
+            answered = functools.partial(
+                probing.is_answered,
+                self.plan,
+                self.http,
+                self.entries[vm_id].callers_url,
+                self.keys_by_team,
+            )
+            await waiting.until(answered, START_TIMEOUT_S, f'{vm_id} serves')
 
     async def _start_workers_and_upstreams(self) -> None:
         self._ready[WORKERS] = await self.processes.start_stand_in(
