--- a/packages/daemon/src/samphirestackd/controllers/configuration.py
+++ b/packages/daemon/src/samphirestackd/controllers/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force at this node, and how it changes."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
 import random
@@ -68,6 +69,7 @@
         self._absences = roster.Absences()
         self._silences = roster.Absences()
         self._rng = random.Random(settings.vm_id)
+        self._head: config_store.Head | None = None
         self._next_attempt_at = 0.0
         self._next_fetch_at = 0.0
         self._was_fresh = False
@@ -136,21 +138,34 @@
 
     async def run(self) -> None:
         """Follow the newest revision until cancelled."""
+        # Changes can wait for answers for seconds.  Reading the head must
+        # not wait for them, since this node's freshness depends on it.
+        maintaining = asyncio.create_task(self._repeat(self._maintain))
+        try:
+            await self._repeat(self._follow)
+        finally:
+            maintaining.cancel()
+
+    async def drain(self) -> None:
+        """Return at once: this node vouches until the end."""
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
-                await self._follow()
+                await step()
             except errors.SamphireError as error:
                 logs.debug('configuration.failed', reason=error.message)
             await asyncio.sleep(self._settings.timing.configuration_poll_s)
 
-    async def drain(self) -> None:
-        """Return at once: this node vouches until the end."""
-
     async def _follow(self) -> None:
         self._note_freshness()
-        head = await self._catch_up()
-        now = self._clock()
-        if now < self._next_attempt_at or self._changing.locked():
+        self._head = await self._catch_up()
+
+    async def _maintain(self) -> None:
+        now, head = self._clock(), self._head
+        if head is None or now < self._next_attempt_at:
+            return
+        if self._changing.locked() or head.revision != self._current.revision:
             return
         changes = self._own_changes(now, head)
         settles = self._state.promise_age(now) > PROMISE_LASTS_S
--- a/packages/daemon/src/samphirestackd/peers/links.py
+++ b/packages/daemon/src/samphirestackd/peers/links.py
@@ -187,12 +187,15 @@
                 )
         finally:
             taking.cancel()
-            self._close()
+            self.close()
 
     async def drain(self) -> None:
         """Return at once: links are needed until the end."""
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close all sockets; a second call has no effect."""
+        if self._context.closed:
+            return
         for link in [*self._links_by_id.values(), *self._seeds]:
             self._drop(link)
         self._links_by_id.clear()
@@ -201,7 +204,7 @@
             self._router.close(linger=0)
         if self._authenticator is not None:
             self._authenticator.stop()
-        self._context.term()
+        self._context.destroy(linger=0)
 
     def _turn(self, now: float) -> None:
         self._try_seeds(now)
