--- a/packages/daemon/src/samphirestackd/daemon.py
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -15,8 +15,9 @@
 from samphirestackd.controllers import configuration
 from samphirestackd.controllers import leadership
 from samphirestackd.controllers import requests
-from samphirestackd.controllers import shared
+from samphirestackd.controllers import shared as shared_state
 from samphirestackd.controllers import tasks
+from samphirestackd.controllers import shared
 from samphirestackd import dispatch
 from samphirestackd import edge
 from samphirestackd import events
@@ -72,6 +73,9 @@
         )
         self._create_controllers()
         self.context = self._create_context()
+        shared = shared_state.create_shared()
+        self._requests = requests.create(self.context, shared)
+        self._tasks = tasks.create(self.context, shared)
         self._dispatcher = dispatch.create(self.context)
         self._components = self._create_components()
         gauges.add(self._metrics, self, writer)
@@ -90,7 +94,7 @@
         :raises OSError: an address can't be used.
         """
         self.links.listen()
-        tasks = [
+        running = [
             asyncio.create_task(self._keep_running(component))
             for component in self._components
         ]
@@ -103,9 +107,9 @@
         finally:
             for server in self._servers:
                 await server.stop()
-            for task in tasks:
+            for task in running:
                 task.cancel()
-            await asyncio.wait(tasks)
+            await asyncio.wait(running)
             for client in self._clients:
                 await client.close()
 
