--- a/packages/daemon/src/samphirestackd/daemon.py
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -17,7 +17,6 @@
 from samphirestackd.controllers import requests
 from samphirestackd.controllers import shared as shared_state
 from samphirestackd.controllers import tasks
-from samphirestackd.controllers import shared
 from samphirestackd import dispatch
 from samphirestackd import edge
 from samphirestackd import events
@@ -73,9 +72,6 @@
         )
         self._create_controllers()
         self.context = self._create_context()
-        shared = shared_state.create_shared()
-        self._requests = requests.create(self.context, shared)
-        self._tasks = tasks.create(self.context, shared)
         self._dispatcher = dispatch.create(self.context)
         self._components = self._create_components()
         gauges.add(self._metrics, self, writer)
@@ -200,7 +196,7 @@
         )
 
     def _create_components(self) -> list[interfaces.Component]:
-        common = shared.create_shared()
+        common = shared_state.create_shared()
         self._requests = requests.create(self.context, common)
         self._tasks = tasks.create(self.context, common)
         return [
