--- a/packages/daemon/src/samphirestackd/daemon.py
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -15,7 +15,7 @@
 from samphirestackd.controllers import configuration
 from samphirestackd.controllers import leadership
 from samphirestackd.controllers import requests
-from samphirestackd.controllers import shared
+from samphirestackd.controllers import shared as shared_state
 from samphirestackd.controllers import tasks
 from samphirestackd import dispatch
 from samphirestackd import edge
@@ -90,7 +90,7 @@
         :raises OSError: an address can't be used.
         """
         self.links.listen()
-        tasks = [
+        running = [
             asyncio.create_task(self._keep_running(component))
             for component in self._components
         ]
@@ -103,9 +103,9 @@
         finally:
             for server in self._servers:
                 await server.stop()
-            for task in tasks:
+            for task in running:
                 task.cancel()
-            await asyncio.wait(tasks)
+            await asyncio.wait(running)
             for client in self._clients:
                 await client.close()
 
@@ -196,7 +196,7 @@
         )
 
     def _create_components(self) -> list[interfaces.Component]:
-        common = shared.create_shared()
+        common = shared_state.create_shared()
         self._requests = requests.create(self.context, common)
         self._tasks = tasks.create(self.context, common)
         return [
