--- a/packages/testing/src/samphirestack_testing/publishing.py
+++ b/packages/testing/src/samphirestack_testing/publishing.py
@@ -14,7 +14,7 @@
 
 AUTHOR = 'test-cluster'
 HEADERS = {'Authorization': f'Bearer {daemons.OPERATOR_TOKEN}'}
-MAX_ARBITERS = 9
+MAX_ARBITERS = 5
 PUBLISH_TIMEOUT_S = 20.0
 
 
