Keep a term whose times change, and leave lapsed arbiters to the election

The election tells the same epoch again when it learns that the old leader is dead; a reset would have forgotten starts under way. An arbiter that is claimed with an epoch of its own would refuse the leader's renewals, and a silent one may be renewed by the election for a while.

--- a/packages/daemon/src/samphirestackd/controllers/jobs.py
+++ b/packages/daemon/src/samphirestackd/controllers/jobs.py
@@ -52,6 +52,11 @@
         self._wanted.clear()
         self._work.set()
 
+    def change_term(self, term: interfaces.Term) -> None:
+        """Take over new times of the same term."""
+        self._term = term
+        self._work.set()
+
     def end_term(self) -> None:
         """Stop reading and drop updates that the next leader makes."""
         self._term = None
--- a/packages/daemon/src/samphirestackd/controllers/worker_link.py
+++ b/packages/daemon/src/samphirestackd/controllers/worker_link.py
@@ -26,6 +26,10 @@
 
 FAILURES_BEFORE_SILENT = 2
 
+ARBITER_SETTLE_S = 5.0
+"""How long the election may go on to renew a silent arbiter's lease; the
+time until the lease has lapsed is counted from the end of it."""
+
 LAPSED_EPOCH_STEP = 1_000_000
 """Added to the epoch of one worker whose lease has lapsed, since only a
 higher epoch takes such a worker.  A step of 1 could equal the epoch of the
@@ -59,6 +63,7 @@
         self._term = term
         self._timing = tools.context.settings.timing
         self._silent = False
+        self._silent_since = 0.0
         self._failures = 0
         self._since = 0
         self._list_at = 0.0
@@ -96,6 +101,7 @@
         """Do what is due and return the pause before the next time."""
         if self._silent:
             if not await self._read_events(0.0):
+                self._count_election_calls()
                 return PROBE_S
             self._list_at = 0.0
         asked_at = self._now()
@@ -146,21 +152,36 @@
             return
         if not self._silent:
             self._record('worker.silent')
+            self._silent_since = self._now()
         self._silent = True
         self._ready.clear()
         self._tools.scheduler.worker_unreachable(self._now(), self.worker_id)
         self._tools.wake()
 
+    def _count_election_calls(self) -> None:
+        """Put the lapse off while the election may renew the lease."""
+        now = self._now()
+        settled = now >= self._silent_since + ARBITER_SETTLE_S
+        if self._is_arbiter() and not settled:
+            self._tools.scheduler.worker_unreachable(now, self.worker_id)
+
+    def _is_arbiter(self) -> bool:
+        context = self._tools.context
+        zone = context.view.current.zones_by_id.get(context.settings.zone)
+        return zone is not None and self.worker_id in zone.arbiters
+
     def _on_fenced_off(self, refusal: errors.FencedOff) -> float:
         """Take over a worker whose lease lapsed, or report a newer leader.
 
         Epochs of single workers differ from that of their term by a
-        multiple of the step.
+        multiple of the step.  A lapsed arbiter needs a new term, since the
+        election renews it with the epoch of the term.
         """
         own_id = self._tools.context.links.own_id
         theirs = refusal.epoch % LAPSED_EPOCH_STEP
         ours = self._term.epoch % LAPSED_EPOCH_STEP
-        if refusal.owner != own_id and theirs >= ours:
+        newer = refusal.owner != own_id and theirs >= ours
+        if newer or self._is_arbiter():
             self._tools.context.terms.fenced_off(model.Epoch(refusal.epoch))
             return RETRY_S
         steps = refusal.epoch // LAPSED_EPOCH_STEP + 1
--- a/tests/unit/daemon/test_task_controllers.py
+++ b/tests/unit/daemon/test_task_controllers.py
@@ -285,6 +285,18 @@
             await zone.until(lambda: agent.fake.epoch == higher)
             assert zone.terms.fenced == []
 
+    async def test_new_times_of_a_term_keep_what_is_under_way(self) -> None:
+        """Guards against a reset that forgets starts of the same epoch."""
+        async with _running() as zone:
+            zone.lead(epoch=7)
+            zone.submit('j1', run_s=60.0)
+            await zone.until(zone.starts)
+            leases = {n: a.leases for n, a in zone.agents.items()}
+            zone.lead(epoch=7)
+            running = zone.controller.explain_job('j1')
+            assert '1 running' in running or '1 starting' in running
+            assert {n: a.leases for n, a in zone.agents.items()} == leases
+
     async def test_newer_leader_is_reported(self) -> None:
         """Guards against two leaders that fight for a worker."""
         async with _running() as zone:
