Ask a mute arbiter for its epoch in place of renewing its lease

Cause: an arbiter that takes lease calls but answers too late kept its lease for ever, while the task controller gives the worker up and places its tasks again after two lease times: a task could run in two places.

After two validities of a leader without an answer, calls to the arbiter carry epoch 0, which renews nothing, until it answers. The new test times out without the guard.

--- a/packages/daemon/src/samphirestackd/controllers/leadership.py
+++ b/packages/daemon/src/samphirestackd/controllers/leadership.py
@@ -22,6 +22,11 @@
 MAX_CALLS_PER_WORKER = 2
 """A second call may overtake one that hangs; more would pile up."""
 
+SILENT_AFTER_TTLS = 2
+"""Validities of a leader after which an arbiter without an answer is only
+asked for its epoch.  Calls that take effect although no answer comes would
+keep its lease alive while its tasks are placed again elsewhere."""
+
 TermHandler = Callable[[interfaces.Term | None], None]
 
 
@@ -64,6 +69,7 @@
         self._term_handlers: list[TermHandler] = []
         self._told_term: leadership.LeaderTerm | None = None
         self._calls_by_worker: dict[model.WorkerId, int] = {}
+        self._unanswered_since: dict[model.WorkerId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._next_probe_at = 0.0
         links.on_pong(self._on_pong)
@@ -179,8 +185,18 @@
             return
         self._calls_by_worker[worker] = running + 1
         agent = self._agent_at(vm.address)
+        if self._is_silent_arbiter(worker):
+            epoch = leadership.PROBE_EPOCH
         self._spawn(self._lease(worker, agent, epoch))
 
+    def _is_silent_arbiter(self, worker: model.WorkerId) -> bool:
+        if self._state.term is None:
+            return False
+        now = self._clock()
+        since = self._unanswered_since.get(worker, now)
+        ttl_s = self._settings.timing.leader_ttl_s
+        return now - since > SILENT_AFTER_TTLS * ttl_s
+
     async def _lease(
         self,
         worker: model.WorkerId,
@@ -188,15 +204,18 @@
         epoch: model.Epoch,
     ) -> None:
         sent_at = self._clock()
+        self._unanswered_since.setdefault(worker, sent_at)
         ttl_s = self._settings.timing.worker_ttl_s
         try:
             await agent.lease(self._settings.vm_id, epoch, ttl_s, False)
         except errors.FencedOff as error:
+            self._unanswered_since.pop(worker, None)
             held = model.Epoch(error.epoch)
             self._state.rejected(self._clock(), worker, held, epoch)
         except errors.SamphireError as error:
             logs.debug('lease.failed', worker=worker, reason=error.message)
         else:
+            self._unanswered_since.pop(worker, None)
             self._state.granted(self._clock(), worker, epoch, sent_at)
         finally:
             self._calls_by_worker[worker] -= 1
--- a/tests/unit/daemon/test_leadership.py
+++ b/tests/unit/daemon/test_leadership.py
@@ -222,3 +222,41 @@
         shown = capsys.readouterr().err
         assert str(path) in shown
         assert 'node' in shown
+
+
+class MuteAgent(Agent):
+    """An agent that takes calls but does not answer any more."""
+
+    def __init__(self):
+        super().__init__()
+        self.mute, self.calls = False, []
+
+    async def lease(self, owner, epoch, ttl_s, with_tasks):
+        self.calls.append(epoch)
+        if self.mute:
+            raise errors.OutcomeUnknown('no answer')
+        await super().lease(owner, epoch, ttl_s, with_tasks)
+
+
+class TestSilentArbiters:
+    """Guards against a lease that never lapses on a worker given up."""
+
+    async def test_mute_arbiter_is_only_asked_until_it_answers(self, world):
+        agent = world.agents[ARBITERS[0]] = MuteAgent()
+        task = asyncio.ensure_future(world.controller.run())
+        await waiting.until(
+            lambda: world.controller.is_valid_leader(time.monotonic()),
+            10,
+            'lead',
+        )
+        agent.mute = True
+        await waiting.until(lambda: agent.calls[-1] == 0, 10, 'a question')
+        questions = len(agent.calls)
+        await waiting.until(
+            lambda: len(agent.calls) > questions + 3, 10, 'more questions'
+        )
+        assert set(agent.calls[questions:]) == {0}
+        agent.mute = False
+        await waiting.until(lambda: agent.calls[-1] > 0, 10, 'a renewal')
+        task.cancel()
+        await asyncio.wait([task])
