--- a/packages/daemon/src/samphirestackd/controllers/jobs.py
+++ b/packages/daemon/src/samphirestackd/controllers/jobs.py
@@ -52,6 +52,11 @@
         self._wanted.clear()
         self._work.set()
 
+    def change_term(self, term: interfaces.Term) -> None:
+        """Take over new times of the same term."""
+        self._term = term
+        self._work.set()
+
     def end_term(self) -> None:
         """Stop reading and drop updates that the next leader makes."""
         self._term = None
@@ -104,7 +109,7 @@
                     await self._scan(term)
                     scan_at = now + SCAN_INTERVAL_S
                 await self._read_wanted(term)
-            except errors.PlatformError as error:
+            except errors.SamphireError as error:
                 self._context.events.record('jobs.unread', code=error.code)
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -141,7 +146,7 @@
             key = f'{self._context.settings.zone}/{job_id}'
             try:
                 row = await self._context.table.get(job_writes.TABLE, key)
-            except errors.PlatformError:
+            except errors.SamphireError:
                 self._wanted.add(job_id)
                 raise
             if row is not None and self._term is term:
