Test overlapping faults on the whole cluster

Paused and killed leaders, a table outage, a cut-off zone, failing and unreachable workers and misbehaving upstreams within 12 s.

--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -146,3 +146,41 @@
         assert result.kinds() == []
         resendable = [call for call in result.run.calls if call.idempotent]
         assert {call.outcome for call in resendable} == {Outcome.ANSWERED}
+
+
+STORM = (
+    scenario.Fault(Kind.WORKER_UNREACHABLE, 1.0, 12.0, 'arree-worker-0'),
+    scenario.Fault(Kind.WORKER_FAILS, 2.0, target='menez-worker-0'),
+    scenario.Fault(Kind.PAUSE_LEADER, 2.0, 8.0, 'arree'),
+    scenario.Fault(
+        Kind.UPSTREAM_FAULT, 3.0, 6.0, 'mene-upstream-0', 'break_during'
+    ),
+    scenario.Fault(Kind.TABLE_DOWN, 4.0, 7.0),
+    scenario.Fault(Kind.CUT_ZONE, 5.0, 9.0, 'menez'),
+    scenario.Fault(
+        Kind.UPSTREAM_FAULT, 6.0, 9.0, 'arree-upstream-0', 'silent_before'
+    ),
+    scenario.Fault(Kind.UPSTREAM_LEAVES, 6.0, target='mene-upstream-1'),
+    scenario.Fault(Kind.KILL_LEADER, 8.0, 12.0, 'mene'),
+)
+UNFINISHED = {'waiting', 'running'}
+
+
+class TestFaultsTogether:
+    """Faults that overlap break no promise and leave nothing stuck."""
+
+    async def test_storm(
+        self, plan: scenario.Scenario, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against jobs of a controller that an outage has ended."""
+        damaged = _with(
+            plan,
+            jobs=tuple(map(_jobs, model.JobKind)),
+            faults=STORM,
+            duration_s=15.0,
+        )
+        result = await trial.run(damaged, tmp_path)
+        assert result.kinds() == []
+        states = {job.state for job in result.run.jobs}
+        assert states.isdisjoint(UNFINISHED)
+        assert 'succeeded' in states
