--- a/tests/property/test_limit_slices.py
+++ b/tests/property/test_limit_slices.py
@@ -260,3 +260,20 @@
 
 class TestSlices(SliceMachine.TestCase):
     """Slices never sum to more than the limit, and to all of it in the end."""
+
+
+class TestTakeover:
+    """A former leader's transaction has no effect on a claimed row."""
+
+    def test_late_move_of_a_former_leader_changes_nothing(self) -> None:
+        """Fails if a new leader uses a row that it has not claimed."""
+        machine = SliceMachine()
+        machine.move('x', 'late')
+        assert machine.table.late
+        for name in ('y', 'z'):
+            machine.take_over(name)
+            machine.step(name, 'works')
+            machine.step(name, 'works')
+        machine.arrive(0, 'x')
+        machine.sum_is_within_the_limit()
+        machine.teardown()
