--- a/packages/core/src/samphirestack/internal/leader/granting.py
+++ b/packages/core/src/samphirestack/internal/leader/granting.py
@@ -50,6 +50,21 @@
         """Return whether the slice of a team has no room for a request."""
         return not self._ledger.allows(team, 1, holds.NO_RESOURCES)
 
+    def record_refusal(
+        self, now: float, waiting: waitings.Waiting, reason: str
+    ) -> None:
+        """Leave an audit record of a request that got no slot."""
+        self._shares.record(
+            fairshare.AuditRecord(
+                now,
+                waiting.team,
+                waiting.request_id,
+                False,
+                reason,
+                self._shares.rank(waiting.team),
+            )
+        )
+
     def _grant_one(
         self,
         now: float,
--- a/packages/core/src/samphirestack/internal/leader/requests.py
+++ b/packages/core/src/samphirestack/internal/leader/requests.py
@@ -36,7 +36,6 @@
 from samphirestack import verdict as verdicts
 
 CLEANUP_INTERVAL_S = 0.5
-
 STALE_ATTEMPT_S = 2.0
 """Time for which a request for an attempt that has ended is taken for a
 message that was late."""
@@ -281,8 +280,8 @@
             self._holds.free(now, hold)
         if message.upstream_leaving:
             self._pool.mark_leaving(hold.upstream_id)
-        succeeded = message.verdict is verdicts.Verdict.RAN
-        if is_first and (message.failed or succeeded):
+        has_run = message.verdict is verdicts.Verdict.RAN
+        if is_first and (message.failed or has_run):
             self._pool.record_result(now, hold.upstream_id, message.failed)
 
     def _cancel(
@@ -381,16 +380,7 @@
         reason = f'no slot became free in {waited_s:.1f} s'
         if self._granter.is_at_limit(waiting.team):
             reason = f'team {waiting.team!r} was at its limit'
-        self._shares.record(
-            fairshare.AuditRecord(
-                now,
-                waiting.team,
-                waiting.request_id,
-                False,
-                reason,
-                self._shares.rank(waiting.team),
-            )
-        )
+        self._granter.record_refusal(now, waiting, reason)
         self._outbox.refuse_waiting(waiting, 'deadline_exceeded', reason)
 
     def _send_grant(self, hold: holds.Hold) -> None:
