--- a/tests/property/test_freshness.py
+++ b/tests/property/test_freshness.py
@@ -129,7 +129,7 @@
 
 TestFreshness = FreshnessMachine.TestCase
 TestFreshness.settings = hypothesis.settings(
-    max_examples=500,
+    max_examples=1500,
     stateful_step_count=40,
     derandomize=True,
     deadline=None,
