--- a/packages/bench/src/samphirestack_bench/main.py
+++ b/packages/bench/src/samphirestack_bench/main.py
@@ -1,5 +1,6 @@
 """Command line of the benchmarks: ``scripts/measure``."""
 
+import importlib
 import pathlib
 import sys
 from typing import Annotated
@@ -11,6 +12,8 @@
 
 EXIT_WRONG_USAGE = 2
 RESULTS = pathlib.Path('results')
+DOCS = pathlib.Path('docs')
+REPORT = 'report'
 
 app = cyclopts.App(
     name='measure',
@@ -32,7 +35,8 @@
     Parameters
     ----------
     name:
-        Name of the benchmark.
+        Name of the benchmark, or ``report`` to write the page of
+        measurements from the results.
     seed:
         Seed of all random numbers.
     scenario:
@@ -45,7 +49,11 @@
     if list_names or name is None:
         for known in records.names():
             print(f'{known:12} {records.find(known).DESCRIPTION}')
+        print(f'{REPORT:12} page and plots from the results')
         return 0 if list_names else EXIT_WRONG_USAGE
+    if name == REPORT:
+        _report()
+        return 0
     try:
         benchmark = records.find(name)
     except LookupError as error:
@@ -63,11 +71,20 @@
     path = RESULTS / f'{name}-{options.seed}.jsonl'
     with path.open('wb') as file:
         for record in benchmark.run(options):
+            if options.quick:
+                record['quick'] = True
             line = msgspec.json.encode({'benchmark': name, **record})
             file.write(line + b'\n')
             print(line.decode(), flush=True)
 
 
+def _report() -> None:
+    # Plotting libraries take time and memory that benchmarks don't need.
+    report = importlib.import_module('samphirestack_bench.report')
+    for path in report.write(report.read(RESULTS), DOCS):
+        print(path)
+
+
 def main() -> None:
     """Run the command line."""
     sys.exit(app())
