Measure shares of three zones with and without gossip

The benchmark makes sure that every team is backlogged in every zone and prints the fewest waiting calls.

--- a/packages/bench/src/samphirestack_bench/sharing.py
+++ b/packages/bench/src/samphirestack_bench/sharing.py
@@ -126,44 +126,58 @@
     return slots
 
 
-class Simulation:
-    """A request scheduler whose teams are all backlogged."""
+class Zone:
+    """The request scheduler of a zone whose teams are all backlogged.
 
-    def __init__(self, rng: random.Random) -> None:
+    :param upstreams: the number of upstreams in the zone.
+    """
+
+    def __init__(self, rng: random.Random, upstreams: int) -> None:
         self.slots: list[clusters.Slot] = []
         self._rng = rng
         self._now = 0.0
+        self._next_status = 0.0
         self._asked = 0
         self._team_by_request: dict[str, str] = {}
+        self._vms = [_upstream(number) for number in range(upstreams)]
         self._active: dict[str, dict[str, platform.ActiveRequest]] = {
-            _upstream(number).vm_id: {} for number in range(UPSTREAMS)
+            vm.vm_id: {} for vm in self._vms
         }
         self._ends: list[tuple[float, int, messages.Grant, float]] = []
+        self._shares = fairshare.ShareTracker()
         self._scheduler = requests.RequestScheduler(
-            ENTRY, ZONE, limits.TeamLedger(), fairshare.ShareTracker()
+            ENTRY, ZONE, limits.TeamLedger(), self._shares
         )
-
-    def run(self, seconds: float) -> list[clusters.Slot]:
-        """Run for some simulated seconds and return the slot times."""
         self._begin()
-        next_tick = next_status = 0.0
-        while self._now < seconds:
-            if self._ends and self._ends[0][0] <= next_tick:
-                self._end_one()
-                continue
-            self._now = next_tick
-            next_tick += TICK_S
-            if self._now >= next_status:
-                next_status += STATUS_S
-                self._report()
-            self._take(self._scheduler.tick(START_S + self._now))
-        return self.slots
+
+    def advance(self, until: float) -> None:
+        """End the requests that end before a time and tick once."""
+        while self._ends and self._ends[0][0] <= until:
+            self._end_one()
+        self._now = until
+        if self._now >= self._next_status:
+            self._next_status += STATUS_S
+            self._report()
+        self._take(self._scheduler.tick(START_S + self._now))
+
+    def state(self) -> messages.ZoneState:
+        """Return what the zone tells the others."""
+        return self._scheduler.zone_state(START_S + self._now)
+
+    def hear(self, name: str, state: messages.ZoneState) -> None:
+        """Take over the state of another zone."""
+        self._shares.set_remote(
+            START_S + self._now,
+            model.ZoneId(name),
+            state.teams,
+            state.capacity,
+            state.slots,
+        )
 
     def _begin(self) -> None:
         scheduler = self._scheduler
         scheduler.configure(START_S, _configuration())
-        upstreams = [_upstream(number) for number in range(UPSTREAMS)]
-        scheduler.set_upstreams(START_S, upstreams)
+        scheduler.set_upstreams(START_S, self._vms)
         scheduler.start_term(START_S, model.Epoch(1), START_S)
         self._send(messages.HeldReport(model.Epoch(1), ()))
         teams = [team for team in SHARES for _ in range(BACKLOG)]
@@ -232,6 +246,36 @@
         self._ask(team)
 
 
+def simulate_zones(
+    zones: int, gossip_s: float, seconds: float, rng: random.Random
+) -> list[clusters.Slot]:
+    """Return the slot times under request schedulers of equal zones.
+
+    :param gossip_s: interval in which each zone tells the others its use.
+    """
+    fleet = [
+        Zone(random.Random(rng.random()), UPSTREAMS // zones)
+        for _ in range(zones)
+    ]
+    next_gossip = gossip_s
+    for step in range(round(seconds / TICK_S) + 1):
+        now = step * TICK_S
+        for zone in fleet:
+            zone.advance(now)
+        if now >= next_gossip:
+            next_gossip += gossip_s
+            _gossip(fleet)
+    return [slot for zone in fleet for slot in zone.slots]
+
+
+def _gossip(fleet: list[Zone]) -> None:
+    states = [zone.state() for zone in fleet]
+    for index, zone in enumerate(fleet):
+        for other, state in enumerate(states):
+            if other != index:
+                zone.hear(f'zone{other}', state)
+
+
 def _configuration() -> configurations.Configuration:
     profile = configurations.Profile(PROFILE, max_wait_s=1e6)
     return configurations.Configuration(
--- a/tests/unit/bench/test_sharing.py
+++ b/tests/unit/bench/test_sharing.py
@@ -8,6 +8,8 @@
 from samphirestack_bench.benchmarks import share
 from samphirestack_bench import clusters
 from samphirestack_bench import sharing
+from samphirestack_testing import ledger
+from samphirestack_testing import oracle
 
 
 def _most_at_once(slots: Iterable[clusters.Slot]) -> int:
@@ -32,3 +34,34 @@
         assert most <= sharing.CAPACITY
         if name != 'static':
             assert most == sharing.CAPACITY
+
+
+class TestBacklog:
+    """The condition under which shares are judged."""
+
+    def test_fewest_waiting_counts_within_the_window(self) -> None:
+        """Guards against judging a team that had nothing to run."""
+        calls = [
+            ledger.CallRecord(
+                name,
+                'coast',
+                'q',
+                False,
+                True,
+                sent,
+                sent + 30,
+                ledger.Outcome.ANSWERED,
+                1,
+                entry='menez-entry-0',
+            )
+            for name, sent in (('x', 1.0), ('y', 2.0), ('z', 6.0))
+        ]
+        starts = [
+            ledger.Line(
+                at, ledger.Event.START, ledger.Subject.REQUEST, 'u', call=name
+            )
+            for name, at in (('x', 4.0), ('y', 5.0), ('z', 20.0))
+        ]
+        run = oracle.Run(starts, calls)
+        assert share.waiting_min(run, 3.0) == {'coast@menez': 0}
+        assert share.waiting_min(run, 7.0) == {'coast@menez': 1}
