--- a/packages/client/src/samphirestack_client/api.py
+++ b/packages/client/src/samphirestack_client/api.py
@@ -2,6 +2,8 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import errno
+import os
 from typing import Any
 from typing import TypeVar
 import urllib.parse
@@ -220,6 +222,9 @@
 
 def _unreachable(address: str, error: Exception) -> failures.Unreachable:
     reason: Any = str(error) or type(error).__name__
+    if isinstance(error, aiohttp.ClientConnectorError):
+        # The text of the library says more about itself than the cause.
+        reason = os.strerror(error.os_error.errno or errno.ECONNREFUSED)
     return failures.Unreachable(
         f'{address} does not answer: {reason}',
         'Check the address and that the node runs, or give further nodes '
--- a/packages/client/src/samphirestack_client/commands/key.py
+++ b/packages/client/src/samphirestack_client/commands/key.py
@@ -1,5 +1,7 @@
 """Commands on team keys."""
 
+from typing import Annotated
+
 import cyclopts
 import msgspec
 
@@ -47,12 +49,13 @@
 @app.command(
     help_epilogue=options.examples(
         'samphirestack key give harbour',
-        'samphirestack key give harbour --json',
+        'samphirestack key give harbour --only-key',
     )
 )
 async def give(
     team: str,
     *,
+    only_key: Annotated[bool, cyclopts.Parameter(negative='')] = False,
     change: options.ChangeOptions = options.CHANGE,
     common: options.Common = options.COMMON,
 ) -> None:
@@ -65,6 +68,8 @@
     ----------
     team
         Name of the team.
+    only_key
+        Print nothing but the key, for use in scripts.
     """
     key, text = configuration.new_key(model.TeamId(team))
     async with common.connect() as api:
@@ -79,6 +84,9 @@
         report.revision,
         change.dry_run,
     )
+    if only_key and not common.json:
+        common.output.text(given.key, given)
+        return
     common.output.fields(given)
 
 
--- a/packages/client/src/samphirestack_client/output.py
+++ b/packages/client/src/samphirestack_client/output.py
@@ -16,6 +16,11 @@
 """Width of tables that do not go to a terminal."""
 
 WALL_CLOCK_SUFFIX = '_at_s'
+FIELD = 'field'
+FIELD_COLUMNS = (FIELD, 'value')
+"""Columns of a table that shows one record, a field a line."""
+
+DECIMALS = 3
 NONE = '–'  # noqa: RUF001
 
 
@@ -45,15 +50,16 @@
             # The name in the first column is needed whole to be copied.
             shown.add_column(column, overflow='fold', no_wrap=number == 0)
         for row in rows:
-            pairs = zip(columns, row, strict=True)
-            shown.add_row(*(_cell_of(column, item) for column, item in pairs))
+            names = (FIELD, row[0]) if columns == FIELD_COLUMNS else columns
+            pairs = zip(names, row, strict=True)
+            shown.add_row(*(_cell_of(str(name), item) for name, item in pairs))
         self._console.print(shown)
 
     def fields(self, value: msgspec.Struct) -> None:
         """Print one record, a field a line."""
         names = value.__struct_fields__
         self.rows(
-            ('field', 'value'),
+            FIELD_COLUMNS,
             [(name, getattr(value, name)) for name in names],
             value,
         )
@@ -88,7 +94,7 @@
     if isinstance(value, enum.Enum):
         return str(value.value)
     if isinstance(value, float):
-        return f'{value:g}'
+        return f'{round(value, DECIMALS):g}'
     if isinstance(value, dict):
         return ', '.join(f'{key}={cell(val)}' for key, val in value.items())
     if isinstance(value, list | tuple):
--- a/packages/client/src/samphirestack_client/timeline/command.py
+++ b/packages/client/src/samphirestack_client/timeline/command.py
@@ -4,7 +4,9 @@
 import datetime
 import pathlib
 import sys
+from typing import Annotated
 
+import cyclopts
 import msgspec
 
 from samphirestack_client import api as apis
@@ -14,6 +16,7 @@
 from samphirestack_client.timeline import page
 
 EXAMPLE = 'samphirestack timeline --request r-17 --html timeline.html'
+COLUMNS = ('recorded_at_s', 'node', 'kind', 'fields')
 PAGE_EVENTS = 5000
 """Events asked for at a time."""
 
@@ -27,12 +30,13 @@
     kind: str = '',
     since: datetime.datetime | None = None,
     until: datetime.datetime | None = None,
+    table: Annotated[bool, cyclopts.Parameter(negative='')] = False,
     html: pathlib.Path | None = None,
     common: options.Common = options.COMMON,
 ) -> None:
     """Merge the events of all given nodes or log files in causal order.
 
-    Without --html it prints a JSON object for each event.
+    Without --table and --html it prints a JSON object for each event.
 
     Parameters
     ----------
@@ -52,6 +56,8 @@
         Show only events from this time on, in UTC if it names no zone.
     until
         Show only events up to this time, in UTC if it names no zone.
+    table
+        Print a line for each event, for people to read.
     html
         Write a page with a lane for each process to this file.
     """
@@ -66,6 +72,13 @@
     )
     found = list(_from_files(files)) if files else await _ask(common)
     merged = event_types.merge(found, selection)
+    if html is None and table:
+        rows = [
+            (event.at_s, event.node, event.kind, event.fields)
+            for event in merged
+        ]
+        common.output.rows(COLUMNS, rows, merged)
+        return
     if html is None:
         for event in merged:
             sys.stdout.write(msgspec.json.encode(event).decode() + '\n')
--- a/packages/daemon/src/samphirestackd/admin/views.py
+++ b/packages/daemon/src/samphirestackd/admin/views.py
@@ -76,7 +76,8 @@
             address=peer.address,
             alive=peer.alive,
             draining=peer.draining,
-            fresh=peer.fresh,
+            # What a dead node said last holds no longer.
+            fresh=peer.alive and peer.fresh,
             revision=peer.revision,
             leads=_leads(context, peer.zone, peer.vm_id),
         )
--- a/packages/daemon/src/samphirestackd/controllers/requests.py
+++ b/packages/daemon/src/samphirestackd/controllers/requests.py
@@ -243,7 +243,7 @@
             'request.granted',
             request_id=grant.request_id,
             grant_id=grant.grant_id,
-            upstream=grant.upstream_id,
+            upstream_id=grant.upstream_id,
             epoch=grant.epoch,
         )
 
--- a/packages/daemon/src/samphirestackd/controllers/tasks.py
+++ b/packages/daemon/src/samphirestackd/controllers/tasks.py
@@ -81,7 +81,9 @@
         return self._scheduler.explain(self._context.clock(), job_id)
 
     def worker_states(self) -> Mapping[model.WorkerId, str]:
-        """Return the state of each worker of the zone in a word."""
+        """Return each worker's state in a word; none if it does not lead."""
+        if self._term is None:
+            return {}
         return self._scheduler.worker_states()
 
     def _on_term(self, term: interfaces.Term | None) -> None:
--- a/packages/daemon/src/samphirestackd/controllers/worker_link.py
+++ b/packages/daemon/src/samphirestackd/controllers/worker_link.py
@@ -20,6 +20,15 @@
 """Time between full lists of tasks.  They show what no event tells, such
 as a restart of the agent between two renewals."""
 
+ENDED = frozenset(
+    {
+        model.TaskState.SUCCEEDED,
+        model.TaskState.FAILED,
+        model.TaskState.STOPPED,
+    }
+)
+"""States of tasks whose end goes to the time line."""
+
 RETRY_S = 0.5
 PROBE_S = 1.0
 """Time between probes of a silent worker; a probe renews nothing."""
@@ -211,6 +220,7 @@
             if event.number > self._since:
                 self._since = event.number
                 self._tools.scheduler.task_event(now, self.worker_id, event)
+                self._record_end(event)
         self._tools.scheduler.events_read(now, self.worker_id, self._since)
         if events:
             self._tools.wake()
@@ -231,5 +241,16 @@
     def _now(self) -> float:
         return self._tools.context.clock()
 
+    def _record_end(self, event: platform.TaskEvent) -> None:
+        if event.state in ENDED:
+            self._tools.context.events.record(
+                'task.ended',
+                task_id=event.task_id,
+                worker_id=self.worker_id,
+                attempt=event.attempt,
+                state=event.state.value,
+                reason=event.reason,
+            )
+
     def _record(self, kind: str) -> None:
-        self._tools.context.events.record(kind, worker=self.worker_id)
+        self._tools.context.events.record(kind, worker_id=self.worker_id)
--- a/packages/daemon/src/samphirestackd/controllers/workers.py
+++ b/packages/daemon/src/samphirestackd/controllers/workers.py
@@ -105,7 +105,7 @@
             except* Exception as group:
                 self._context.events.record(
                     'worker.link_failed',
-                    worker=link.worker_id,
+                    worker_id=link.worker_id,
                     reason=repr(group.exceptions[0]),
                 )
             now = self._context.clock()
@@ -168,7 +168,9 @@
         )
         if outcome is task_starts.StartOutcome.ACCEPTED:
             self._context.events.record(
-                'task.started', task=task.task_id, worker=action.worker_id
+                'task.started',
+                task_id=task.task_id,
+                worker_id=action.worker_id,
             )
         elif link is not None:
             link.ask_for_tasks()
@@ -179,7 +181,7 @@
     ) -> None:
         self._context.events.record(
             'worker.call_failed',
-            worker=action.worker_id,
+            worker_id=action.worker_id,
             action=type(action).__name__,
             code=error.code,
         )
--- a/packages/testing/src/samphirestack_testing/cluster.py
+++ b/packages/testing/src/samphirestack_testing/cluster.py
@@ -210,6 +210,7 @@
         self.keys_by_team = await publishing.publish(
             self.http, self.plan, self.entries, self._zone_of_entry
         )
+        daemons.write_client_files(self.directory, self.entries)
         await self._wait_for_daemons('/readyz')
         for vm_id in self.entries:
             answered = functools.partial(
--- a/packages/testing/src/samphirestack_testing/daemons.py
+++ b/packages/testing/src/samphirestack_testing/daemons.py
@@ -1,7 +1,9 @@
 """Settings files and commands of the daemons of a test cluster."""
 
+from collections.abc import Mapping
 import json
 import pathlib
+import shlex
 import socket
 import sys
 
@@ -14,6 +16,8 @@
 
 OPERATOR_TOKEN = 'operator-token-of-the-test-cluster'
 TOKEN_FILE = 'operator-token'
+CLIENT_FILE = 'client.toml'
+ENVIRONMENT_FILE = 'environment.sh'
 
 
 class Addresses(msgspec.Struct, frozen=True):
@@ -109,3 +113,28 @@
             f'{key} = {json.dumps(value)}' for key, value in content.items()
         ]
     path.write_text('\n'.join(lines) + '\n')
+
+
+def write_client_files(
+    directory: pathlib.Path,
+    addresses_by_entry: Mapping[model.VmId, Addresses],
+) -> None:
+    """Write the file of the operators' client and a file for shells.
+
+    A shell that sources the second one can use ``samphirestack`` without
+    options, and ``$CALLERS`` as base URL of the first entry.
+    """
+    directory = directory.resolve()
+    operators = [own.operators for own in addresses_by_entry.values()]
+    first = next(iter(addresses_by_entry.values()))
+    client_file = directory / CLIENT_FILE
+    client_file.write_text(
+        f'addresses = {json.dumps(operators)}\n'
+        f'token_file = {json.dumps(str(directory / TOKEN_FILE))}\n'
+    )
+    programs = pathlib.Path(sys.executable).parent
+    (directory / ENVIRONMENT_FILE).write_text(
+        f'export SAMPHIRESTACK_CLIENT_CONFIG={shlex.quote(str(client_file))}\n'
+        f'export CALLERS={shlex.quote(first.callers_url)}\n'
+        f'export PATH={shlex.quote(str(programs))}:"$PATH"\n'
+    )
--- a/packages/testing/src/samphirestack_testing/demo.py
+++ b/packages/testing/src/samphirestack_testing/demo.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from samphirestack_testing import cluster
+from samphirestack_testing import daemons
 from samphirestack_testing import faults
 from samphirestack_testing import load
 from samphirestack_testing import measures
@@ -101,6 +102,8 @@
     _say(f'starting {plan.name}: {_size(plan)}')
     async with cluster.Cluster(plan, directory) as started:
         _say('all entries are ready, sending load')
+        shell_file = directory / daemons.ENVIRONMENT_FILE
+        _say(f'to use it from a shell: source {shell_file}')
         sender = load.Load(
             plan,
             directory,
--- a/packages/testing/src/samphirestack_testing/entry_world.py
+++ b/packages/testing/src/samphirestack_testing/entry_world.py
@@ -142,9 +142,11 @@
 
     def __init__(self) -> None:
         self.kinds: list[str] = []
+        self.fields: list[dict[str, object]] = []
 
     def record(self, kind: str, **fields: object) -> None:
         self.kinds.append(kind)
+        self.fields.append(fields)
 
 
 class Vms:
--- a/tests/unit/client/test_commands.py
+++ b/tests/unit/client/test_commands.py
@@ -145,6 +145,12 @@
         assert cell.current.verify_key(given['key']) is None
         assert cell.json('key', 'give', 'b', '--dry-run')['key'] == ''
 
+    def test_key_alone_is_printed_for_scripts(self, cell: _Cell) -> None:
+        # Guards against scripts that cut the key out of a table.
+        assert cell.run('key', 'give', 'b', '--only-key') == 0
+        text = cell.capsys.readouterr().out
+        assert cell.current.verify_key(text.removesuffix('\n')) == 'b'
+
     def test_zone_is_declared_lost_only_when_confirmed(
         self, cell: _Cell
     ) -> None:
@@ -258,6 +264,20 @@
         assert clocks == [4, 5, 6, 7, 8]
 
 
+class TestTables:
+    """Values in tables can be read by people."""
+
+    def test_times_and_fractions_are_readable(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        # Guards against times as seconds and against needless digits.
+        rows = [('submitted_at_s', 0.0), ('age_s', 0.0758175)]
+        output.Output(False).rows(output.FIELD_COLUMNS, rows, None)
+        text = capsys.readouterr().out
+        assert '1970-01-01 00:00:00+00:00' in text
+        assert '0.076 ' in text
+
+
 class TestExitCodes:
     """Scripts can tell the kinds of failure apart."""
 
@@ -291,7 +311,9 @@
             bound.bind(('127.0.0.1', 0))
             address = f'127.0.0.1:{bound.getsockname()[1]}'
             for command in (('nodes',), ('team', 'put', 'c')):
-                assert cell.error(*command, address=address)[0] == 4
+                code, text = cell.error(*command, address=address)
+                assert code == 4
+                assert f'{address} does not answer: Connection refused' in text
 
     def test_next_node_is_asked(self, cell: _Cell) -> None:
         # Guards against commands that fail while one node is down.
--- a/tests/unit/client/test_timeline.py
+++ b/tests/unit/client/test_timeline.py
@@ -85,6 +85,17 @@
         assert '<th>&lt;b&gt;</th>' in text
         assert 'http' not in text.replace('html', '')
 
+    def test_table_shows_a_line_for_each_event(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        # Guards against a timeline that only programs can read.
+        log = tmp_path / 'log'
+        log.write_text(json.dumps(_event(1, 'node-1', 1, request_id='r')))
+        assert main.run(['timeline', str(log), '--table']) == 0
+        heading, line = capsys.readouterr().out.splitlines()
+        assert heading.split()[0] == 'recorded_at_s'
+        assert 'node-1  request.sent  request_id=r' in line
+
     def test_page_is_written(
         self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
--- a/tests/unit/daemon/test_task_controllers.py
+++ b/tests/unit/daemon/test_task_controllers.py
@@ -127,6 +127,7 @@
 
     def __init__(self) -> None:
         world = parts.World()
+        self.events = world.events
         self.links, self.terms, self.leaders = world.links, Terms(), Leaders()
         self.table = Table()
         self.entries: list[fakes.Entry] = []
@@ -255,6 +256,27 @@
 class TestWorkers:
     """Leases are held, lost and taken by the rules of the page."""
 
+    async def test_timeline_names_the_tasks_and_workers(self) -> None:
+        """Guards against events that the timeline's filters miss."""
+        async with _running() as zone:
+            zone.lead()
+            key = zone.submit('j1', run_s=0.1)
+            await zone.until(lambda: zone.state(key) == 'succeeded')
+            events = zone.events
+            started = events.fields[events.kinds.index('task.started')]
+            ended = events.fields[events.kinds.index('task.ended')]
+            assert started == {
+                name: ended[name] for name in ('task_id', 'worker_id')
+            }
+            assert ended['state'] == 'succeeded'
+
+    async def test_only_a_leader_tells_the_states_of_workers(self) -> None:
+        """Guards against a standby's guess that hides the leader's word."""
+        async with _running() as zone:
+            assert zone.controller.worker_states() == {}
+            zone.lead()
+            assert set(zone.controller.worker_states()) == {'w1', 'w2'}
+
     async def test_silent_worker_gets_no_renewals_and_loses_its_tasks(
         self,
     ) -> None:
