Say what settings must be in a sentence, and end the demo cleanly

samphirestackd check printed 'must be Object contains unknown field'; it now names the unknown or missing key. A demo ended by a signal printed a traceback that looked like a fault; it says so and exits with 130.

--- a/packages/core/src/samphirestack/settings.py
+++ b/packages/core/src/samphirestack/settings.py
@@ -197,7 +197,19 @@
         value = value.get(part) if isinstance(value, dict) else None
     if isinstance(value, dict):
         value = sorted(value)
-    return errors.SettingsError(path, key or '(file)', value, reason)
+    return errors.SettingsError(
+        path, key or '(file)', value, _expectation(reason)
+    )
+
+
+def _expectation(reason: str) -> str:
+    """Return what was expected, from the reason that msgspec gives."""
+    name = reason.rpartition(' ')[2]
+    if 'unknown field' in reason:
+        return f'without the unknown key {name}'
+    if 'missing required field' in reason:
+        return f'with the key {name}'
+    return reason.partition(', got')[0].removeprefix('Expected ')
 
 
 def _check_ranges(path: str, settings: Settings) -> None:
--- a/packages/testing/src/samphirestack_testing/demo.py
+++ b/packages/testing/src/samphirestack_testing/demo.py
@@ -30,10 +30,14 @@
 FINDINGS_SHOWN = 20
 BROKEN_PROMISE = 1
 CANNOT_RUN = 2
+INTERRUPTED = 130
 
 
 def main() -> None:
-    """Run the demo; exit with 1 on a broken promise, 2 if nothing ran."""
+    """Run the demo; exit with 1 on a broken promise, 2 if nothing ran.
+
+    A signal ends it with 130.
+    """
     arguments = _parser().parse_args()
     plan = scenario.builtin(arguments.deployment)
     if arguments.scenario:
@@ -51,6 +55,9 @@
         except (processes.ProcessFailed, waiting.ConditionNotMet) as error:
             _say(f'the cluster did not start: {error}')
             sys.exit(CANNOT_RUN)
+        except asyncio.CancelledError:
+            _say('ended by a signal, nothing was checked')
+            sys.exit(INTERRUPTED)
     print(msgspec.json.encode(figures).decode(), flush=True)
     broken = figures.lost + figures.doubled + figures.cut
     sys.exit(BROKEN_PROMISE if broken else 0)
--- a/tests/unit/core/test_settings.py
+++ b/tests/unit/core/test_settings.py
@@ -30,6 +30,25 @@
         loaded = settings.from_data('f.toml', _data())
         assert loaded.vm_id == 'arree-1'
 
+    @pytest.mark.parametrize(
+        ('content', 'expected'),
+        [
+            (
+                {'vm_id': 'a', 'zone': 'z', 'x': 1},
+                'without the unknown key `x`',
+            ),
+            ({'vm_id': 'a'}, 'with the key `zone`'),
+            ({'vm_id': 'a', 'zone': 1}, '`str`'),
+        ],
+    )
+    def test_expectation_is_a_sentence(
+        self, content: dict[str, object], expected: str
+    ) -> None:
+        # Guards against messages that only the library's authors read.
+        with pytest.raises(errors.SettingsError) as caught:
+            settings.from_data('f.toml', _data() | {'node': content})
+        assert str(caught.value).endswith(f', but must be {expected}')
+
     @pytest.mark.parametrize(
         ('section', 'key', 'value', 'named'),
         [
