--- a/packages/core/src/samphirestack/configuration.py
+++ b/packages/core/src/samphirestack/configuration.py
@@ -428,7 +428,11 @@
 
 def _require(name: str, collection: dict[str, _T], subject: str) -> None:
     if name not in collection:
-        raise errors.InUse(f'{subject} {name!r}, which does not exist')
+        raise errors.InUse(
+            f'{subject} {name!r}, which would not exist after the change',
+            hint='Create what is missing first, or change or retire what '
+            'refers to it.',
+        )
 
 
 def new_key(team: model.TeamId) -> tuple[Key, str]:
