--- a/packages/client/src/samphirestack_client/commands/zone.py
+++ b/packages/client/src/samphirestack_client/commands/zone.py
@@ -50,10 +50,14 @@
     region
         Region that it belongs to.
     arbiter
-        Worker that arbitrates its leadership; may be given repeatedly.
+        Worker that arbitrates its leadership; may be given repeatedly. Only
+        for a zone without arbiters: later the nodes replace those whose
+        machines are gone.
     found_again
         Take back that the zone was declared lost.
     """
+    if arbiter is not None:
+        await _check_arbiters(name, arbiter, common)
     await edits.put(
         name,
         'zones_by_id',
@@ -69,6 +73,25 @@
     )
 
 
+async def _check_arbiters(
+    name: str, wanted: tuple[str, ...], common: options.Common
+) -> None:
+    """Refuse what the nodes would leave out of the change.
+
+    :raises failures.ClientFailure: the zone has other arbiters.
+    """
+    async with common.connect() as api:
+        current = await apis.current(api)
+    zone = current.zones_by_id.get(name)
+    if zone is not None and zone.arbiters and zone.arbiters != wanted:
+        raise failures.ClientFailure(
+            f'zone {name!r} has the arbiters {", ".join(zone.arbiters)}, and '
+            'only the nodes may replace them',
+            'The nodes replace an arbiter a minute after the platform took '
+            'it off the list of VMs.',
+        )
+
+
 @app.command(
     name='declare-lost',
     help_epilogue=options.examples(
--- a/tests/unit/client/test_commands.py
+++ b/tests/unit/client/test_commands.py
@@ -162,6 +162,17 @@
         code, _ = cell.error('zone', 'declare-lost', 'none', '--yes')
         assert code == 1
 
+    def test_arbiters_are_given_to_a_zone_once(self, cell: _Cell) -> None:
+        # Guards against a change that looks accepted, although the nodes
+        # keep the arbiters of a zone that has some.
+        first = ('zone', 'put', 'new', '--arbiter', 'w1')
+        assert cell.run(*first) == 0
+        assert cell.run(*first, '--region', 'north') == 0
+        code, text = cell.error('zone', 'put', 'new', '--arbiter', 'w2')
+        assert (code, 'only the nodes may replace' in text) == (1, True)
+        assert cell.current.zones_by_id['new'].arbiters == ('w1',)
+        assert cell.current.zones_by_id['new'].region == 'north'
+
     def test_file_is_compared_and_applied(
         self, cell: _Cell, tmp_path: pathlib.Path
     ) -> None:
--- a/tests/unit/core/test_configuration.py
+++ b/tests/unit/core/test_configuration.py
@@ -39,7 +39,7 @@
         """Guards against a queue whose profile is gone."""
         base = _base()
         change = configuration.RetireProfile(model.ProfileId('urgent'))
-        with pytest.raises(errors.InUse, match='fermeture.*would not exist'):
+        with pytest.raises(errors.InUse, match=r'fermeture.*would not exist'):
             configuration.apply(base, [change], author='t', wall_time_s=0.0)
         assert 'urgent' in base.profiles_by_id
 
