--- a/packages/testing/src/samphirestack_testing/demo.py
+++ b/packages/testing/src/samphirestack_testing/demo.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from samphirestack_testing import cluster
+from samphirestack_testing import daemons
 from samphirestack_testing import faults
 from samphirestack_testing import load
 from samphirestack_testing import measures
@@ -29,10 +30,14 @@
 FINDINGS_SHOWN = 20
 BROKEN_PROMISE = 1
 CANNOT_RUN = 2
+INTERRUPTED = 130
 
 
 def main() -> None:
-    """Run the demo; exit with 1 on a broken promise, 2 if nothing ran."""
+    """Run the demo; exit with 1 on a broken promise, 2 if nothing ran.
+
+    A signal ends it with 130.
+    """
     arguments = _parser().parse_args()
     plan = scenario.builtin(arguments.deployment)
     if arguments.scenario:
@@ -50,6 +55,9 @@
         except (processes.ProcessFailed, waiting.ConditionNotMet) as error:
             _say(f'the cluster did not start: {error}')
             sys.exit(CANNOT_RUN)
+        except asyncio.CancelledError:
+            _say('ended by a signal, nothing was checked')
+            sys.exit(INTERRUPTED)
     print(msgspec.json.encode(figures).decode(), flush=True)
     broken = figures.lost + figures.doubled + figures.cut
     sys.exit(BROKEN_PROMISE if broken else 0)
@@ -101,6 +109,8 @@
     _say(f'starting {plan.name}: {_size(plan)}')
     async with cluster.Cluster(plan, directory) as started:
         _say('all entries are ready, sending load')
+        shell_file = directory / daemons.ENVIRONMENT_FILE
+        _say(f'to use it from a shell: source {shell_file}')
         sender = load.Load(
             plan,
             directory,
