Keep leases and polls when a part of the daemon runs again

Cause: the controllers of tasks and requests closed their calls whenever run() ended. After an unexpected error the daemon runs the part again in the same term, but the leases were not renewed until the next term. The new test times out without the change.

Clients of agents that left the list of VMs are closed now; they stayed in memory for ever.

--- a/packages/daemon/src/samphirestackd/controllers/requests.py
+++ b/packages/daemon/src/samphirestackd/controllers/requests.py
@@ -77,8 +77,10 @@
                 group.create_task(self._decide_forever())
                 group.create_task(self._gossip_forever())
                 group.create_task(self._limits.run())
-        finally:
+        except asyncio.CancelledError:
+            # After any other error the part is run again in the same term.
             self._polls.close()
+            raise
 
     async def drain(self) -> None:
         """Return at once: the term ends when the leadership is handed over."""
--- a/packages/daemon/src/samphirestackd/controllers/tasks.py
+++ b/packages/daemon/src/samphirestackd/controllers/tasks.py
@@ -61,8 +61,11 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._rows.run())
                 group.create_task(self._plan_forever())
-        finally:
+        except asyncio.CancelledError:
+            # After any other error the part is run again in the same term,
+            # and the leases must be renewed meanwhile.
             self._workers.close()
+            raise
 
     async def drain(self) -> None:
         """Start nothing new and return when the rows are written."""
--- a/packages/daemon/src/samphirestackd/daemon.py
+++ b/packages/daemon/src/samphirestackd/daemon.py
@@ -157,6 +157,7 @@
             vm_list, self._settings.timing.vm_list_poll_s, time.monotonic
         )
         self._connections_by_address: dict[str, int] = {}
+        self._forgetting: asyncio.Future[None] | None = None
         self.vms.on_vms(self._vms_changed)
 
     def _create_controllers(self) -> None:
@@ -245,6 +246,15 @@
     def _vms_changed(self, listed: dict[model.VmId, model.Vm]) -> None:
         self.links.set_vms(listed)
         entries = sum(vm.role is model.VmRole.ENTRY for vm in listed.values())
+        self._forgetting = asyncio.ensure_future(
+            self._agents.keep_only(
+                frozenset(
+                    vm.address
+                    for vm in listed.values()
+                    if vm.role is model.VmRole.WORKER
+                )
+            )
+        )
         self._connections_by_address = {
             vm.address: max(MIN_CONNECTIONS, vm.connections // max(1, entries))
             for vm in listed.values()
--- a/packages/daemon/src/samphirestackd/platform_http/agents.py
+++ b/packages/daemon/src/samphirestackd/platform_http/agents.py
@@ -181,7 +181,9 @@
     async def keep_only(self, addresses: frozenset[str]) -> None:
         """Close the clients of agents that are gone."""
         for address in set(self._agents_by_address) - addresses:
-            await self._agents_by_address.pop(address).close()
+            agent = self._agents_by_address.pop(address, None)
+            if agent is not None:
+                await agent.close()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/unit/daemon/test_task_controllers.py
+++ b/tests/unit/daemon/test_task_controllers.py
@@ -352,6 +352,24 @@
             await zone.until(lambda: zone.state(key) == 'succeeded')
             assert len(zone.starts()) == 1
 
+    async def test_failed_part_that_runs_again_goes_on_in_its_term(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against leases that lapse after an unexpected error."""
+        async with _running() as zone:
+            zone.lead()
+            key = zone.submit('j1', run_s=0.8)
+            await zone.until(zone.starts)
+            with monkeypatch.context() as broken:
+                broken.setattr(zone.controller, '_may_plan', lambda: 1 // 0)
+                with pytest.raises(ExceptionGroup):
+                    await zone.controller.run()
+            again = asyncio.create_task(zone.controller.run())
+            await zone.until(lambda: zone.state(key) == 'succeeded')
+            assert len(zone.starts()) == 1
+            again.cancel()
+            await asyncio.gather(again, return_exceptions=True)
+
     @pytest.mark.parametrize('idempotent', [True, False])
     async def test_start_without_answer_runs_once(
         self, idempotent: bool
