--- a/packages/bench/src/samphirestack_bench/report.py
+++ b/packages/bench/src/samphirestack_bench/report.py
@@ -120,6 +120,8 @@
 def _text(value: records.Value) -> str:
     if value is None:
         return '-'
+    if value in ({}, []):
+        return 'none'
     if isinstance(value, dict):
         return ', '.join(f'{key} {_text(item)}' for key, item in value.items())
     if isinstance(value, list):
