--- a/packages/bench/src/samphirestack_bench/plots.py
+++ b/packages/bench/src/samphirestack_bench/plots.py
@@ -80,7 +80,7 @@
     kinds = list(dict.fromkeys(row.by for row in rows))
     figure = figures.Figure(figsize=TALL_IN, layout='constrained')
     rows_of_panels = -(-len(kinds) // COLUMNS)
-    panels = figure.subplots(rows_of_panels, COLUMNS, squeeze=False).flat
+    panels = list(figure.subplots(rows_of_panels, COLUMNS, squeeze=False).flat)
     for panel in panels:
         panel.set_axis_off()
     for panel, kind in zip(panels, kinds, strict=False):
