--- a/packages/bench/src/samphirestack_bench/benchmarks/control.py
+++ b/packages/bench/src/samphirestack_bench/benchmarks/control.py
@@ -23,9 +23,8 @@
 
 DESCRIPTION = 'processor time, memory and bytes/s of a daemon for control'
 
-CORE_PERCENT_BOUND = 2.6
-MEMORY_MB_BOUND = 64.0
-KB_PER_S_BOUND = 6.0
+BOUNDS = {'core_percent': 2.6, 'memory_mb': 64.0, 'kb_per_s': 6.0}
+"""Upper bounds of the fields of :class:`Usage`."""
 WINDOW_S = 10.0
 SETTLE_S = 4.0
 ENTRIES_PER_ZONE = 2
@@ -101,18 +100,15 @@
     record: records.Record = {'summary': True, 'seed': options.seed}
     for role in ('leader', 'standby'):
         usage = used['base', role]
-        record[f'{role}_core_percent'] = usage.core_percent
-        record[f'{role}_memory_mb'] = usage.memory_mb
-        record[f'{role}_kb_per_s'] = usage.kb_per_s
+        for name, bound in BOUNDS.items():
+            record[f'{role}_{name}'] = getattr(usage, name)
+            records.require_at_most(record, f'{role}_{name}', bound)
         for size in SIZES[1:]:
             if (size.name, role) in used:
                 step = _step(base, size)
                 record[f'{role}_per_{size.name}'] = _slopes(
                     usage, used[size.name, role], step
                 )
-    record['core_percent_bound'] = CORE_PERCENT_BOUND
-    record['memory_mb_bound'] = MEMORY_MB_BOUND
-    record['kb_per_s_bound'] = KB_PER_S_BOUND
     return record
 
 
--- a/packages/bench/src/samphirestack_bench/benchmarks/packing.py
+++ b/packages/bench/src/samphirestack_bench/benchmarks/packing.py
@@ -29,6 +29,7 @@
 """Waiting tasks that are tried after each end."""
 SAMPLE_EVERY = 100
 SEEDS = 5
+USED_BOUND = 0.95
 GANG_TASKS = 16
 GANG_NEED = model.Resources(4000, 16_384)
 _DIMENSIONS = ('millicores', 'memory_mb', 'accelerators')
@@ -131,13 +132,10 @@
             record = _measure(name, seed, ends)
             used.setdefault(name, []).append(float(str(record['used'])))
             yield record
-    summary: records.Record = {
-        'summary': True,
-        'seed': options.seed,
-        'bound_of_target': 0.95,
-    }
+    summary: records.Record = {'summary': True, 'seed': options.seed}
     for name, values in used.items():
         summary[f'{name}_used'] = round(records.median(values), 4)
+    records.require_at_least(summary, 'scheduler_used', USED_BOUND)
     yield summary
 
 
--- a/packages/bench/src/samphirestack_bench/benchmarks/placement.py
+++ b/packages/bench/src/samphirestack_bench/benchmarks/placement.py
@@ -21,6 +21,10 @@
 
 SIZES = (24, 122, 400, fleets.WORKERS_TARGET)
 FILL = 0.8
+PER_S_BOUND = 2000.0
+P99_MS_BOUND = 9.0
+GROWTH_BOUND = 2.0
+SCAN_RATIO_BOUND = 20.0
 REPETITIONS = 5
 DECISIONS = 4000
 SCAN_DECISIONS = 400
@@ -61,28 +65,32 @@
 ) -> records.Record:
     smallest = by_size[fleets.WORKERS_TODAY]
     largest = by_size[fleets.WORKERS_TARGET]
-    grown = _figure(largest, 'mean_us') - _figure(smallest, 'mean_us')
+    grown = records.figure(largest, 'mean_us') - records.figure(
+        smallest, 'mean_us'
+    )
     added = fleets.WORKERS_TARGET - fleets.WORKERS_TODAY
-    return {
+    summary: records.Record = {
         'summary': True,
         'seed': options.seed,
         'per_s_at_target': largest['per_s'],
-        'p99_ms_at_target': _figure(largest, 'p99_us') / 1000,
+        'p99_ms_at_target': records.figure(largest, 'p99_us') / 1000,
         'growth_ratio': round(
-            _figure(largest, 'mean_us') / _figure(smallest, 'mean_us'), 3
+            records.figure(largest, 'mean_us')
+            / records.figure(smallest, 'mean_us'),
+            3,
         ),
         'slope_us_per_worker': round(grown / added, 5),
         'scan_ratio': round(
-            _figure(largest, 'scan_mean_us') / _figure(largest, 'mean_us'), 1
+            records.figure(largest, 'scan_mean_us')
+            / records.figure(largest, 'mean_us'),
+            1,
         ),
     }
-
-
-def _figure(record: records.Record, name: str) -> float:
-    value = record[name]
-    if not isinstance(value, int | float):
-        raise TypeError(f'{name} is {value!r}, but must be a number')
-    return float(value)
+    records.require_at_least(summary, 'per_s_at_target', PER_S_BOUND)
+    records.require_at_most(summary, 'p99_ms_at_target', P99_MS_BOUND)
+    records.require_at_most(summary, 'growth_ratio', GROWTH_BOUND)
+    records.require_at_least(summary, 'scan_ratio', SCAN_RATIO_BOUND)
+    return summary
 
 
 def _time_index(size: int, decisions: int, rng: random.Random) -> list[float]:
--- a/packages/bench/src/samphirestack_bench/records.py
+++ b/packages/bench/src/samphirestack_bench/records.py
@@ -66,3 +66,26 @@
 def median(values: list[float]) -> float:
     """Return the median of non-empty ``values``."""
     return statistics.median(values)
+
+
+def figure(record: Record, name: str) -> float:
+    """Return a figure of a record.
+
+    :raises TypeError: it is not a number.
+    """
+    value = record[name]
+    if not isinstance(value, int | float):
+        raise TypeError(f'{name} is {value!r}, but must be a number')
+    return float(value)
+
+
+def require_at_most(record: Record, name: str, bound: float) -> None:
+    """Add the upper bound of a figure, and whether it is met."""
+    record[f'{name}_bound'] = bound
+    record[f'{name}_met'] = figure(record, name) <= bound
+
+
+def require_at_least(record: Record, name: str, bound: float) -> None:
+    """Add the lower bound of a figure, and whether it is met."""
+    record[f'{name}_bound'] = bound
+    record[f'{name}_met'] = figure(record, name) >= bound
--- a/tests/unit/bench/test_figures.py
+++ b/tests/unit/bench/test_figures.py
@@ -8,6 +8,7 @@
 from samphirestack_bench.benchmarks import overhead
 from samphirestack_bench.benchmarks import recovery
 from samphirestack_bench import clusters
+from samphirestack_bench import records
 from samphirestack_bench import shares
 from samphirestack_testing import ledger
 from samphirestack_testing import oracle
@@ -137,3 +138,19 @@
         """Guards against counting used slices as lost."""
         found = limits.lost_part(900, zones, cut, used)
         assert math.isclose(found, lost, abs_tol=1e-4)
+
+
+class TestBounds:
+    """A figure is judged against its bound in the right direction."""
+
+    def test_upper_and_lower_bounds(self) -> None:
+        """Guards against a missed bound that is reported as met."""
+        record: records.Record = {'low': 1.0, 'high': 3.0}
+        records.require_at_most(record, 'low', 2.0)
+        records.require_at_least(record, 'high', 2.0)
+        assert record['low_met'] is True
+        assert record['high_met'] is True
+        records.require_at_most(record, 'high', 2.0)
+        records.require_at_least(record, 'low', 2.0)
+        assert record['high_met'] is False
+        assert record['low_met'] is False
