--- a/packages/bench/src/samphirestack_bench/report.py
+++ b/packages/bench/src/samphirestack_bench/report.py
@@ -16,6 +16,21 @@
 PAGE = 'measurements.md'
 PLOTS = 'plots'
 BOUND = '_bound'
+CAUSES = {
+    'leader_kb_per_s': 'Half of it goes to the agents of the arbiters and '
+    'other workers, a quarter to peers and a fifth to upstreams; '
+    'docs/CAPACITY.md names what has to change.',
+    'pause_leader_urgent_wait_max_s': 'Calls that were sent to the paused '
+    'entry itself hang until it wakes up: the load balancer needs about 1 s '
+    'to notice, and these callers wait for their answer. Calls through the '
+    'other entries of the zone start as designed.',
+    'core_3_zones_error_max': 'Use in other zones is known a second late; '
+    'the error is that of a team with 3.76 of 64 slots in a zone, in a few '
+    'windows.',
+    'fifo_error_max': 'A baseline: it serves teams in order of arrival.',
+    'static_error_max': 'A baseline: shares are rounded to whole slots.',
+}
+"""Why figures miss their bound, as traces have shown."""
 MET = '_met'
 HIDDEN = ('summary', 'benchmark', 'seed', 'quick')
 INTRODUCTION = """# Measurements
@@ -114,6 +129,9 @@
             f'| `{figure.name}` | {_text(figure.value)} '
             f'| {_text(figure.bound)} | {_verdict(figure.met)} |'
         )
+    for figure in figures(result.summary):
+        if figure.met is False and figure.name in CAUSES:
+            lines += ['', f'`{figure.name}`: {CAUSES[figure.name]}']
     return '\n'.join(lines) + '\n'
 
 
