--- a/packages/bench/src/samphirestack_bench/report.py
+++ b/packages/bench/src/samphirestack_bench/report.py
@@ -17,8 +17,8 @@
 PLOTS = 'plots'
 BOUND = '_bound'
 CAUSES = {
-    'leader_kb_per_s': 'Half of it goes to the agents of the arbiters and '
-    'other workers, a quarter to peers and a fifth to upstreams; '
+    'leader_kb_per_s': 'Two fifths of it go to the agents of the arbiters and '
+    'other workers, a quarter to peers and a sixth to upstreams; '
     'docs/CAPACITY.md names what has to change.',
     'pause_leader_urgent_wait_max_s': 'Calls that were sent to the paused '
     'entry itself hang until it wakes up: the load balancer needs about 1 s '
