--- a/packages/core/src/samphirestack/errors.py
+++ b/packages/core/src/samphirestack/errors.py
@@ -237,15 +237,17 @@
 class TransactionConflict(PlatformError):
     """A conditional write found another version than expected.
 
-    :param conflicts: present version by ``(table, key)``.
+    :param conflicts: present version by ``(table, key)``, where it is known.
     """
 
     code = 'transaction_conflict'
     http_status = 409
 
-    def __init__(self, conflicts: dict[tuple[str, str], int]) -> None:
-        super().__init__(f'rows have other versions: {conflicts}')
-        self.conflicts = conflicts
+    def __init__(
+        self, conflicts: dict[tuple[str, str], int] | None = None
+    ) -> None:
+        self.conflicts = conflicts or {}
+        super().__init__(f'rows have other versions: {self.conflicts}')
 
 
 class OutcomeUnknown(PlatformError):
@@ -258,7 +260,7 @@
 class FencedOff(PlatformError):
     """A worker agent refused an epoch that is lower than its own.
 
-    :param epoch: the epoch that the agent holds now.
+    :param epoch: the epoch that the agent holds now; 0 if it did not say.
     :param owner: the VM that holds it.
     """
 
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -0,0 +1,58 @@
+"""What the scheduler asks its daemon to do."""
+
+import msgspec
+
+from samphirestack import model
+from samphirestack.fleet import ports
+from samphirestack.fleet import specs
+
+
+class Start(msgspec.Struct, frozen=True):
+    """Order a worker to start a run."""
+
+    worker: specs.WorkerEntry
+    order: ports.TaskOrder
+    queue_id: model.QueueId
+    waited_s: float
+    """Time since the step became ready, for logs and metrics."""
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """Order a worker to stop a run, whether it has begun or not."""
+
+    worker: specs.WorkerEntry
+    task_id: model.TaskId
+    run: specs.RunNumber
+    reason: str
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """Ask the advice service about a step."""
+
+    step_id: str
+    worker_ids: tuple[model.WorkerId, ...]
+    expected_s: float
+    urgent: bool
+
+
+class Look(msgspec.Struct, frozen=True):
+    """Read a worker's lists at once, to learn about an unanswered order."""
+
+    worker_id: model.WorkerId
+
+
+Action = Start | Stop | Ask | Look
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What has to be stored before it counts.
+
+    Ends up to ``ends_by_worker_id`` can be forgotten by their workers once
+    everything here is stored.
+    """
+
+    job_ids: tuple[model.JobId, ...]
+    puts: tuple[ports.Put, ...]
+    removals: tuple[ports.Removal, ...]
+    ends_by_worker_id: dict[model.WorkerId, tuple[int, int]]
+    """Life of the worker and number of the last end that is covered."""
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -0,0 +1,136 @@
+"""What the scheduler believes about each worker, and since when."""
+
+import enum
+
+from samphirestack import model
+from samphirestack.fleet import specs
+from samphirestack.fleet import work
+
+CLOCK_SLOWNESS = 0.03
+"""Workers' clocks may run 2 % slow; the rest covers rounding."""
+
+
+class RunState(enum.Enum):
+    """What is known of a run on a worker."""
+
+    ORDERED = 'ordered'
+    """The order is on its way."""
+    UNCERTAIN = 'uncertain'
+    """The order had no answer: the run may be there, or start later."""
+    CONFIRMED = 'confirmed'
+    STOPPING = 'stopping'
+
+
+class Run:
+    """A run that occupies, or may occupy, room on a worker."""
+
+    __slots__ = (
+        'confirmed_at',
+        'counted',
+        'load',
+        'ordered_at',
+        'percent',
+        'progressed_at',
+        'run',
+        'state',
+        'stop_sent_at',
+        'task',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        task: work.Task,
+        run: int,
+        worker_id: model.WorkerId,
+        state: RunState,
+        now: float,
+    ) -> None:
+        self.task = task
+        self.run = run
+        self.worker_id = worker_id
+        self.state = state
+        self.ordered_at = now
+        self.confirmed_at = now
+        self.percent = 0.0
+        self.progressed_at = now
+        self.load = 0.0
+        self.stop_sent_at = float('-inf')
+        self.counted = True
+        """Whether the task is PLACED by this run."""
+
+
+class Belief:
+    """A worker: its room, its runs and its lease."""
+
+    def __init__(self, entry: specs.WorkerEntry) -> None:
+        self.entry = entry
+        self.runs_by_key: dict[tuple[model.TaskId, int], Run] = {}
+        self.free_cpu = entry.capacity.millicores
+        self.free_memory = entry.capacity.memory_mb
+        self.free_gpu = entry.capacity.accelerators
+        self.reported = False
+        """Its lists were read in this term."""
+        self.started_unix_ms = entry.started_unix_ms
+        self.last_end = 0
+        """Highest number of an end that was handled."""
+        self.last_seen = 0
+        """Highest number of an end that is stored."""
+        self.deadline_ms = 0.0
+        """Latest lease deadline that was sent, on the worker's clock."""
+        self.clock_ms = 0.0
+        self.clock_at = float('-inf')
+        """When the worker's clock was read, on ours."""
+        self.silent_since: float | None = None
+        self.listed = True
+        """It is in the list of workers."""
+        self.avoid_until = 0.0
+        self.failed_jobs: set[model.JobId] = set()
+        self.pauses = 0
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether it takes no new work."""
+        return self.entry.state is specs.WorkerState.DRAINING
+
+    def read_clock(self, now: float, clock_ms: float) -> None:
+        """Take note of the worker's clock."""
+        self.clock_ms = clock_ms
+        self.clock_at = now
+
+    def deadline_in(self, now: float, lease_s: float) -> int | None:
+        """Return the worker's time ``lease_s`` from now, if known."""
+        if self.clock_at == float('-inf'):
+            return None
+        return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
+
+    def lease_over(self, now: float) -> bool:
+        """Return whether its lease has lapsed by the slowest clock."""
+        if self.clock_at == float('-inf'):
+            return False
+        passed_ms = (now - self.clock_at) * (1 - CLOCK_SLOWNESS) * 1000
+        return self.clock_ms + passed_ms > self.deadline_ms
+
+    def add(self, run: Run) -> None:
+        """Count the room of a run."""
+        self.runs_by_key[run.task.id, run.run] = run
+        spec = run.task.step.spec
+        if not spec.filler:
+            self.free_cpu -= spec.size.millicores
+        self.free_memory -= spec.size.memory_mb
+        self.free_gpu -= spec.size.accelerators
+        step = run.task.step
+        step.per_worker[run.worker_id] = (
+            step.per_worker.get(run.worker_id, 0) + 1
+        )
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run."""
+        if self.runs_by_key.pop((run.task.id, run.run), None) is None:
+            return
+        spec = run.task.step.spec
+        if not spec.filler:
+            self.free_cpu += spec.size.millicores
+        self.free_memory += spec.size.memory_mb
+        self.free_gpu += spec.size.accelerators
+        run.task.step.per_worker[run.worker_id] -= 1
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/jobbook.py
@@ -0,0 +1,347 @@
+"""The jobs of one term and what of them has to be stored."""
+
+from collections.abc import Iterable
+
+from samphirestack import model
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import specs
+from samphirestack.fleet import work
+
+MAX_JOBS_PER_WRITE = 30
+"""Each takes up to three entries of a transaction, which holds 100."""
+
+
+class JobBook:
+    """Active and ended jobs.
+
+    :param first_run: run numbers of this term are above it.
+    """
+
+    def __init__(self, first_run: int) -> None:
+        self._first_run = first_run
+        self.active_by_id: dict[model.JobId, work.Job] = {}
+        self.ended_by_id: dict[model.JobId, records.JobRecord] = {}
+        """Ended jobs whose end is stored."""
+        self._ending_by_id: dict[model.JobId, records.JobRecord] = {}
+        self._dirty: dict[model.JobId, None] = {}
+        self.ready_steps: dict[str, work.StepRun] = {}
+        """Steps with tasks that wait for a worker."""
+        self._scheduled: dict[model.JobId, work.Job] = {}
+        self.unix_offset_s = 0.0
+        """Unix time minus the scheduler's clock."""
+
+    def knows(self, job_id: model.JobId) -> bool:
+        """Return whether the job is active or has ended."""
+        return (
+            job_id in self.active_by_id
+            or job_id in self.ended_by_id
+            or job_id in self._ending_by_id
+        )
+
+    def state_of(self, job_id: model.JobId) -> specs.JobState | None:
+        """Return the state that callers may be told; ``None`` if unknown.
+
+        An end counts once it is stored.
+        """
+        ended = self.ended_by_id.get(job_id)
+        if ended is not None:
+            return ended.ended_as
+        if job_id in self._ending_by_id:
+            return specs.JobState.RUNNING
+        job = self.active_by_id.get(job_id)
+        return job.state if job else None
+
+    def customer_of(self, job_id: model.JobId) -> model.TeamId | None:
+        """Return whose job it is."""
+        job = self.active_by_id.get(job_id)
+        if job is not None:
+            return job.customer_id
+        record = self.ended_by_id.get(job_id) or self._ending_by_id.get(job_id)
+        return record.customer_id if record else None
+
+    def waiting_by_queue(self) -> dict[model.QueueId, int]:
+        """Return how many jobs of each queue have not begun."""
+        counts: dict[model.QueueId, int] = {}
+        for job in self.active_by_id.values():
+            if job.state is specs.JobState.QUEUED:
+                queue_id = job.queue.queue_id
+                counts[queue_id] = counts.get(queue_id, 0) + 1
+        return counts
+
+    def add(self, now: float, job: work.Job) -> None:
+        """Take a job in."""
+        self.active_by_id[job.job_id] = job
+        if job.spec.repetitions:
+            self._scheduled[job.job_id] = job
+            self.begin_due(now)
+        else:
+            self._begin_occurrence(now, job)
+
+    def add_ended(self, record: records.JobRecord) -> None:
+        """Take note of a job that ended in an earlier term."""
+        self.ended_by_id[record.job_id] = record
+
+    def begin_due(self, now: float) -> None:
+        """Begin the occurrences of scheduled jobs that are due."""
+        for job in list(self._scheduled.values()):
+            while (
+                job.next_occurrence < job.occurrence_count
+                and job.due_at(job.next_occurrence) <= now
+            ):
+                self._begin_occurrence(now, job)
+            if job.next_occurrence >= job.occurrence_count:
+                self._scheduled.pop(job.job_id, None)
+
+    def _begin_occurrence(self, now: float, job: work.Job) -> None:
+        for step in job.begin_occurrence():
+            if not step.pending_steps:
+                self._make_ready(now, step)
+
+    def _make_ready(self, now: float, step: work.StepRun) -> None:
+        step.ready_at = now
+        if step.waiting:
+            self.ready_steps[step.id] = step
+        elif step.is_done:
+            # A step without tasks is done as soon as it is ready.
+            self._step_done(now, step)
+
+    def restore(
+        self, now: float, job: work.Job, progress: records.JobProgress
+    ) -> None:
+        """Apply what an earlier holder of the term stored."""
+        job.progress = progress
+        while job.next_occurrence < job.occurrence_count and any(
+            int(key.split('.')[0]) >= job.next_occurrence
+            for key in progress.done_by_step
+        ):
+            self._begin_occurrence(now, job)
+        if progress.begun or progress.done_by_step:
+            job.state = specs.JobState.RUNNING
+        for key, numbers in progress.failed_runs_by_task.items():
+            occurrence, number, index = map(int, key.split('.'))
+            step = job.steps_by_key.get((occurrence, number))
+            if step is not None and index < step.spec.count:
+                task = step.tasks[index]
+                task.failed_runs.update(numbers)
+                task.last_run = max([task.last_run, *numbers])
+        for key in sorted(progress.done_by_step, key=_step_order):
+            occurrence, number = map(int, key.split('.'))
+            step = job.steps_by_key.get((occurrence, number))
+            for index in progress.done_by_step[key] if step else ():
+                assert step is not None
+                if index < step.spec.count:
+                    self._mark_done(now, step.tasks[index])
+
+    def find_task(self, task_id: model.TaskId) -> work.Task | None:
+        """Return a task of an active job."""
+        parts = specs.split_task_id(task_id)
+        if parts is None:
+            return None
+        job_id, occurrence, number, index = parts
+        job = self.active_by_id.get(job_id)
+        step = job and job.steps_by_key.get((occurrence, number))
+        if step is None or index >= step.spec.count:
+            return None
+        return step.tasks[index]
+
+    def find_step(self, step_id: str) -> work.StepRun | None:
+        """Return a step of an active job."""
+        job_id, occurrence, number = step_id.split('.')
+        job = self.active_by_id.get(model.JobId(job_id))
+        if job is None:
+            return None
+        return job.steps_by_key.get((int(occurrence), int(number)))
+
+    def next_run(self, tasks: Iterable[work.Task]) -> int:
+        """Return a run number above all earlier ones of the tasks."""
+        return 1 + max(self._first_run, max(task.last_run for task in tasks))
+
+    def placed(self, task: work.Task, run_number: int) -> None:
+        """Take note that a run of a task is, or may be, on a worker."""
+        task.state = work.TaskState.PLACED
+        task.placed_run = run_number
+        task.last_run = max(task.last_run, run_number)
+        step = task.step
+        step.waiting.discard(task.index)
+        if not step.waiting:
+            self.ready_steps.pop(step.id, None)
+
+    def begun(self, job: work.Job) -> None:
+        """Take note that a task of a job has started."""
+        if job.state is specs.JobState.QUEUED:
+            job.state = specs.JobState.RUNNING
+
+    def requeue(self, task: work.Task) -> None:
+        """Let a task wait for a worker again."""
+        if task.state is not work.TaskState.PLACED:
+            return
+        task.state = work.TaskState.WAITING
+        task.placed_run = 0
+        step = task.step
+        step.waiting.add(task.index)
+        if step.job.job_id in self.active_by_id and not step.pending_steps:
+            self.ready_steps[step.id] = step
+
+    def task_done(self, now: float, task: work.Task) -> None:
+        """Count the success of a task."""
+        if task.state is work.TaskState.DONE:
+            return
+        job = task.step.job
+        step = task.step
+        key = f'{step.occurrence}.{step.number}'
+        job.progress.done_by_step.setdefault(key, []).append(task.index)
+        self._dirty[job.job_id] = None
+        self.begun(job)
+        self._mark_done(now, task)
+
+    def _mark_done(self, now: float, task: work.Task) -> None:
+        if task.state is work.TaskState.DONE:
+            return
+        step = task.step
+        task.state = work.TaskState.DONE
+        step.waiting.discard(task.index)
+        step.done_count += 1
+        if not step.waiting:
+            self.ready_steps.pop(step.id, None)
+        if step.is_done:
+            self._step_done(now, step)
+
+    def _step_done(self, now: float, step: work.StepRun) -> None:
+        job = step.job
+        others = [
+            other
+            for other in job.steps_by_key.values()
+            if other.occurrence == step.occurrence
+        ]
+        for other in others:
+            if step.number in other.pending_steps:
+                other.pending_steps.discard(step.number)
+                if not other.pending_steps:
+                    self._make_ready(now, other)
+        if all(other.is_done for other in others):
+            job.occurrences_done += 1
+
+    def task_failed(self, task: work.Task, run_number: int) -> int:
+        """Count a failed run and return the attempts that are used up."""
+        step = task.step
+        job = step.job
+        if run_number not in task.failed_runs:
+            task.failed_runs.add(run_number)
+            key = f'{step.occurrence}.{step.number}.{task.index}'
+            job.progress.failed_runs_by_task.setdefault(key, []).append(
+                run_number
+            )
+            self._dirty[job.job_id] = None
+        if not step.spec.gang:
+            return len(task.failed_runs)
+        failed: set[int] = set()
+        for member in step.tasks:
+            failed |= member.failed_runs
+        return len(failed)
+
+    def is_complete(self, job: work.Job) -> bool:
+        """Return whether all tasks of all occurrences succeeded."""
+        return job.occurrences_done >= job.occurrence_count
+
+    def end(self, now: float, job: work.Job, state: specs.JobState) -> None:
+        """End a job; callers are told once that is stored."""
+        job.state = state
+        self.active_by_id.pop(job.job_id, None)
+        self._scheduled.pop(job.job_id, None)
+        for step in job.steps_by_key.values():
+            self.ready_steps.pop(step.id, None)
+        self._ending_by_id[job.job_id] = records.JobRecord(
+            job.job_id,
+            specs.Queue(
+                job.queue.queue_id,
+                job.queue.service,
+                job.queue.host,
+                job.queue.prefix,
+            ),
+            job.customer_id,
+            job.record.accepted_unix_s,
+            None,
+            state,
+            now + self.unix_offset_s,
+        )
+        self._dirty[job.job_id] = None
+
+    def forget_ended(self, unix_before: float) -> None:
+        """Remove what ended before a moment, also from the store."""
+        for job_id, record in list(self.ended_by_id.items()):
+            if record.ended_unix_s < unix_before:
+                del self.ended_by_id[job_id]
+                self._dirty[job_id] = None
+
+    # Storing
+
+    def take_changes(
+        self,
+    ) -> tuple[
+        tuple[ports.Put, ...],
+        tuple[ports.Removal, ...],
+        tuple[model.JobId, ...],
+    ]:
+        """Return rows to write and the jobs that they cover."""
+        puts = []
+        removals = []
+        job_ids = list(self._dirty)[:MAX_JOBS_PER_WRITE]
+        for job_id in job_ids:
+            del self._dirty[job_id]
+            ending = self._ending_by_id.get(job_id)
+            if ending is not None:
+                puts.append(
+                    ports.Put(
+                        records.JOBS_TABLE, job_id, records.encode(ending)
+                    )
+                )
+                removals.append(ports.Removal(records.PROGRESS_TABLE, job_id))
+                if ending.ended_as is specs.JobState.CANCELLED:
+                    removals.append(
+                        ports.Removal(
+                            records.JOBS_TABLE,
+                            job_id + records.CANCEL_SUFFIX,
+                        )
+                    )
+                continue
+            job = self.active_by_id.get(job_id)
+            if job is not None:
+                puts.append(
+                    ports.Put(
+                        records.PROGRESS_TABLE,
+                        job_id,
+                        records.encode(job.progress),
+                    )
+                )
+            elif job_id not in self.ended_by_id:
+                removals.append(ports.Removal(records.JOBS_TABLE, job_id))
+                removals.append(
+                    ports.Removal(
+                        records.JOBS_TABLE, job_id + records.CANCEL_SUFFIX
+                    )
+                )
+        return tuple(puts), tuple(removals), tuple(job_ids)
+
+    @property
+    def has_changes(self) -> bool:
+        """Return whether something waits to be stored."""
+        return bool(self._dirty)
+
+    def stored(self, job_ids: Iterable[model.JobId]) -> None:
+        """Take note that the rows of jobs are written."""
+        for job_id in job_ids:
+            if job_id in self._dirty:
+                continue
+            ending = self._ending_by_id.pop(job_id, None)
+            if ending is not None:
+                self.ended_by_id[job_id] = ending
+
+    def not_stored(self, job_ids: Iterable[model.JobId]) -> None:
+        """Write the rows of jobs again."""
+        for job_id in job_ids:
+            self._dirty[job_id] = None
+
+
+def _step_order(key: str) -> tuple[int, ...]:
+    return tuple(map(int, key.split('.')))
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -0,0 +1,101 @@
+"""Messages between entries and the holder of the term."""
+
+import msgspec
+
+from samphirestack import model
+from samphirestack.fleet import specs
+
+
+class Ping(msgspec.Struct, tag='ping', frozen=True):
+    """From an entry to the holder, at intervals."""
+
+    vm_id: model.VmId
+    term: int
+    store_age_s: float
+    """Time since the entry last had an answer of the store."""
+
+
+class Pong(msgspec.Struct, tag='pong', frozen=True):
+    """The holder's answer to a ping."""
+
+    term: int
+    waiting_by_queue: dict[model.QueueId, int]
+
+
+class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
+    """An entry stored a job."""
+
+    row: bytes
+
+
+class CancelStored(msgspec.Struct, tag='cancel_stored', frozen=True):
+    """An entry stored the cancellation of a job."""
+
+    job_id: model.JobId
+
+
+class StateQuery(msgspec.Struct, tag='state_query', frozen=True):
+    """What may the caller of a job be told?"""
+
+    number: int
+    job_id: model.JobId
+
+
+class StateReply(msgspec.Struct, tag='state_reply', frozen=True):
+    """State of a job; ``state`` is absent for an unknown job."""
+
+    number: int
+    state: specs.JobState | None
+    customer_id: model.TeamId | None
+
+
+class AdviceRequest(msgspec.Struct, tag='advice_request', frozen=True):
+    """The holder asks an entry to call the advice service."""
+
+    number: int
+    step_id: str
+    worker_ids: tuple[model.WorkerId, ...]
+    timeout_s: float
+
+
+class AdviceReply(msgspec.Struct, tag='advice_reply', frozen=True):
+    """Tickets by worker; absent if the call failed."""
+
+    number: int
+    tickets_by_worker_id: dict[model.WorkerId, str] | None
+
+
+class TakeOver(msgspec.Struct, tag='take_over', frozen=True):
+    """The holder orders nothing more and asks an entry to follow it."""
+
+    term: int
+    life: str
+
+
+Message = (
+    Ping
+    | Pong
+    | JobStored
+    | CancelStored
+    | StateQuery
+    | StateReply
+    | AdviceRequest
+    | AdviceReply
+    | TakeOver
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Read a message.
+
+    :raises msgspec.DecodeError: it is none of this version.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -0,0 +1,87 @@
+"""What is kept in the platform's store, and its codec."""
+
+import msgspec
+
+from samphirestack import model
+from samphirestack.fleet import specs
+
+JOBS_TABLE = 'jobs'
+PROGRESS_TABLE = 'progress'
+TERM_TABLE = 'term'
+TERM_KEY = 'fleet'
+CANCEL_SUFFIX = '!'
+"""Marks the row of a cancellation beside the row of its job."""
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The row of a job; it is not changed until the job has ended."""
+
+    job_id: model.JobId
+    queue: specs.Queue
+    """As it was when the job was accepted; it may be removed later."""
+    customer_id: model.TeamId
+    accepted_unix_s: float
+    spec: specs.JobSpec | None = None
+    """Absent once the job has ended."""
+    ended_as: specs.JobState | None = None
+    ended_unix_s: float = 0.0
+
+
+class JobProgress(msgspec.Struct, omit_defaults=True):
+    """What must survive of a job that has not ended."""
+
+    done_by_step: dict[str, list[int]] = {}
+    """Indexes of the tasks that succeeded, by ``OCCURRENCE.STEP``."""
+    failed_runs_by_task: dict[str, list[int]] = {}
+    """Numbers of failed runs, by ``OCCURRENCE.STEP.INDEX``."""
+    begun: bool = False
+
+
+class TermRecord(msgspec.Struct, frozen=True):
+    """The row that says who decides for the fleet."""
+
+    term: int
+    holder: model.VmId
+    life: str
+    """One start of the holder's process."""
+    address: str
+    """Where entries reach the holder."""
+    writes: int = 0
+    """Count of the holder's writes, to find out about a lost answer."""
+    released: bool = False
+    """The holder gave the term up and orders nothing more."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_job_decoder = msgspec.msgpack.Decoder(JobRecord)
+_progress_decoder = msgspec.msgpack.Decoder(JobProgress)
+_term_decoder = msgspec.msgpack.Decoder(TermRecord)
+
+
+def encode(record: JobRecord | JobProgress | TermRecord) -> bytes:
+    """Return the bytes of a record."""
+    return _encoder.encode(record)
+
+
+def decode_job(data: bytes) -> JobRecord:
+    """Read the row of a job.
+
+    :raises msgspec.DecodeError: the bytes are no such record.
+    """
+    return _job_decoder.decode(data)
+
+
+def decode_progress(data: bytes) -> JobProgress:
+    """Read the progress of a job.
+
+    :raises msgspec.DecodeError: the bytes are no such record.
+    """
+    return _progress_decoder.decode(data)
+
+
+def decode_term(data: bytes) -> TermRecord:
+    """Read the term.
+
+    :raises msgspec.DecodeError: the bytes are no such record.
+    """
+    return _term_decoder.decode(data)
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -0,0 +1,155 @@
+"""Who decides for the fleet, as a pure state machine.
+
+The term is one row of the store.  Its holder renews the row with each of its
+writes.  Two bounds follow from the last renewal: after ``ORDER_LEASE_S`` the
+holder starts nothing more, and after ``HOLD_LEASE_S`` it extends no lease of
+a worker either.  Another entry takes the term over once it has seen the row
+unchanged for longer than ``ORDER_LEASE_S``, so that two holders never start
+work at the same time.
+"""
+
+from samphirestack import model
+from samphirestack.fleet import records
+
+ORDER_LEASE_S = 2.5
+"""From the sending of a renewal.  It bounds how long the fleet stands still
+after a holder went silent."""
+
+HOLD_LEASE_S = 6.5
+"""From the sending of a renewal.  Running work outlives outages of the store
+of up to this length."""
+
+TAKEOVER_AFTER_S = 3.0
+"""Silence before a takeover; the margin above ORDER_LEASE_S covers the
+transit of a renewal and of a last order."""
+
+RENEW_EVERY_S = 0.8
+"""Three renewals fit into ORDER_LEASE_S, so that two may be lost."""
+
+OBSERVATION_GAP_S = 1.6
+"""Reads further apart prove no silence of the holder: it could not have
+renewed during an outage of the store either."""
+
+
+class Term:
+    """What one entry knows of the term.
+
+    :param vm_id: this entry.
+    :param life: this start of the process.
+    :param address: where other entries reach this one.
+    """
+
+    def __init__(self, vm_id: model.VmId, life: str, address: str) -> None:
+        self._vm_id = vm_id
+        self._life = life
+        self._address = address
+        self.record: records.TermRecord | None = None
+        self.version = 0
+        self._changed_at: float | None = None
+        self._read_at: float | None = None
+        self._renewed_at = float('-inf')
+        self._dead_lives: set[str] = set()
+
+    @property
+    def number(self) -> int:
+        """Highest term seen; 0 before the first."""
+        return self.record.term if self.record else 0
+
+    @property
+    def is_mine(self) -> bool:
+        """Return whether the row names this process."""
+        return (
+            self.record is not None
+            and self.record.life == self._life
+            and not self.record.released
+        )
+
+    def may_order(self, now: float) -> bool:
+        """Return whether this process may start work."""
+        return self.is_mine and now < self._renewed_at + ORDER_LEASE_S
+
+    def may_hold(self, now: float) -> bool:
+        """Return whether this process may extend leases of workers."""
+        return self.is_mine and now < self._renewed_at + HOLD_LEASE_S
+
+    def renewal_age(self, now: float) -> float:
+        """Seconds since the last renewal was sent."""
+        return now - self._renewed_at
+
+    def observe(
+        self,
+        sent_at: float,
+        now: float,
+        record: records.TermRecord | None,
+        version: int,
+    ) -> None:
+        """Take note of a read of the row."""
+        if version < self.version:
+            return
+        gap = self._read_at is None or (
+            sent_at - self._read_at > OBSERVATION_GAP_S
+        )
+        if version != self.version or gap or self._changed_at is None:
+            self._changed_at = now
+        self._read_at = now
+        self.record = record
+        self.version = version
+
+    def holder_died(self, life: str) -> None:
+        """Take note of proof that a process is gone."""
+        self._dead_lives.add(life)
+
+    def may_take_over(self, now: float) -> bool:
+        """Return whether this entry may claim the term."""
+        if self._read_at is None or self.is_mine:
+            return False
+        record = self.record
+        if record is None or record.released:
+            return True
+        if record.life in self._dead_lives:
+            return True
+        if record.holder == self._vm_id and record.life != self._life:
+            # An earlier process of this VM; it ended before this one began.
+            return True
+        silent_s = now - (self._changed_at or now)
+        return silent_s >= TAKEOVER_AFTER_S
+
+    def claim(self) -> records.TermRecord:
+        """Return the row that claims the next term."""
+        return records.TermRecord(
+            self.number + 1, self._vm_id, self._life, self._address, 1
+        )
+
+    def renewal(self, release: bool = False) -> records.TermRecord:
+        """Return the row of the next write of the holder."""
+        assert self.record is not None
+        return records.TermRecord(
+            self.record.term,
+            self._vm_id,
+            self._life,
+            self._address,
+            self.record.writes + 1,
+            release,
+        )
+
+    def written(
+        self, sent_at: float, record: records.TermRecord, version: int
+    ) -> None:
+        """Take note that a write of this process took effect.
+
+        :param sent_at: when it was sent first.
+        """
+        self.record = record
+        self.version = version
+        self._renewed_at = sent_at
+        self._changed_at = sent_at
+        self._read_at = sent_at
+
+    def given_up(self, life: str) -> None:
+        """Order and hold nothing more under the present term.
+
+        :param life: names this process from now on, so that the row is not
+            taken for a term that it still holds.
+        """
+        self._renewed_at = float('-inf')
+        self._life = life
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -0,0 +1,222 @@
+"""State of accepted jobs, their steps and tasks, in a scheduler's memory."""
+
+import enum
+
+from samphirestack import model
+from samphirestack.fleet import records
+from samphirestack.fleet import specs
+
+MIN_ESTIMATE_S = 0.05
+"""Least run time that is assumed; callers may declare none."""
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    """A run of it is, or may be, on a worker."""
+    DONE = 'done'
+
+
+class Task:
+    """A task of one occurrence of a step."""
+
+    __slots__ = (
+        'checkpoint',
+        'failed_runs',
+        'failed_worker_ids',
+        'id',
+        'index',
+        'last_run',
+        'percent',
+        'placed_run',
+        'state',
+        'step',
+    )
+
+    def __init__(self, step: 'StepRun', index: int) -> None:
+        self.step = step
+        self.index = index
+        self.id = specs.task_id_of(
+            step.job.job_id, step.occurrence, step.number, index
+        )
+        self.state = TaskState.WAITING
+        self.last_run = 0
+        self.placed_run = 0
+        """Number of the run that is on a worker, or 0."""
+        self.checkpoint = specs.NO_CHECKPOINT
+        self.percent = 0.0
+        self.failed_runs: set[int] = set()
+        self.failed_worker_ids: set[model.WorkerId] = set()
+
+
+class Tickets:
+    """What the advice service said about a step."""
+
+    __slots__ = ('asked_ids', 'asking_until', 'by_worker_id', 'good_ids')
+
+    def __init__(self) -> None:
+        self.asked_ids: set[model.WorkerId] = set()
+        """Workers whose suitability is known; it never changes."""
+        self.good_ids: set[model.WorkerId] = set()
+        self.by_worker_id: dict[model.WorkerId, tuple[str, float, int]] = {}
+        """Ticket, when it expires and the worker's life, by worker."""
+        self.asking_until = 0.0
+        """A call is in progress; it is given up after this moment."""
+
+    def valid_ids(self, now: float) -> set[model.WorkerId]:
+        """Return the workers with a ticket that can still be used."""
+        return {
+            worker_id
+            for worker_id, (_, expires_at, _) in self.by_worker_id.items()
+            if expires_at > now
+        }
+
+
+class StepRun:
+    """One occurrence of a step of a job."""
+
+    __slots__ = (
+        'blocked_until',
+        'done_count',
+        'job',
+        'number',
+        'occurrence',
+        'pending_steps',
+        'per_worker',
+        'ready_at',
+        'spec',
+        'tasks',
+        'tickets',
+        'waiting',
+    )
+
+    def __init__(
+        self, job: 'Job', occurrence: int, number: int, spec: specs.StepSpec
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.tasks = [Task(self, index) for index in range(spec.count)]
+        self.waiting = set(range(spec.count))
+        """Indexes of tasks that can be started."""
+        self.done_count = 0
+        self.pending_steps = set(spec.after)
+        self.ready_at: float | None = None
+        self.tickets = Tickets()
+        self.per_worker: dict[model.WorkerId, int] = {}
+        self.blocked_until = 0.0
+        """Nothing of it is started before, after a failed attempt."""
+
+    @property
+    def id(self) -> str:
+        """``JOB.OCCURRENCE.STEP``."""
+        return f'{self.job.job_id}.{self.occurrence}.{self.number}'
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether all tasks succeeded."""
+        return self.done_count == self.spec.count
+
+    @property
+    def due_at(self) -> float:
+        """When the occurrence began to count."""
+        return self.job.due_at(self.occurrence)
+
+
+class Job:
+    """An accepted job.
+
+    :param accepted_at: on the scheduler's clock.
+    :param first_due_at: of a scheduled job, on the scheduler's clock.
+    """
+
+    def __init__(
+        self,
+        record: records.JobRecord,
+        accepted_at: float,
+        first_due_at: float,
+    ) -> None:
+        assert record.spec is not None
+        self.record = record
+        self.spec = record.spec
+        self.job_id = record.job_id
+        self.queue = record.queue
+        self.customer_id = record.customer_id
+        self.accepted_at = accepted_at
+        self.first_due_at = first_due_at
+        self.state = specs.JobState.QUEUED
+        self.progress = records.JobProgress()
+        self.steps_by_key: dict[tuple[int, int], StepRun] = {}
+        self.next_occurrence = 0
+        self.occurrences_done = 0
+        self.over_share = False
+        """Accepted beyond what the customer is owed."""
+        self.tail_s = _tails(self.spec, self.queue)
+        self.chain_s = max(self.tail_s, default=0.0)
+
+    @property
+    def occurrence_count(self) -> int:
+        """Number of times that the steps run."""
+        return max(1, self.spec.repetitions)
+
+    @property
+    def is_long_running(self) -> bool:
+        """Return whether the job runs until it is cancelled."""
+        return any(step.long_running for step in self.spec.steps)
+
+    def due_at(self, occurrence: int) -> float:
+        """Return when an occurrence may start."""
+        if not self.spec.repetitions:
+            return self.accepted_at
+        return self.first_due_at + occurrence * self.spec.interval_s
+
+    def objective_at(self, occurrence: int) -> float:
+        """Return by when the occurrence should have ended."""
+        return self.due_at(occurrence) + self.objective_s
+
+    @property
+    def objective_s(self) -> float:
+        """Time that a run of the job may take to count as prompt."""
+        return self.queue.stretch * self.chain_s + self.queue.latency_target_s
+
+    def begin_occurrence(self) -> list[StepRun]:
+        """Create the steps of the next occurrence."""
+        occurrence = self.next_occurrence
+        self.next_occurrence += 1
+        steps = [
+            StepRun(self, occurrence, number, spec)
+            for number, spec in enumerate(self.spec.steps)
+        ]
+        for step in steps:
+            self.steps_by_key[occurrence, step.number] = step
+        return steps
+
+
+ADVISED_WORKERS = 30
+"""Workers that a call for advice names when its duration is estimated."""
+
+
+def advice_s(policy: specs.AdvicePolicy | None, workers: int) -> float:
+    """Return how long a call for advice takes."""
+    if policy is None:
+        return 0.0
+    return policy.base_s + policy.per_worker_s * workers
+
+
+def _tails(spec: specs.JobSpec, queue: specs.Queue) -> list[float]:
+    """Return for each step the time from its start to the job's end."""
+    advice = advice_s(queue.advice, ADVISED_WORKERS)
+    tails = [0.0] * len(spec.steps)
+    for number in reversed(range(len(spec.steps))):
+        step = spec.steps[number]
+        own = max(step.estimate_s, MIN_ESTIMATE_S) + advice
+        later = [
+            tails[other]
+            for other in range(number + 1, len(spec.steps))
+            if number in spec.steps[other].after
+        ]
+        tails[number] = own + max(later, default=0.0)
+    return tails
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/figures.py
@@ -0,0 +1,60 @@
+"""Counters and histograms of the fleet daemon."""
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+LATENCY_BUCKETS_S = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0,
+]  # fmt: skip
+
+
+class Figures:
+    """All metrics of the process."""
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self.calls = self._counter(
+            'samphirestack_fleet_calls_total',
+            'Calls of clients by operation and status.',
+        )
+        self.orders = self._counter(
+            'samphirestack_fleet_orders_total',
+            'Orders to workers by kind and outcome.',
+        )
+        self.ends = self._counter(
+            'samphirestack_fleet_run_ends_total',
+            'Ends of runs by reason.',
+        )
+        self.jobs = self._counter(
+            'samphirestack_fleet_jobs_ended_total',
+            'Ended jobs by queue and state.',
+        )
+        self.store = self._counter(
+            'samphirestack_fleet_store_calls_total',
+            'Calls to the store by operation and outcome.',
+        )
+        self.waited = self._histogram(
+            'samphirestack_fleet_wait_seconds',
+            'Time from the readiness of a step to the order of a task.',
+        )
+        self.call_time = self._histogram(
+            'samphirestack_fleet_call_seconds',
+            'Time to answer a call of a client, by operation.',
+        )
+        self.gauge = collectors.Gauge(
+            'samphirestack_fleet_state',
+            'State of this process: leading, configuration version, jobs.',
+            registry=self._registry,
+        )
+
+    def _counter(self, name: str, help_text: str) -> collectors.Counter:
+        return collectors.Counter(name, help_text, registry=self._registry)
+
+    def _histogram(self, name: str, help_text: str) -> collectors.Histogram:
+        return collectors.Histogram(
+            name, help_text, registry=self._registry, buckets=LATENCY_BUCKETS_S
+        )
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text and the headers of the answer."""
+        return renderer.render(self._registry, [])
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -0,0 +1,575 @@
+"""The holder of the term: runs the scheduler and speaks to the workers."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+import msgspec
+
+from samphirestack import errors
+from samphirestack import model
+from samphirestack.fleet import actions
+from samphirestack.fleet import messages
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
+from samphirestack.fleet import specs
+from samphirestack.fleet import term as terms
+from samphirestackd import logs
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import lanes as advice_lanes
+from samphirestackd.fleet import parts
+from samphirestackd.fleet import writer as writers
+
+HOLD_WAIT_S = 0.5
+"""A worker answers a hold at the first end or after this.  Leases are
+renewed at least as often, so that they outlive a change of the holder."""
+
+PLAN_EVERY_S = 0.004
+"""Least time between two plans: batches what happens at once."""
+
+TICK_S = 0.05
+"""Plans are made at least this often, for what depends on time alone."""
+
+JOB_FEED_EVERY_S = 0.5
+"""New jobs are announced by their entries; the feed finds those whose
+announcement was lost."""
+
+WORKER_FEED_WAIT_S = 1.0
+RETRY_AFTER_S = 0.15
+ADVICE_SLACK_S = 0.6
+"""Beyond the expected duration before a call for advice is given up."""
+
+CLEAN_EVERY_S = 20.0
+STATUS_MARGIN_S = 60.0
+"""Rows of ended jobs are kept longer than callers may ask for them."""
+
+OWN_LANE = b''
+
+
+class Holder:
+    """Everything that one process does while it holds the term.
+
+    :param send: sends a message to the entry of an identity.
+    """
+
+    def __init__(
+        self,
+        context: parts.Context,
+        term: terms.Term,
+        configuration: specs.FleetConfiguration,
+        send: Callable[[bytes, messages.Message], None],
+    ) -> None:
+        now = clock.now()
+        self._context = context
+        self._term = term
+        self._send = send
+        self.scheduler = schedulers.FleetScheduler(
+            now, term.number, configuration, context.bounds.max_lease_s
+        )
+        self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
+        self.lanes = advice_lanes.Lanes()
+        self.lanes.add(OWN_LANE)
+        self.writer = writers.TermWriter(
+            context, term, self.scheduler, self._stored
+        )
+        self.loaded = False
+        self._jobs_version = 0
+        self._wake_plan = asyncio.Event()
+        self._hold_events: dict[model.WorkerId, asyncio.Event] = {}
+        self._holds: dict[model.WorkerId, asyncio.Task[None]] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+        self._advice_waiters: dict[
+            int, asyncio.Future[dict[model.WorkerId, str] | None]
+        ] = {}
+        self._cancelled_early: set[model.JobId] = set()
+
+    async def run(self) -> None:
+        """Lead until the term is lost.
+
+        :raises writers.Deposed: another process holds the term.
+        """
+        writer = asyncio.create_task(self.writer.run())
+        others = [asyncio.create_task(self._lead())]
+        try:
+            done, _ = await asyncio.wait(
+                [writer, *others], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            everything = [writer, *others, *self._holds.values()]
+            everything.extend(self._calls)
+            for task in everything:
+                task.cancel()
+            await asyncio.gather(*everything, return_exceptions=True)
+
+    async def _lead(self) -> None:
+        await self._load()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_workers())
+            group.create_task(self._follow_jobs())
+            group.create_task(self._plan())
+            group.create_task(self._clean())
+
+    # Loading
+
+    async def _load(self) -> None:
+        """Read all jobs and workers."""
+        version = await self._read_workers()
+        del version
+        progress_by_id: dict[str, records.JobProgress] = {}
+        rows, _ = await self._read_all(records.PROGRESS_TABLE)
+        for row in rows:
+            with self._reporting(row):
+                progress_by_id[row.key] = records.decode_progress(row.value)
+        rows, self._jobs_version = await self._read_all(records.JOBS_TABLE)
+        now = clock.now()
+        unix_now = clock.unix_now()
+        self.scheduler.await_reports()
+        cancelled = []
+        for row in rows:
+            if row.key.endswith(records.CANCEL_SUFFIX):
+                cancelled.append(
+                    model.JobId(row.key.removesuffix(records.CANCEL_SUFFIX))
+                )
+                continue
+            with self._reporting(row):
+                self.scheduler.inherit_job(
+                    now,
+                    unix_now,
+                    records.decode_job(row.value),
+                    progress_by_id.get(row.key),
+                )
+        for job_id in cancelled:
+            self.scheduler.cancel(now, job_id)
+        self.loaded = True
+        self._context.log.write(
+            'term.loaded',
+            term=self._term.number,
+            active=len(self.scheduler.jobs.active_by_id),
+            ended=len(self.scheduler.jobs.ended_by_id),
+            workers=len(self.scheduler.beliefs_by_id),
+        )
+
+    @contextlib.contextmanager
+    def _reporting(self, row: ports.StoredRow):  # type: ignore[no-untyped-def]
+        try:
+            yield
+        except msgspec.DecodeError as error:
+            logs.error('store.bad_row', row=row.key, reason=str(error))
+
+    async def _read_all(self, table: str) -> tuple[list[ports.StoredRow], int]:
+        """Return all rows of a table and the version of the first page."""
+        rows: list[ports.StoredRow] = []
+        first = ''
+        version: int | None = None
+        while True:
+            try:
+                page = await self._context.store.read(table, first)
+            except errors.PlatformError as error:
+                logs.warning('store.read_failed', reason=error.message)
+                await asyncio.sleep(RETRY_AFTER_S)
+                continue
+            if version is None:
+                version = page.version
+            rows.extend(page.rows)
+            if not page.more:
+                return rows, version
+            first = page.rows[-1].key + '\x00'
+
+    # Workers
+
+    async def _read_workers(self) -> int:
+        rows, version = await self._read_all(
+            self._context.registry.workers_table
+        )
+        self._entries_by_id: dict[str, specs.WorkerEntry] = {}
+        for row in rows:
+            self._set_entry(row)
+        self._use_entries()
+        return version
+
+    def _set_entry(self, row: ports.StoredRow) -> None:
+        entry = None if row.removed else self._context.registry.worker(row)
+        before = self._entries_by_id.pop(row.key, None)
+        if entry is not None:
+            self._entries_by_id[row.key] = entry
+        if (before and before.state) != (entry and entry.state):
+            self._context.log.write(
+                'worker.changed',
+                worker=row.key,
+                version=row.version,
+                state=entry.state.value if entry else 'gone',
+                leaves_in_s=entry.leaves_in_s if entry else 0,
+            )
+
+    def _use_entries(self) -> None:
+        now = clock.now()
+        self.scheduler.set_workers(now, self._entries_by_id.values())
+        for worker_id in self.scheduler.beliefs_by_id:
+            if worker_id not in self._holds:
+                self._hold_events[worker_id] = asyncio.Event()
+                self._holds[worker_id] = asyncio.create_task(
+                    self._hold(worker_id)
+                )
+
+    async def _follow_workers(self) -> None:
+        version = await self._read_workers()
+        while True:
+            try:
+                page = await self._context.store.feed(
+                    self._context.registry.workers_table,
+                    version,
+                    WORKER_FEED_WAIT_S,
+                )
+            except errors.PlatformError as error:
+                logs.warning('workers.feed_failed', reason=error.message)
+                await asyncio.sleep(RETRY_AFTER_S)
+                continue
+            if page is None:
+                version = await self._read_workers()
+                continue
+            version = page.version
+            if page.rows:
+                for row in page.rows:
+                    self._set_entry(row)
+                self._use_entries()
+                self._wake_plan.set()
+
+    async def _hold(self, worker_id: model.WorkerId) -> None:
+        """Keep one worker's lease and read its lists."""
+        event = self._hold_events[worker_id]
+        while True:
+            belief = self.scheduler.beliefs_by_id.get(worker_id)
+            if belief is None:
+                del self._holds[worker_id]
+                return
+            now = clock.now()
+            if not self._term.may_hold(now):
+                await asyncio.sleep(RETRY_AFTER_S)
+                continue
+            event.clear()
+            unstored = belief.last_end > belief.last_seen
+            wait_s = 0.0 if unstored or not belief.reported else HOLD_WAIT_S
+            if unstored:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(HOLD_WAIT_S):
+                        await event.wait()
+                if belief.last_end == belief.last_seen:
+                    continue
+            await self._hold_once(worker_id, wait_s)
+
+    async def _hold_once(
+        self, worker_id: model.WorkerId, wait_s: float
+    ) -> None:
+        belief = self.scheduler.beliefs_by_id[worker_id]
+        sent_at = clock.now()
+        deadline_ms = belief.deadline_in(
+            sent_at, self._context.bounds.max_lease_s
+        )
+        self.scheduler.hold_sent(worker_id, deadline_ms)
+        was_silent = belief.silent_since is not None
+        try:
+            report = await self._context.workers.hold(
+                belief.entry,
+                self.scheduler.term,
+                belief.last_seen,
+                deadline_ms,
+                wait_s,
+            )
+        except errors.FencedOff:
+            self.scheduler.fenced = True
+            await asyncio.sleep(RETRY_AFTER_S)
+            return
+        except errors.PlatformError as error:
+            if not was_silent:
+                self._context.log.write(
+                    'worker.silent', worker=worker_id, reason=error.message
+                )
+            self.scheduler.worker_silent(clock.now(), worker_id)
+            await asyncio.sleep(RETRY_AFTER_S)
+            return
+        now = clock.now()
+        if was_silent:
+            self._context.log.write('worker.regained', worker=worker_id)
+        for row in report.ended:
+            if row.number > belief.last_end:
+                self._context.figures.ends.inc({'reason': row.reason.value})
+                self._context.log.write(
+                    'run.ended',
+                    worker=worker_id,
+                    task_id=row.task_id,
+                    run=row.run,
+                    reason=row.reason.value,
+                )
+        self.scheduler.report(now, sent_at, worker_id, report)
+        if self.scheduler.jobs.has_changes or report.ended:
+            self.writer.wake.set()
+        self._wake_plan.set()
+
+    # Jobs
+
+    def job_stored(self, row: bytes) -> None:
+        """Take a job that an entry stored."""
+        if not self.loaded:
+            return
+        try:
+            record = records.decode_job(row)
+        except msgspec.DecodeError as error:
+            logs.error('job.bad_row', reason=str(error))
+            return
+        now = clock.now()
+        if self.scheduler.accept_job(now, clock.unix_now(), record):
+            if record.job_id in self._cancelled_early:
+                self._cancelled_early.discard(record.job_id)
+                self.cancel_stored(record.job_id)
+            self._wake_plan.set()
+
+    def cancel_stored(self, job_id: model.JobId) -> None:
+        """End a job whose cancellation an entry stored."""
+        if not self.loaded:
+            return
+        if not self.scheduler.jobs.knows(job_id):
+            self._cancelled_early.add(job_id)
+            return
+        if self.scheduler.cancel(clock.now(), job_id):
+            self._context.log.write('job.cancelled', job_id=job_id)
+            self.writer.wake.set()
+            self._wake_plan.set()
+
+    async def _follow_jobs(self) -> None:
+        version = self._jobs_version
+        while True:
+            await asyncio.sleep(JOB_FEED_EVERY_S)
+            try:
+                page = await self._context.store.feed(
+                    records.JOBS_TABLE, version, 0.0
+                )
+            except errors.PlatformError as error:
+                logs.warning('jobs.feed_failed', reason=error.message)
+                continue
+            if page is None:
+                rows, version = await self._read_all(records.JOBS_TABLE)
+            else:
+                rows, version = page.rows, page.version
+            for row in rows:
+                if row.removed:
+                    continue
+                if row.key.endswith(records.CANCEL_SUFFIX):
+                    self.cancel_stored(
+                        model.JobId(
+                            row.key.removesuffix(records.CANCEL_SUFFIX)
+                        )
+                    )
+                else:
+                    self.job_stored(row.value)
+
+    async def _clean(self) -> None:
+        """Remove rows of jobs that ended long ago."""
+        keep_s = self._context.bounds.status_s + STATUS_MARGIN_S
+        while True:
+            await asyncio.sleep(CLEAN_EVERY_S)
+            before = clock.unix_now() - keep_s
+            self.scheduler.jobs.forget_ended(before)
+            if self.scheduler.jobs.has_changes:
+                self.writer.wake.set()
+
+    def _stored(self, changes: actions.Changes) -> None:
+        for worker_id in self.scheduler.stored(changes):
+            event = self._hold_events.get(worker_id)
+            if event is not None:
+                event.set()
+        for job_id in changes.job_ids:
+            ended = self.scheduler.jobs.ended_by_id.get(job_id)
+            if ended is not None and ended.ended_as is not None:
+                self._context.figures.jobs.inc(
+                    {
+                        'queue': ended.queue.queue_id,
+                        'state': ended.ended_as.value,
+                    }
+                )
+                self._context.log.write(
+                    'job.ended',
+                    job_id=job_id,
+                    state=ended.ended_as.value,
+                    age_s=round(ended.ended_unix_s - ended.accepted_unix_s, 3),
+                )
+
+    # Planning and orders
+
+    async def _plan(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._wake_plan.wait()
+            self._wake_plan.clear()
+            now = clock.now()
+            configuration = self._context.configuration()
+            if configuration is not None:
+                self.scheduler.configure(configuration)
+            if self.scheduler.fenced:
+                raise writers.Deposed('a worker has heard of a newer term')
+            if self._term.may_order(now):
+                for action in self.scheduler.plan(now, self.lanes):
+                    self._carry_out(action)
+                self.lanes.taken.clear()
+            if self.scheduler.jobs.has_changes:
+                self.writer.wake.set()
+            await asyncio.sleep(PLAN_EVERY_S)
+
+    def _carry_out(self, action: actions.Action) -> None:
+        if isinstance(action, actions.Start):
+            self._spawn(self._start(action))
+        elif isinstance(action, actions.Stop):
+            self._spawn(self._stop(action))
+        elif isinstance(action, actions.Ask):
+            number, lane = self.lanes.taken.pop(0)
+            self._spawn(self._ask(action, number, lane))
+        else:
+            self._spawn(self._hold_once(action.worker_id, 0.0))
+
+    def _spawn(self, call) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.error('order.failed', reason=repr(task.exception()))
+
+    async def _start(self, action: actions.Start) -> None:
+        worker_id = action.worker.worker_id
+        belief = self.scheduler.beliefs_by_id[worker_id]
+        sent_at = clock.now()
+        deadline_ms = belief.deadline_in(
+            sent_at, self._context.bounds.max_lease_s
+        )
+        outcome = specs.StartOutcome.LATE
+        if deadline_ms is not None:
+            self.scheduler.hold_sent(worker_id, deadline_ms)
+            outcome = await self._context.workers.start(
+                action.worker, action.order, self.scheduler.term, deadline_ms
+            )
+        now = clock.now()
+        self.scheduler.start_result(
+            now, worker_id, action.order.task_id, action.order.run, outcome
+        )
+        self._context.figures.orders.inc(
+            {'kind': 'start', 'outcome': outcome.value}
+        )
+        self._context.figures.waited.observe(
+            {'queue': action.queue_id}, action.waited_s
+        )
+        self._context.log.write(
+            'run.ordered',
+            task_id=action.order.task_id,
+            run=action.order.run,
+            worker=worker_id,
+            waited_s=round(action.waited_s, 3),
+            took_s=round(now - sent_at, 4),
+            outcome=outcome.value,
+        )
+        if outcome is not specs.StartOutcome.STARTED:
+            self._wake_plan.set()
+
+    async def _stop(self, action: actions.Stop) -> None:
+        worker_id = action.worker.worker_id
+        accepted = await self._context.workers.stop(
+            action.worker, action.task_id, action.run, self.scheduler.term
+        )
+        self._context.figures.orders.inc(
+            {'kind': 'stop', 'outcome': str(accepted).lower()}
+        )
+        self._context.log.write(
+            'run.stop_ordered',
+            task_id=action.task_id,
+            run=action.run,
+            worker=worker_id,
+            reason=action.reason,
+            accepted=accepted,
+        )
+        self.scheduler.stop_result(
+            clock.now(), worker_id, action.task_id, action.run, accepted
+        )
+
+    # Advice
+
+    async def _ask(
+        self, action: actions.Ask, number: int, lane: advice_lanes.Lane
+    ) -> None:
+        asked_at = clock.now()
+        timeout_s = action.expected_s + lane.backlog_s + ADVICE_SLACK_S
+        tickets: dict[model.WorkerId, str] | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                if lane.identity == OWN_LANE:
+                    tickets = await call_advisor(
+                        self._context, action.step_id, action.worker_ids
+                    )
+                else:
+                    tickets = await self._ask_entry(
+                        action, number, lane, timeout_s
+                    )
+        except TimeoutError:
+            logs.warning('advice.no_answer', step=action.step_id)
+        finally:
+            self.lanes.finished(number)
+        now = clock.now()
+        self.scheduler.advice_result(
+            now,
+            asked_at,
+            action.step_id,
+            action.worker_ids,
+            None if tickets is None else ports.Advice(tickets),
+        )
+        self._context.log.write(
+            'step.advised',
+            step=action.step_id,
+            asked=len(action.worker_ids),
+            good=-1 if tickets is None else len(tickets),
+            took_s=round(now - asked_at, 3),
+            expected_s=round(action.expected_s, 3),
+        )
+        self._wake_plan.set()
+
+    async def _ask_entry(
+        self,
+        action: actions.Ask,
+        number: int,
+        lane: advice_lanes.Lane,
+        timeout_s: float,
+    ) -> dict[model.WorkerId, str] | None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._advice_waiters[number] = waiter
+        try:
+            self._send(
+                lane.identity,
+                messages.AdviceRequest(
+                    number, action.step_id, action.worker_ids, timeout_s
+                ),
+            )
+            return await waiter
+        finally:
+            del self._advice_waiters[number]
+
+    def advised(self, message: messages.AdviceReply) -> None:
+        """Take an entry's answer to a request for advice."""
+        waiter = self._advice_waiters.get(message.number)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(message.tickets_by_worker_id)
+
+
+async def call_advisor(
+    context: parts.Context,
+    step_id: str,
+    worker_ids: tuple[model.WorkerId, ...],
+) -> dict[model.WorkerId, str] | None:
+    """Call the advice service; ``None`` if it failed."""
+    try:
+        advice = await context.advisor.advise(step_id, worker_ids)
+    except errors.PlatformError as error:
+        logs.warning('advice.failed', step=step_id, reason=error.message)
+        return None
+    return advice.tickets_by_worker_id
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -0,0 +1,146 @@
+"""Links between entries and the holder of the term, over ZeroMQ.
+
+Each process listens; each entry keeps one connection to the holder.  A
+connection that goes silent is replaced, since open connections may be
+forgotten on their way while new ones work.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from samphirestack.fleet import messages
+from samphirestackd import logs
+from samphirestackd.fleet import clock
+
+PING_EVERY_S = 0.4
+SILENT_AFTER_S = 1.0
+"""Two pings without an answer, and the way."""
+
+MAX_QUEUED = 5000
+"""Messages kept for a peer that does not read."""
+
+Handler = Callable[[bytes, messages.Message], None]
+"""Called with the identity of the sender and its message."""
+
+
+class Listener:
+    """Receives from entries and answers them.
+
+    :param address: ``IP:PORT`` to listen at.
+    """
+
+    def __init__(self, context: zmq.asyncio.Context, address: str) -> None:
+        self._socket = context.socket(zmq.ROUTER)
+        self._socket.setsockopt(zmq.LINGER, 0)
+        self._socket.setsockopt(zmq.SNDHWM, MAX_QUEUED)
+        self._socket.bind(f'tcp://{address}')
+
+    async def run(self, handler: Handler) -> None:
+        """Hand every message to the handler."""
+        while True:
+            identity, data = await self._socket.recv_multipart()
+            message = _decode(data)
+            if message is not None:
+                logs.guard(lambda: handler(identity, message))  # noqa: B023
+
+    def send(self, identity: bytes, message: messages.Message) -> None:
+        """Send to a connected entry; dropped if it can't take more."""
+        future = self._socket.send_multipart(
+            [identity, messages.encode(message)], zmq.NOBLOCK
+        )
+        future.add_done_callback(_log_failure)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._socket.close(0)
+
+
+class Connection:
+    """The connection of an entry to the holder of the term."""
+
+    def __init__(
+        self, context: zmq.asyncio.Context, name: str, handler: Handler
+    ) -> None:
+        self._context = context
+        self._name = name
+        self._handler = handler
+        self._socket: zmq.asyncio.Socket | None = None
+        self._receiver: asyncio.Task[None] | None = None
+        self._generation = 0
+        self.address = ''
+        self.heard_at = float('-inf')
+        """When the holder was last heard of."""
+        self._opened_at = 0.0
+
+    @property
+    def is_alive(self) -> bool:
+        """Return whether the holder answered lately."""
+        return clock.now() - self.heard_at < SILENT_AFTER_S
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the connection should be replaced."""
+        now = clock.now()
+        return (
+            now - self.heard_at > SILENT_AFTER_S
+            and now - self._opened_at > SILENT_AFTER_S
+        )
+
+    def open(self, address: str) -> None:
+        """Connect to a holder, instead of the one before."""
+        self.close()
+        self._generation += 1
+        self.address = address
+        self._opened_at = clock.now()
+        sock = self._context.socket(zmq.DEALER)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.SNDHWM, MAX_QUEUED)
+        sock.setsockopt(
+            zmq.IDENTITY, f'{self._name}/{self._generation}'.encode()
+        )
+        sock.connect(f'tcp://{address}')
+        self._socket = sock
+        self._receiver = asyncio.create_task(self._receive(sock))
+
+    async def _receive(self, sock: zmq.asyncio.Socket) -> None:
+        while True:
+            data = await sock.recv()
+            self.heard_at = clock.now()
+            message = _decode(data)
+            if message is not None:
+                logs.guard(lambda: self._handler(b'', message))  # noqa: B023
+
+    def send(self, message: messages.Message) -> bool:
+        """Send to the holder; return whether the message was queued."""
+        if self._socket is None:
+            return False
+        future = self._socket.send(messages.encode(message), zmq.NOBLOCK)
+        future.add_done_callback(_log_failure)
+        return True
+
+    def close(self) -> None:
+        """Disconnect."""
+        if self._receiver is not None:
+            self._receiver.cancel()
+            self._receiver = None
+        if self._socket is not None:
+            self._socket.close(0)
+            self._socket = None
+        self.heard_at = float('-inf')
+
+
+def _log_failure(future: asyncio.Future[object]) -> None:
+    if not future.cancelled() and future.exception() is not None:
+        logs.warning('link.not_sent', reason=str(future.exception()))
+
+
+def _decode(data: bytes) -> messages.Message | None:
+    try:
+        return messages.decode(data)
+    except msgspec.DecodeError as error:
+        logs.warning('link.bad_message', reason=str(error))
+        return None
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -0,0 +1,385 @@
+"""One process of the fleet daemon: an entry that can hold the term."""
+
+import asyncio
+import contextlib
+import hashlib
+import os
+
+import zmq.asyncio
+
+from samphirestack import errors
+from samphirestack import model
+from samphirestack.fleet import messages
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import term as terms
+from samphirestackd import http_client
+from samphirestackd import logs
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import holder as holders
+from samphirestackd.fleet import link
+from samphirestackd.fleet import parts
+from samphirestackd.fleet import publication
+from samphirestackd.fleet import writer as writers
+
+OBSERVE_EVERY_S = 0.8
+"""Between reads of the term's row while the holder does not answer."""
+
+OBSERVE_IDLE_S = 4.0
+"""Likewise while it answers."""
+
+CHECK_EVERY_S = 0.1
+YIELD_AFTER_S = 1.2
+"""A holder whose renewals fail for this long lets an entry that reaches
+the store follow it."""
+
+ENTRY_LOST_AFTER_S = 1.5
+"""Three pings of an entry without one."""
+
+WAITING_FRESH_S = 1.5
+"""Counts of waiting jobs may be 2 s old; the rest is for their way."""
+
+MAX_JITTER_S = 0.15
+"""Entries claim a free term at moments spread over this."""
+
+STORE_REACHED_S = 1.0
+"""An entry reaches the store if it had an answer this recently."""
+
+
+class Node:
+    """The term, the link to its holder and the configuration."""
+
+    def __init__(self, context: parts.Context, peer_address: str) -> None:
+        self._context = context
+        self._zmq = zmq.asyncio.Context(io_threads=1)
+        self._life = os.urandom(6).hex()
+        self._listener = link.Listener(self._zmq, peer_address)
+        self._connection = link.Connection(
+            self._zmq, f'{context.vm_id}/{self._life}', self._from_holder
+        )
+        self.term = terms.Term(context.vm_id, self._life, peer_address)
+        self.publication = publication.Publication(
+            context.store, context.registry
+        )
+        self._holder: holders.Holder | None = None
+        self._pings_by_identity: dict[bytes, tuple[float, messages.Ping]] = {}
+        self._state_waiters: dict[
+            int, asyncio.Future[messages.StateReply]
+        ] = {}
+        self._last_query = 0
+        self._waiting: dict[model.QueueId, int] | None = None
+        self._waiting_at = float('-inf')
+        self._stopping = False
+        self._calls: set[asyncio.Task[None]] = set()
+        self._observe_soon = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether clients should be sent to this entry."""
+        now = clock.now()
+        return (
+            not self._stopping
+            and self.publication.configuration is not None
+            and self.publication.age(now)
+            < self._context.bounds.revocation_s - READY_MARGIN_S
+        )
+
+    async def run(self) -> None:
+        """Run for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.publication.run())
+            group.create_task(self._listener.run(self._from_entry))
+            group.create_task(self._ping())
+            group.create_task(self._observe())
+            group.create_task(self._hold_terms())
+
+    async def stop(self) -> None:
+        """Give the term up; calls are still answered."""
+        self._stopping = True
+        if self._holder is not None:
+            self._holder.writer.release()
+
+    # The term
+
+    async def _observe(self) -> None:
+        while True:
+            if not self.term.is_mine:
+                await self._read_term()
+            pause = OBSERVE_EVERY_S
+            if self.term.is_mine or self._connection.is_alive:
+                pause = OBSERVE_IDLE_S
+            self._observe_soon.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._observe_soon.wait()
+
+    async def _read_term(self) -> None:
+        sent_at = clock.now()
+        try:
+            page = await self._context.store.read(
+                records.TERM_TABLE, records.TERM_KEY, records.TERM_KEY + '\x00'
+            )
+        except errors.PlatformError as error:
+            logs.debug('term.read_failed', reason=error.message)
+            return
+        row = page.rows[0] if page.rows else None
+        record = records.decode_term(row.value) if row else None
+        before = self.term.number
+        self.term.observe(
+            sent_at, clock.now(), record, row.version if row else 0
+        )
+        if record is not None and record.term != before:
+            self._context.log.write(
+                'term.observed',
+                term=record.term,
+                holder=record.holder,
+                released=record.released,
+            )
+
+    async def _hold_terms(self) -> None:
+        jitter_s = _jitter(self._life)
+        while True:
+            await asyncio.sleep(CHECK_EVERY_S)
+            now = clock.now()
+            configuration = self.publication.configuration
+            if self._stopping or configuration is None:
+                continue
+            if not self.term.may_take_over(now):
+                await self._check_death()
+                continue
+            await asyncio.sleep(jitter_s)
+            if await self._claim():
+                await self._lead()
+
+    async def _check_death(self) -> None:
+        """Find out whether the holder's process is gone."""
+        record = self.term.record
+        if record is None or self.term.is_mine or record.released:
+            return
+        if not self._connection.is_silent:
+            return
+        self._observe_soon.set()
+        if await http_client.refuses_connections(record.address):
+            logs.info('term.holder_died', holder=record.holder)
+            await self._read_term()
+            self.term.holder_died(record.life)
+
+    async def _claim(self) -> bool:
+        """Try to take the term over."""
+        record = self.term.claim()
+        condition = ports.Condition(
+            records.TERM_TABLE, records.TERM_KEY, self.term.version
+        )
+        put = ports.Put(
+            records.TERM_TABLE, records.TERM_KEY, records.encode(record)
+        )
+        sent_at = clock.now()
+        try:
+            version = await self._context.store.transact([condition], [put])
+        except errors.TransactionConflict:
+            await self._read_term()
+            return False
+        except errors.OutcomeUnknown:
+            await self._read_term()
+            if self.term.record != record:
+                return False
+            version = self.term.version
+        except errors.StoreUnavailable as error:
+            logs.warning('term.claim_failed', reason=error.message)
+            return False
+        self.term.written(sent_at, record, version)
+        self._context.log.write('term.claimed', term=record.term)
+        return True
+
+    async def _lead(self) -> None:
+        configuration = self.publication.configuration
+        assert configuration is not None
+        self._connection.close()
+        holder = holders.Holder(
+            self._context, self.term, configuration, self._listener.send
+        )
+        self._holder = holder
+        watch = asyncio.create_task(self._watch_lease(holder))
+        reason = 'stopped'
+        try:
+            await holder.run()
+        except* writers.Deposed as group:
+            reason = str(group.exceptions[0])
+        finally:
+            self._holder = None
+            watch.cancel()
+            self._pings_by_identity.clear()
+        self._context.log.write(
+            'term.ended', term=holder.scheduler.term, reason=reason
+        )
+        self._life = os.urandom(6).hex()
+        self.term.given_up(self._life)
+        await self._read_term()
+
+    async def _watch_lease(self, holder: holders.Holder) -> None:
+        """Drop lost entries, and yield when only others reach the store."""
+        while True:
+            await asyncio.sleep(CHECK_EVERY_S)
+            now = clock.now()
+            for identity, (heard_at, _) in list(
+                self._pings_by_identity.items()
+            ):
+                if now - heard_at > ENTRY_LOST_AFTER_S:
+                    del self._pings_by_identity[identity]
+                    holder.lanes.remove(identity)
+            failing_since = holder.writer.failing_since
+            if failing_since is None or now - failing_since < YIELD_AFTER_S:
+                continue
+            for identity, (_, ping) in self._pings_by_identity.items():
+                if ping.store_age_s < STORE_REACHED_S:
+                    self._context.log.write('term.yielded', to=ping.vm_id)
+                    holder.scheduler.fenced = True
+                    self._listener.send(
+                        identity,
+                        messages.TakeOver(holder.scheduler.term, self._life),
+                    )
+                    return
+
+    # Messages
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(link.PING_EVERY_S)
+            record = self.term.record
+            if self._holder is not None or record is None:
+                continue
+            if record.life == self._life or record.released:
+                continue
+            if (
+                record.address != self._connection.address
+                or self._connection.is_silent
+            ):
+                self._connection.open(record.address)
+            now = clock.now()
+            self._connection.send(
+                messages.Ping(
+                    self._context.vm_id,
+                    self.term.number,
+                    now - self.publication.confirmed_at,
+                )
+            )
+
+    def _from_entry(self, identity: bytes, message: messages.Message) -> None:
+        holder = self._holder
+        if isinstance(message, messages.Ping):
+            if holder is None:
+                return
+            self._pings_by_identity[identity] = (clock.now(), message)
+            holder.lanes.add(identity)
+            self._listener.send(
+                identity,
+                messages.Pong(
+                    holder.scheduler.term,
+                    holder.scheduler.jobs.waiting_by_queue()
+                    if holder.loaded
+                    else {},
+                ),
+            )
+        elif holder is None:
+            return
+        elif isinstance(message, messages.JobStored):
+            holder.job_stored(message.row)
+        elif isinstance(message, messages.CancelStored):
+            holder.cancel_stored(message.job_id)
+        elif isinstance(message, messages.StateQuery):
+            if holder.loaded:
+                self._listener.send(
+                    identity,
+                    _state_reply(holder, message.number, message.job_id),
+                )
+        elif isinstance(message, messages.AdviceReply):
+            holder.advised(message)
+
+    def _from_holder(self, identity: bytes, message: messages.Message) -> None:
+        if isinstance(message, messages.Pong):
+            self._waiting = message.waiting_by_queue
+            self._waiting_at = clock.now()
+        elif isinstance(message, messages.StateReply):
+            waiter = self._state_waiters.get(message.number)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(message)
+        elif isinstance(message, messages.AdviceRequest):
+            task = asyncio.create_task(self._advise(message))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+        elif isinstance(message, messages.TakeOver):
+            self.term.holder_died(message.life)
+            self._observe_soon.set()
+
+    async def _advise(self, message: messages.AdviceRequest) -> None:
+        tickets = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(message.timeout_s):
+                tickets = await holders.call_advisor(
+                    self._context, message.step_id, message.worker_ids
+                )
+        self._connection.send(messages.AdviceReply(message.number, tickets))
+
+    # edge.HolderAccess
+
+    def job_stored(self, row: bytes) -> None:
+        """Announce a stored job."""
+        if self._holder is not None:
+            self._holder.job_stored(row)
+        else:
+            self._connection.send(messages.JobStored(row))
+
+    def cancel_stored(self, job_id: model.JobId) -> None:
+        """Announce a stored cancellation."""
+        if self._holder is not None:
+            self._holder.cancel_stored(job_id)
+        else:
+            self._connection.send(messages.CancelStored(job_id))
+
+    async def state_of(
+        self, job_id: model.JobId, timeout_s: float
+    ) -> messages.StateReply | None:
+        """Return the state of a job; ``None`` without an answer."""
+        if self._holder is not None and self._holder.loaded:
+            return _state_reply(self._holder, 0, job_id)
+        if not self._connection.is_alive:
+            return None
+        self._last_query += 1
+        number = self._last_query
+        waiter = asyncio.get_running_loop().create_future()
+        self._state_waiters[number] = waiter
+        self._connection.send(messages.StateQuery(number, job_id))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await waiter
+        except TimeoutError:
+            return None
+        finally:
+            del self._state_waiters[number]
+
+    def waiting(self, now: float) -> dict[model.QueueId, int] | None:
+        """Return the jobs that have not begun; ``None`` if not known."""
+        if self._holder is not None and self._holder.loaded:
+            return self._holder.scheduler.jobs.waiting_by_queue()
+        if now - self._waiting_at > WAITING_FRESH_S:
+            return None
+        return self._waiting
+
+
+READY_MARGIN_S = 2.0
+"""An entry is taken out of rotation before its configuration is too old
+for calls with a key."""
+
+
+def _state_reply(
+    holder: holders.Holder, number: int, job_id: model.JobId
+) -> messages.StateReply:
+    jobs = holder.scheduler.jobs
+    return messages.StateReply(
+        number, jobs.state_of(job_id), jobs.customer_of(job_id)
+    )
+
+
+def _jitter(life: str) -> float:
+    digest = hashlib.blake2b(life.encode(), digest_size=2).digest()
+    return int.from_bytes(digest, 'big') / 65536 * MAX_JITTER_S
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/parts.py
@@ -0,0 +1,55 @@
+"""What the parts of the fleet daemon share."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from samphirestack import model
+from samphirestack.fleet import ports
+from samphirestack.fleet import specs
+from samphirestackd.fleet import decisions
+from samphirestackd.fleet import figures
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds that the platform sets, in seconds."""
+
+    max_lease_s: float
+    """Longest lease that workers accept."""
+    revocation_s: float
+    """A withdrawn key must not work longer than this."""
+    drain_s: float
+    """Time to finish after a signal to stop."""
+    status_s: float
+    """How long callers may ask about an ended job."""
+
+
+class Registry(Protocol):
+    """Decodes the rows that operators and workers write."""
+
+    workers_table: str
+    operator_table: str
+
+    def worker(self, row: ports.StoredRow) -> specs.WorkerEntry | None:
+        """Return a worker, or ``None`` for a row that names none."""
+
+    def configuration(
+        self, row: ports.StoredRow
+    ) -> specs.FleetConfiguration | None:
+        """Return a configuration, or ``None`` for another row."""
+
+
+class Context(msgspec.Struct):
+    """Parts that are made once for the process."""
+
+    vm_id: model.VmId
+    zone: model.ZoneId
+    bounds: Bounds
+    store: ports.RowStore
+    workers: ports.WorkerPort
+    advisor: ports.Advisor
+    registry: Registry
+    log: decisions.DecisionLog
+    figures: figures.Figures
+    configuration: Callable[[], specs.FleetConfiguration | None]
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/publication.py
@@ -0,0 +1,87 @@
+"""Follows the operator's configuration and knows how fresh it is."""
+
+import asyncio
+
+from samphirestack import errors
+from samphirestack.fleet import ports
+from samphirestack.fleet import specs
+from samphirestackd import logs
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import parts
+
+FEED_WAIT_S = 1.0
+"""Each answer of the feed, also an empty one, confirms the version."""
+
+RETRY_AFTER_S = 0.15
+REREAD_EVERY_S = 4.0
+"""The feed is checked against a plain read this often: a feed can miss
+changes for a while when the store drops its history."""
+
+
+class Publication:
+    """The newest configuration that this process has seen."""
+
+    def __init__(
+        self, store: ports.RowStore, registry: parts.Registry
+    ) -> None:
+        self._store = store
+        self._registry = registry
+        self.configuration: specs.FleetConfiguration | None = None
+        self.confirmed_at = float('-inf')
+        """When the question was sent whose answer confirmed it last."""
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the version was known to be newest."""
+        return now - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow the configuration for ever."""
+        version: int | None = None
+        read_at = float('-inf')
+        failing = False
+        while True:
+            sent_at = clock.now()
+            try:
+                if version is None or sent_at - read_at > REREAD_EVERY_S:
+                    page = await self._store.read(
+                        self._registry.operator_table
+                    )
+                    read_at = sent_at
+                    self._apply(page.rows)
+                else:
+                    following = await self._store.feed(
+                        self._registry.operator_table, version, FEED_WAIT_S
+                    )
+                    if following is None:
+                        version = None
+                        continue
+                    page = following
+                    self._apply(page.rows)
+            except errors.PlatformError as error:
+                if not failing:
+                    logs.warning('store.lost', reason=error.message)
+                failing = True
+                await asyncio.sleep(RETRY_AFTER_S)
+                continue
+            if failing:
+                logs.info('store.regained')
+                failing = False
+            version = page.version
+            self.confirmed_at = sent_at
+
+    def _apply(self, rows: list[ports.StoredRow]) -> None:
+        for row in rows:
+            if row.removed:
+                continue
+            found = self._registry.configuration(row)
+            if found is None:
+                continue
+            current = self.configuration
+            if current is None or found.version > current.version:
+                self.configuration = found
+                logs.info(
+                    'configuration.applied',
+                    version=found.version,
+                    queues=len(found.queues_by_id),
+                    customers=len(found.customers_by_id),
+                )
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -0,0 +1,141 @@
+"""The one writer of the holder of the term.
+
+Each of its transactions is conditional on the row of the term and renews
+it, so that a holder that was replaced writes nothing any more.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from samphirestack import errors
+from samphirestack.fleet import actions
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
+from samphirestack.fleet import term as terms
+from samphirestackd import logs
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import parts
+
+BATCH_EVERY_S = 0.025
+"""Between writes: batches the ends of many runs, since calls are paid for.
+It delays what callers see by half of it."""
+
+RETRY_AFTER_S = 0.1
+
+
+class Deposed(Exception):
+    """Another process holds the term."""
+
+
+class TermWriter:
+    """Writes what the scheduler changed and renews the term.
+
+    :param stored: called with what was written.
+    """
+
+    def __init__(
+        self,
+        context: parts.Context,
+        term: terms.Term,
+        scheduler: schedulers.FleetScheduler,
+        stored: Callable[[actions.Changes], None],
+    ) -> None:
+        self._context = context
+        self._term = term
+        self._scheduler = scheduler
+        self._stored = stored
+        self._releasing = False
+        self.wake = asyncio.Event()
+        self.failing_since: float | None = None
+        """When renewals began to fail, if they do."""
+
+    async def run(self) -> None:
+        """Write until the term is lost.
+
+        :raises Deposed: another process holds the term.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(terms.RENEW_EVERY_S):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            changes = self._scheduler.take_changes()
+            await self._write(changes, self._term.renewal(self._releasing))
+            self._stored(changes)
+            if self._releasing:
+                raise Deposed('this process gave the term up')
+            if self._scheduler.jobs.has_changes:
+                self.wake.set()
+            await asyncio.sleep(BATCH_EVERY_S)
+
+    def release(self) -> None:
+        """Give the term up, for another entry to take over at once."""
+        self._releasing = True
+        self.wake.set()
+
+    async def _write(
+        self, changes: actions.Changes, record: records.TermRecord
+    ) -> None:
+        """Write a batch; the same one again while its outcome is unknown."""
+        condition = ports.Condition(
+            records.TERM_TABLE, records.TERM_KEY, self._term.version
+        )
+        put = ports.Put(
+            records.TERM_TABLE, records.TERM_KEY, records.encode(record)
+        )
+        unknown_since: float | None = None
+        while True:
+            sent_at = clock.now()
+            try:
+                version = await self._context.store.transact(
+                    [condition], [put, *changes.puts], changes.removals
+                )
+                self._term.written(sent_at, record, version)
+                self.failing_since = None
+                return
+            except errors.TransactionConflict:
+                await self._resolve_conflict(
+                    record, sent_at if unknown_since is None else unknown_since
+                )
+                return
+            except errors.OutcomeUnknown as error:
+                if unknown_since is None:
+                    unknown_since = sent_at
+                self._failed(sent_at, error)
+            except errors.StoreUnavailable as error:
+                self._failed(sent_at, error)
+                await asyncio.sleep(RETRY_AFTER_S)
+
+    async def _resolve_conflict(
+        self, record: records.TermRecord, sent_at: float
+    ) -> None:
+        """Find out whether an earlier try of the same batch was applied."""
+        while True:
+            try:
+                page = await self._context.store.read(
+                    records.TERM_TABLE,
+                    records.TERM_KEY,
+                    records.TERM_KEY + '\x00',
+                )
+            except errors.PlatformError as error:
+                self._failed(clock.now(), error)
+                await asyncio.sleep(RETRY_AFTER_S)
+                continue
+            row = page.rows[0] if page.rows else None
+            found = records.decode_term(row.value) if row else None
+            if row is not None and found == record:
+                self._term.written(sent_at, record, row.version)
+                self.failing_since = None
+                return
+            self._term.observe(
+                sent_at, clock.now(), found, row.version if row else 0
+            )
+            raise Deposed(f'the row of the term is {found}')
+
+    def _failed(self, now: float, error: errors.SamphireError) -> None:
+        if self.failing_since is None:
+            self.failing_since = now
+            logs.warning('term.renewal_failed', reason=error.message)
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/http_client.py
@@ -0,0 +1,214 @@
+"""HTTP/1.1 client for many small calls, on httptools' parser.
+
+A call costs a sixth of the processor time of one through aiohttp, which
+binds on small VMs: a leader makes hundreds of calls a second.
+"""
+
+import asyncio
+import contextlib
+import socket
+
+import httptools
+
+CONNECT_TIMEOUT_S = 0.8
+"""A host that is cut off does not answer; one that is up does in
+milliseconds."""
+
+MAX_IDLE_PER_ADDRESS = 6
+"""Connections kept open to one server while they are not in use."""
+
+
+class NotSent(Exception):
+    """The call certainly did not reach the server."""
+
+
+class NoAnswer(Exception):
+    """The server may have carried the call out."""
+
+
+class Response:
+    """A whole answer."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b''
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self._waiter: asyncio.Future[Response] | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._response = Response()
+        self._parts: list[bytes] = []
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(NoAnswer(f'the answer is not HTTP: {error}'))
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._fail(NoAnswer('the connection was lost'))
+
+    # Callbacks of the parser
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._response.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        response = self._response
+        response.status = self._parser.get_status_code()
+        response.body = b''.join(self._parts)
+        keep = self._parser.should_keep_alive()
+        waiter = self._waiter
+        self._waiter = None
+        self._reset()
+        if not keep:
+            self.abort()
+        if waiter is not None and not waiter.done():
+            waiter.set_result(response)
+
+    # Calls
+
+    def send(self, data: bytes) -> asyncio.Future[Response]:
+        assert self.transport is not None
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return self._waiter
+
+    def _fail(self, error: Exception) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
+        self._waiter = None
+
+    def abort(self) -> None:
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class HttpClient:
+    """Calls servers over connections that are used again."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[str, list[_Connection]] = {}
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+        *,
+        timeout_s: float,
+        fresh: bool = False,
+    ) -> Response:
+        """Send a request and return the whole answer.
+
+        :param address: ``IP:PORT``.
+        :param fresh: open a connection instead of using an open one.
+        :raises NotSent: no connection could be opened.
+        :raises NoAnswer: none came within ``timeout_s``.
+        """
+        lines = [f'{method} {target} HTTP/1.1', f'Host: {address}']
+        if body:
+            lines.append('Content-Type: application/json')
+        if body or method != 'GET':
+            lines.append(f'Content-Length: {len(body)}')
+        lines.extend(
+            f'{key}: {value}' for key, value in (headers or {}).items()
+        )
+        data = '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+        connection = None if fresh else self._idle(address)
+        if connection is None:
+            connection = await self._connect(address, timeout_s)
+        waiter = connection.send(data)
+        done = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await waiter
+            done = True
+            return response
+        except TimeoutError:
+            raise NoAnswer(f'no answer within {timeout_s:.1f} s') from None
+        finally:
+            if not done or connection.closed:
+                connection.abort()
+            else:
+                self._keep(address, connection)
+
+    def _idle(self, address: str) -> _Connection | None:
+        idle = self._idle_by_address.get(address)
+        while idle:
+            connection = idle.pop()
+            if not connection.closed:
+                return connection
+        return None
+
+    def _keep(self, address: str, connection: _Connection) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.abort()
+        else:
+            idle.append(connection)
+
+    async def _connect(self, address: str, timeout_s: float) -> _Connection:
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+                _, connection = await loop.create_connection(
+                    _Connection, host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise NotSent(f'{address} can not be reached: {error!r}') from None
+        return connection
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that did not answer."""
+        for connection in self._idle_by_address.pop(address, []):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self.forget(address)
+
+
+async def refuses_connections(address: str) -> bool:
+    """Return whether a host is up and nothing listens at the address."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return False
--- a/packages/daemon/src/samphirestackd/logs.py
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -21,6 +21,7 @@
 MAX_WAITING_LINES = 10_000
 REOPEN_AFTER_S = 5.0
 STANDARD_ERROR = '-'
+STANDARD_OUTPUT = 'stdout'
 FLUSH_TIMEOUT_S = 1.0
 
 _TRACEBACK = 'eliot:traceback'
@@ -66,7 +67,8 @@
 class LineWriter:
     """Thread that writes lines to a file or the standard error stream.
 
-    :param path: file to append to, or ``-``.
+    :param path: file to append to, ``-`` for the standard error stream or
+        ``stdout`` for the standard output.
     """
 
     def __init__(self, path: str) -> None:
@@ -122,6 +124,8 @@
     def _open(self) -> int:
         if self._path == STANDARD_ERROR:
             return sys.stderr.fileno()
+        if self._path == STANDARD_OUTPUT:
+            return sys.stdout.fileno()
         if self._descriptor is None:
             if time.monotonic() < self._retry_at:
                 raise OSError('the log file could not be opened')
