Load jobs before any order to workers; take over on fresh reads only

Cause: after a takeover the holder spoke to workers before it had read the jobs, so it stopped their runs as unknown and started them again; an entry that had been cut off from the store claimed the term on reads that were 9 s old.

--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -103,6 +103,9 @@
         """Return whether this entry may claim the term."""
         if self._read_at is None or self.is_mine:
             return False
+        if now - self._read_at > OBSERVATION_GAP_S:
+            # The row may have changed since.
+            return False
         record = self.record
         if record is None or record.released:
             return True
@@ -111,8 +114,9 @@
         if record.holder == self._vm_id and record.life != self._life:
             # An earlier process of this VM; it ended before this one began.
             return True
-        silent_s = now - (self._changed_at or now)
-        return silent_s >= TAKEOVER_AFTER_S
+        if self._changed_at is None:
+            return False
+        return now - self._changed_at >= TAKEOVER_AFTER_S
 
     def claim(self) -> records.TermRecord:
         """Return the row that claims the next term."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -75,6 +75,8 @@
         )
         self.loaded = False
         self._jobs_version = 0
+        self._workers_version = 0
+        self._entries_by_id: dict[str, specs.WorkerEntry] = {}
         self._wake_plan = asyncio.Event()
         self._hold_events: dict[model.WorkerId, asyncio.Event] = {}
         self._holds: dict[model.WorkerId, asyncio.Task[None]] = {}
@@ -115,9 +117,11 @@
     # Loading
 
     async def _load(self) -> None:
-        """Read all jobs and workers."""
-        version = await self._read_workers()
-        del version
+        """Read all workers and jobs, and only then speak to workers.
+
+        A run that a worker lists is stopped if its job is not known.
+        """
+        self._workers_version = await self._read_workers()
         progress_by_id: dict[str, records.JobProgress] = {}
         rows, _ = await self._read_all(records.PROGRESS_TABLE)
         for row in rows:
@@ -126,6 +130,7 @@
         rows, self._jobs_version = await self._read_all(records.JOBS_TABLE)
         now = clock.now()
         unix_now = clock.unix_now()
+        self.scheduler.set_workers(now, self._entries_by_id.values())
         self.scheduler.await_reports()
         cancelled = []
         for row in rows:
@@ -184,10 +189,9 @@
         rows, version = await self._read_all(
             self._context.registry.workers_table
         )
-        self._entries_by_id: dict[str, specs.WorkerEntry] = {}
+        self._entries_by_id = {}
         for row in rows:
             self._set_entry(row)
-        self._use_entries()
         return version
 
     def _set_entry(self, row: ports.StoredRow) -> None:
@@ -215,7 +219,8 @@
                 )
 
     async def _follow_workers(self) -> None:
-        version = await self._read_workers()
+        version = self._workers_version
+        self._use_entries()
         while True:
             try:
                 page = await self._context.store.feed(
@@ -229,6 +234,7 @@
                 continue
             if page is None:
                 version = await self._read_workers()
+                self._use_entries()
                 continue
             version = page.version
             if page.rows:
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -16,8 +16,8 @@
 from samphirestackd import logs
 from samphirestackd.fleet import clock
 
-PING_EVERY_S = 0.4
-SILENT_AFTER_S = 1.0
+PING_EVERY_S = 0.3
+SILENT_AFTER_S = 0.8
 """Two pings without an answer, and the way."""
 
 MAX_QUEUED = 5000
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -22,7 +22,7 @@
 from samphirestackd.fleet import publication
 from samphirestackd.fleet import writer as writers
 
-OBSERVE_EVERY_S = 0.8
+OBSERVE_EVERY_S = 0.5
 """Between reads of the term's row while the holder does not answer."""
 
 OBSERVE_IDLE_S = 4.0
@@ -148,6 +148,8 @@
                 await self._check_death()
                 continue
             await asyncio.sleep(jitter_s)
+            if not self.term.may_take_over(clock.now()):
+                continue
             if await self._claim():
                 await self._lead()
 
--- /dev/null
+++ b/tests/unit/fleet/test_term.py
@@ -0,0 +1,89 @@
+"""Who may decide for the fleet, and from when."""
+
+from samphirestack import model
+from samphirestack.fleet import records
+from samphirestack.fleet import term as terms
+
+
+def make_term(vm: str = 'a', life: str = 'life-a') -> terms.Term:
+    return terms.Term(model.VmId(vm), life, '127.0.0.1:1')
+
+
+def row(term: int = 1, life: str = 'life-b') -> records.TermRecord:
+    return records.TermRecord(term, model.VmId('b'), life, '127.0.0.1:2', 1)
+
+
+class TestTakeover:
+    """Guards against two holders of the term at the same time."""
+
+    def test_a_row_that_was_read_long_ago_proves_no_silence(self) -> None:
+        term = make_term()
+        term.observe(0.0, 0.0, row(), 5)
+        assert not term.may_take_over(9.0)
+
+    def test_reads_with_a_gap_prove_no_silence(self) -> None:
+        term = make_term()
+        term.observe(0.0, 0.0, row(), 5)
+        term.observe(9.0, 9.0, row(), 5)
+        assert not term.may_take_over(9.1)
+
+    def test_an_unchanged_row_is_taken_over(self) -> None:
+        term = make_term()
+        for step in range(8):
+            term.observe(step * 0.5, step * 0.5, row(), 5)
+        assert not term.may_take_over(2.9)
+        assert term.may_take_over(3.6)
+
+    def test_a_renewed_row_is_not_taken_over(self) -> None:
+        term = make_term()
+        for step in range(20):
+            term.observe(step * 0.5, step * 0.5, row(), 5 + step // 2)
+        assert not term.may_take_over(9.6)
+
+    def test_a_released_row_is_taken_over_at_once(self) -> None:
+        term = make_term()
+        released = records.TermRecord(
+            1, model.VmId('b'), 'life-b', '127.0.0.1:2', 2, True
+        )
+        term.observe(0.0, 0.0, released, 5)
+        assert term.may_take_over(0.1)
+
+    def test_a_dead_holder_is_replaced_but_not_its_successor(self) -> None:
+        term = make_term()
+        term.observe(0.0, 0.0, row(), 5)
+        term.holder_died('life-b')
+        assert term.may_take_over(0.1)
+        term.observe(0.2, 0.2, row(2, 'life-c'), 6)
+        assert not term.may_take_over(0.3)
+
+    def test_a_restarted_process_replaces_its_earlier_one(self) -> None:
+        term = make_term('b', 'life-new')
+        term.observe(0.0, 0.0, row(), 5)
+        assert term.may_take_over(0.1)
+
+
+class TestLease:
+    """Guards against a holder that acts after others may have replaced it."""
+
+    def test_orders_end_before_a_takeover_is_possible(self) -> None:
+        term = make_term()
+        record = term.claim()
+        term.written(10.0, record, 1)
+        assert term.may_order(10.0 + terms.ORDER_LEASE_S - 0.01)
+        assert not term.may_order(10.0 + terms.ORDER_LEASE_S)
+        assert terms.ORDER_LEASE_S < terms.TAKEOVER_AFTER_S
+
+    def test_holds_outlast_orders_and_end(self) -> None:
+        term = make_term()
+        term.written(10.0, term.claim(), 1)
+        assert term.may_hold(14.0)
+        assert not term.may_hold(10.0 + terms.HOLD_LEASE_S)
+
+    def test_a_term_that_was_given_up_is_not_its_own_any_more(self) -> None:
+        term = make_term()
+        term.written(10.0, term.claim(), 1)
+        term.given_up('life-next')
+        assert not term.is_mine
+        assert not term.may_hold(10.1)
+        term.observe(10.2, 10.2, term.record, 1)
+        assert term.may_take_over(10.3)
