Store a placement before its order is sent

Cause: after a cut, a new holder did not know which runs may be on workers that it can not see: their rows lapse from the list, and an end that was listed there counts later. It started such tasks again. A run that no row names was never ordered; one that is named counts until its worker's list lacks it or no lease can last. Ruled out: blocking all inherited work for the longest lease, which stops every waiting job for 10 s after each cut.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -13,6 +13,8 @@
     worker: specs.WorkerEntry
     order: ports.TaskOrder
     queue_id: model.QueueId
+    number: int
+    """Position among all starts of the term."""
     waited_s: float
     """Time since the step became ready, for logs and metrics."""
 
@@ -47,11 +49,13 @@
 class Changes(msgspec.Struct, frozen=True):
     """What has to be stored before it counts.
 
-    Ends up to ``ends_by_worker_id`` can be forgotten by their workers once
+    Starts numbered up to ``starts_until`` of the jobs named here may be sent
+    then.  Ends up to ``ends_by_worker_id`` can be forgotten by their workers once
     everything here is stored.
     """
 
     job_ids: tuple[model.JobId, ...]
+    starts_until: int
     puts: tuple[ports.Put, ...]
     removals: tuple[ports.Removal, ...]
     ends_by_worker_id: dict[model.WorkerId, tuple[int, int]]
--- a/packages/core/src/samphirestack/fleet/jobbook.py
+++ b/packages/core/src/samphirestack/fleet/jobbook.py
@@ -116,7 +116,7 @@
             for key in progress.done_by_step
         ):
             self._begin_occurrence(now, job)
-        if progress.begun or progress.done_by_step:
+        if progress.done_by_step or progress.placed_by_task:
             job.state = specs.JobState.RUNNING
         for key, numbers in progress.failed_runs_by_task.items():
             occurrence, number, index = map(int, key.split('.'))
@@ -157,8 +157,24 @@
         """Return a run number above all earlier ones of the tasks."""
         return 1 + max(self._first_run, max(task.last_run for task in tasks))
 
-    def placed(self, task: work.Task, run_number: int) -> None:
+    def suspected(
+        self, job: work.Job
+    ) -> list[tuple[work.Task, int, model.WorkerId]]:
+        """Return runs that may be on workers by what was stored."""
+        result = []
+        for key, (run, worker_id) in job.progress.placed_by_task.items():
+            task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
+            if task is not None and task.state is work.TaskState.WAITING:
+                result.append((task, run, model.WorkerId(worker_id)))
+        return result
+
+    def placed(
+        self, task: work.Task, run_number: int, worker_id: model.WorkerId
+    ) -> None:
         """Take note that a run of a task is, or may be, on a worker."""
+        job = task.step.job
+        job.progress.placed_by_task[_task_key(task)] = (run_number, worker_id)
+        self._dirty[job.job_id] = None
         task.state = work.TaskState.PLACED
         task.placed_run = run_number
         task.last_run = max(task.last_run, run_number)
@@ -179,6 +195,7 @@
         task.state = work.TaskState.WAITING
         task.placed_run = 0
         step = task.step
+        step.job.progress.placed_by_task.pop(_task_key(task), None)
         step.waiting.add(task.index)
         if step.job.job_id in self.active_by_id and not step.pending_steps:
             self.ready_steps[step.id] = step
@@ -200,6 +217,7 @@
             return
         step = task.step
         task.state = work.TaskState.DONE
+        step.job.progress.placed_by_task.pop(_task_key(task), None)
         step.waiting.discard(task.index)
         step.done_count += 1
         if not step.waiting:
@@ -228,10 +246,9 @@
         job = step.job
         if run_number not in task.failed_runs:
             task.failed_runs.add(run_number)
-            key = f'{step.occurrence}.{step.number}.{task.index}'
-            job.progress.failed_runs_by_task.setdefault(key, []).append(
-                run_number
-            )
+            job.progress.failed_runs_by_task.setdefault(
+                _task_key(task), []
+            ).append(run_number)
             self._dirty[job.job_id] = None
         if not step.spec.gang:
             return len(task.failed_runs)
@@ -343,5 +360,9 @@
             self._dirty[job_id] = None
 
 
+def _task_key(task: work.Task) -> str:
+    return f'{task.step.occurrence}.{task.step.number}.{task.index}'
+
+
 def _step_order(key: str) -> tuple[int, ...]:
     return tuple(map(int, key.split('.')))
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -65,17 +65,14 @@
     jobs: jobbook.JobBook
     quarantine: quarantine.Quarantine
 
-    def is_inherited(self, job_id: model.JobId) -> bool:
-        """Return whether a job's tasks may run unseen."""
-
     def placed(
         self,
         now: float,
         task: work.Task,
         run_number: int,
         worker_id: model.WorkerId,
-    ) -> None:
-        """Count a run whose order is about to be sent."""
+    ) -> int:
+        """Count a run whose order is to be sent; return its number."""
 
 
 def plan(
@@ -87,7 +84,6 @@
             step
             for step in fleet.jobs.ready_steps.values()
             if step.blocked_until <= now
-            and not fleet.is_inherited(step.job.job_id)
         ),
         key=lambda step: ordering.rank(now, step),
     )
@@ -259,7 +255,7 @@
         belief = room.belief
         worker_id = belief.entry.worker_id
         room.take(step.spec)
-        self._fleet.placed(self._now, task, run_number, worker_id)
+        number = self._fleet.placed(self._now, task, run_number, worker_id)
         self._fleet.quarantine.placed(worker_id, task.id)
         ticket = step.tickets.by_worker_id.get(worker_id, ('', 0.0, 0))[0]
         self._result.append(
@@ -273,6 +269,7 @@
                     ticket,
                 ),
                 step.job.queue.queue_id,
+                number,
                 self._now - (step.ready_at or self._now),
             )
         )
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -34,7 +34,10 @@
     """Indexes of the tasks that succeeded, by ``OCCURRENCE.STEP``."""
     failed_runs_by_task: dict[str, list[int]] = {}
     """Numbers of failed runs, by ``OCCURRENCE.STEP.INDEX``."""
-    begun: bool = False
+    placed_by_task: dict[str, tuple[int, str]] = {}
+    """Run and worker of each task that may be on a worker, by
+    ``OCCURRENCE.STEP.INDEX``.  It is stored before the order is sent, so
+    that a run that is not named here was never ordered."""
 
 
 class TermRecord(msgspec.Struct, frozen=True):
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -62,14 +62,14 @@
         self.jobs = jobbook.JobBook(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
         self._rates = shares.JobRates()
-        self._unheard: set[model.WorkerId] = set()
+        self._max_lease_s = max_lease_s
+        self._starts = 0
         hold_after_takeover_s = terms.HOLD_LEASE_S - terms.TAKEOVER_AFTER_S
         self._unheard_until = (
             now
             + hold_after_takeover_s
             + max_lease_s * (1 + beliefs.CLOCK_SLOWNESS)
         )
-        self._inherited: set[model.JobId] = set()
         self._urgent_actions: list[actions.Action] = []
         self.fenced = False
         """A worker has heard of a newer term."""
@@ -96,8 +96,33 @@
             return
         if progress is not None:
             self.jobs.restore(now, job, progress)
-        if self._unheard:
-            self._inherited.add(job.job_id)
+            for task, run, worker_id in self.jobs.suspected(job):
+                self._suspect(now, task, run, worker_id)
+
+    def _suspect(
+        self,
+        now: float,
+        task: work.Task,
+        run_number: int,
+        worker_id: model.WorkerId,
+    ) -> None:
+        """Count a run that an earlier holder may have started.
+
+        It is over when its worker lists it no longer, or when no lease of
+        an earlier holder can last any more.
+        """
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None:
+            belief = beliefs.Belief(_unlisted(task, worker_id))
+            belief.listed = False
+            self.beliefs_by_id[worker_id] = belief
+        run = beliefs.Run(
+            task, run_number, worker_id, beliefs.RunState.CONFIRMED, now
+        )
+        run.confirmed_at = float('-inf')
+        belief.add(run)
+        self.usage.add(task.step.job.customer_id, task.step.spec.size)
+        self.jobs.placed(task, run_number, worker_id)
 
     def accept_job(
         self, now: float, unix_now: float, record: records.JobRecord
@@ -168,7 +193,9 @@
         belief: beliefs.Belief,
         entry: specs.WorkerEntry,
     ) -> None:
-        if entry.started_unix_ms > belief.started_unix_ms:
+        if not belief.started_unix_ms:
+            belief.started_unix_ms = entry.started_unix_ms
+        elif entry.started_unix_ms > belief.started_unix_ms:
             self._new_life(now, belief, entry.started_unix_ms, None)
         if entry.capacity != belief.entry.capacity:
             old = belief.entry.capacity
@@ -178,14 +205,6 @@
             belief.free_gpu += change.accelerators
         belief.entry = entry
 
-    def await_reports(self) -> None:
-        """Wait for the workers known so far before inherited work starts."""
-        self._unheard = {
-            worker_id
-            for worker_id, belief in self.beliefs_by_id.items()
-            if not belief.reported
-        }
-
     def report(
         self,
         now: float,
@@ -202,10 +221,18 @@
             return
         if report.started_unix_ms < belief.started_unix_ms:
             return
-        if report.started_unix_ms > belief.started_unix_ms:
+        if not belief.started_unix_ms:
+            belief.started_unix_ms = report.started_unix_ms
+        elif report.started_unix_ms > belief.started_unix_ms:
             self._new_life(now, belief, report.started_unix_ms, report)
         belief.silent_since = None
         belief.read_clock(now, report.clock_ms)
+        if not belief.reported:
+            # An earlier holder may have extended the lease this far.
+            belief.deadline_ms = max(
+                belief.deadline_ms,
+                report.clock_ms + self._max_lease_s * 1000,
+            )
         for row in report.ended:
             if row.number > belief.last_end:
                 belief.last_end = row.number
@@ -228,12 +255,6 @@
             ):
                 self._stop(belief, run, now, 'unanswered')
         belief.reported = True
-        self._heard(worker_id)
-
-    def _heard(self, worker_id: model.WorkerId) -> None:
-        self._unheard.discard(worker_id)
-        if not self._unheard:
-            self._inherited.clear()
 
     def worker_silent(self, now: float, worker_id: model.WorkerId) -> None:
         """Take note that a worker did not answer."""
@@ -336,7 +357,7 @@
             run.counted = False
             self._stop(belief, run, now, 'not this run')
         else:
-            self.jobs.placed(task, row.run)
+            self.jobs.placed(task, row.run, belief.entry.worker_id)
         return run
 
     def _ended(
@@ -492,7 +513,9 @@
         step = run.task.step
         step.blocked_until = now + STEP_PAUSE_S
         worker_id = belief.entry.worker_id
-        if outcome is specs.StartOutcome.FENCED:
+        if outcome is specs.StartOutcome.NOT_SENT:
+            pass
+        elif outcome is specs.StartOutcome.FENCED:
             self.fenced = True
         elif outcome is specs.StartOutcome.NO_TICKET:
             step.tickets.by_worker_id.pop(worker_id, None)
@@ -558,42 +581,54 @@
         """Return what to do now."""
         self._check_workers(now)
         self.jobs.begin_due(now)
-        if self._unheard and now >= self._unheard_until:
-            self._unheard.clear()
-            self._inherited.clear()
         planned = planner.plan(now, self, ask_lanes)
         result = self._urgent_actions
         self._urgent_actions = []
         result.extend(planned)
         return result
 
-    def is_inherited(self, job_id: model.JobId) -> bool:
-        """Return whether a job's tasks may run unseen on some worker."""
-        return job_id in self._inherited
-
     def placed(
         self,
         now: float,
         task: work.Task,
         run_number: int,
         worker_id: model.WorkerId,
-    ) -> None:
-        """Count a run whose order is about to be sent."""
+    ) -> int:
+        """Count a run whose order is to be sent; return its number.
+
+        The order must wait until the placement is stored.
+        """
         run = beliefs.Run(
             task, run_number, worker_id, beliefs.RunState.ORDERED, now
         )
         self.beliefs_by_id[worker_id].add(run)
         self.usage.add(task.step.job.customer_id, task.step.spec.size)
-        self.jobs.placed(task, run_number)
+        self.jobs.placed(task, run_number, worker_id)
+        self._starts += 1
+        return self._starts
+
+    def is_wanted(
+        self,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        run_number: specs.RunNumber,
+    ) -> bool:
+        """Return whether a planned start should still be sent."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None:
+            return False
+        run = belief.runs_by_key.get((task_id, run_number))
+        return run is not None and run.stop_sent_at == float('-inf')
 
     def _check_workers(self, now: float) -> None:
         for worker_id, belief in list(self.beliefs_by_id.items()):
             silent = belief.silent_since is not None
             gone = silent or not belief.listed
-            if worker_id in self._unheard and gone:
-                # Runs that it may have are not known before it is heard.
-                continue
-            if gone and (belief.lease_over(now) or not belief.runs_by_key):
+            if belief.reported:
+                over = belief.lease_over(now)
+            else:
+                over = now >= self._unheard_until
+            if gone and (over or not belief.runs_by_key):
                 for run in list(belief.runs_by_key.values()):
                     self._lost(belief, run)
                 if not belief.listed:
@@ -633,6 +668,7 @@
         puts, removals, job_ids = self.jobs.take_changes()
         return actions.Changes(
             job_ids,
+            self._starts,
             puts,
             removals,
             {
@@ -663,5 +699,19 @@
         self.jobs.not_stored(changes.job_ids)
 
 
+def _unlisted(task: work.Task, worker_id: model.WorkerId) -> specs.WorkerEntry:
+    """Stand for a worker that is known by a stored placement only."""
+    return specs.WorkerEntry(
+        worker_id,
+        '',
+        task.step.job.queue.service,
+        model.ZoneId(''),
+        specs.WorkerState.DRAINING,
+        model.Resources(),
+        (),
+        '',
+    )
+
+
 STOP_AGAIN_S = 1.0
 """Between orders to stop a run while the worker does not answer."""
--- a/packages/core/src/samphirestack/fleet/specs.py
+++ b/packages/core/src/samphirestack/fleet/specs.py
@@ -223,6 +223,8 @@
     OTHER_LIFE = 'other_life'
     """The worker was started again since."""
     MALFORMED = 'malformed'
+    NOT_SENT = 'not_sent'
+    """The order was given up before it was sent."""
     UNKNOWN = 'unknown'
     """No answer: the run may start now or seconds later."""
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -84,6 +84,8 @@
         self._advice_waiters: dict[
             int, asyncio.Future[dict[model.WorkerId, str] | None]
         ] = {}
+        self._planned_starts: list[actions.Start] = []
+        """Starts whose placement is not stored yet."""
         self._cancelled_early: set[model.JobId] = set()
 
     async def run(self) -> None:
@@ -131,7 +133,6 @@
         now = clock.now()
         unix_now = clock.unix_now()
         self.scheduler.set_workers(now, self._entries_by_id.values())
-        self.scheduler.await_reports()
         cancelled = []
         for row in rows:
             if row.key.endswith(records.CANCEL_SUFFIX):
@@ -211,8 +212,8 @@
     def _use_entries(self) -> None:
         now = clock.now()
         self.scheduler.set_workers(now, self._entries_by_id.values())
-        for worker_id in self.scheduler.beliefs_by_id:
-            if worker_id not in self._holds:
+        for worker_id, belief in self.scheduler.beliefs_by_id.items():
+            if worker_id not in self._holds and belief.entry.address:
                 self._hold_events[worker_id] = asyncio.Event()
                 self._holds[worker_id] = asyncio.create_task(
                     self._hold(worker_id)
@@ -381,7 +382,36 @@
             if self.scheduler.jobs.has_changes:
                 self.writer.wake.set()
 
+    def _send_starts(self, changes: actions.Changes) -> None:
+        """Send the starts whose placement is stored."""
+        job_ids = set(changes.job_ids)
+        waiting = []
+        may_order = self._term.may_order(clock.now())
+        for start in self._planned_starts:
+            parts_of_id = specs.split_task_id(start.order.task_id)
+            stored = (
+                parts_of_id is not None
+                and parts_of_id[0] in job_ids
+                and start.number <= changes.starts_until
+            )
+            if not stored:
+                waiting.append(start)
+            elif may_order and self.scheduler.is_wanted(
+                start.worker.worker_id, start.order.task_id, start.order.run
+            ):
+                self._spawn(self._start(start))
+            else:
+                self.scheduler.start_result(
+                    clock.now(),
+                    start.worker.worker_id,
+                    start.order.task_id,
+                    start.order.run,
+                    specs.StartOutcome.NOT_SENT,
+                )
+        self._planned_starts = waiting
+
     def _stored(self, changes: actions.Changes) -> None:
+        self._send_starts(changes)
         for worker_id in self.scheduler.stored(changes):
             event = self._hold_events.get(worker_id)
             if event is not None:
@@ -426,7 +456,8 @@
 
     def _carry_out(self, action: actions.Action) -> None:
         if isinstance(action, actions.Start):
-            self._spawn(self._start(action))
+            self._planned_starts.append(action)
+            self.writer.wake.set()
         elif isinstance(action, actions.Stop):
             self._spawn(self._stop(action))
         elif isinstance(action, actions.Ask):
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -17,9 +17,9 @@
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import parts
 
-BATCH_EVERY_S = 0.025
-"""Between writes: batches the ends of many runs, since calls are paid for.
-It delays what callers see by half of it."""
+BATCH_EVERY_S = 0.012
+"""Between writes: batches starts and ends, since calls are paid for.  It
+delays a start by half of it."""
 
 RETRY_AFTER_S = 0.1
 
