--- a/packages/core/src/samphirestack/fleet/beliefs.py
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -1,5 +1,6 @@
 """What the scheduler believes about each worker, and since when."""
 
+import collections
 import enum
 
 from samphirestack import model
@@ -74,6 +75,10 @@
         self.started_unix_ms = entry.started_unix_ms
         self.last_end = 0
         """Highest number of an end that was handled."""
+        self.unstored_ends: collections.deque[tuple[int, model.TaskId]] = (
+            collections.deque()
+        )
+        """Ends that were handled and may still have to be stored."""
         self.last_seen = 0
         """Highest number of an end that is stored."""
         self.deadline_ms = 0.0
--- a/packages/core/src/samphirestack/fleet/jobbook.py
+++ b/packages/core/src/samphirestack/fleet/jobbook.py
@@ -8,8 +8,9 @@
 from samphirestack.fleet import specs
 from samphirestack.fleet import work
 
-MAX_JOBS_PER_WRITE = 30
-"""Each takes up to three entries of a transaction, which holds 100."""
+MAX_ENTRIES = 96
+"""Rows of one write.  A transaction holds 100 entries, of which the row of
+the term takes two and the last job up to two more than one."""
 
 
 class JobBook:
@@ -303,9 +304,12 @@
         """Return rows to write and the jobs that they cover."""
         puts = []
         removals = []
-        job_ids = list(self._dirty)[:MAX_JOBS_PER_WRITE]
-        for job_id in job_ids:
+        job_ids = []
+        for job_id in list(self._dirty):
+            if len(puts) + len(removals) >= MAX_ENTRIES - 2:
+                break
             del self._dirty[job_id]
+            job_ids.append(job_id)
             ending = self._ending_by_id.get(job_id)
             if ending is not None:
                 puts.append(
@@ -340,6 +344,11 @@
                 )
         return tuple(puts), tuple(removals), tuple(job_ids)
 
+    def waits_to_be_stored(self, task_id: model.TaskId) -> bool:
+        """Return whether changes of a task's job are not taken yet."""
+        parts = specs.split_task_id(task_id)
+        return parts is not None and parts[0] in self._dirty
+
     @property
     def has_changes(self) -> bool:
         """Return whether something waits to be stored."""
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -236,6 +236,7 @@
         for row in report.ended:
             if row.number > belief.last_end:
                 belief.last_end = row.number
+                belief.unstored_ends.append((row.number, row.task_id))
                 self._ended(now, belief, row)
         listed = set()
         for running in report.running:
@@ -272,6 +273,7 @@
         belief.started_unix_ms = started_unix_ms
         belief.last_end = 0
         belief.last_seen = 0
+        belief.unstored_ends.clear()
         belief.deadline_ms = 0.0
         belief.clock_at = float('-inf')
         kept = (
@@ -565,6 +567,18 @@
             now, asked_at, step, asked_ids, advice, self.beliefs_by_id
         )
 
+    def lease_deadline(self, now: float, worker_id: str) -> int | None:
+        """Return the deadline to send with a call to a worker, if any.
+
+        A worker that does not answer is only looked at: extended without
+        end, its lease would never be over and its tasks never started
+        again.
+        """
+        belief = self.beliefs_by_id.get(model.WorkerId(worker_id))
+        if belief is None or belief.silent_since is not None:
+            return None
+        return belief.deadline_in(now, self._max_lease_s)
+
     def hold_sent(
         self, worker_id: model.WorkerId, deadline_ms: int | None
     ) -> None:
@@ -641,8 +655,10 @@
         self, now: float, belief: beliefs.Belief, run: beliefs.Run
     ) -> None:
         if run.state is beliefs.RunState.STOPPING:
-            if now - run.stop_sent_at > STOP_AGAIN_S and (
-                run.confirmed_at == float('inf')
+            if (
+                now - run.stop_sent_at > STOP_AGAIN_S
+                and run.confirmed_at == float('inf')
+                and belief.silent_since is None
             ):
                 run.stop_sent_at = now
                 self._urgent_actions.append(
@@ -671,13 +687,24 @@
             self._starts,
             puts,
             removals,
-            {
-                worker_id: (belief.started_unix_ms, belief.last_end)
-                for worker_id, belief in self.beliefs_by_id.items()
-                if belief.last_end > belief.last_seen
-            },
+            self._covered_ends(),
         )
 
+    def _covered_ends(self) -> dict[model.WorkerId, tuple[int, int]]:
+        """Return for each worker the ends whose jobs wait no longer."""
+        covered = {}
+        for worker_id, belief in self.beliefs_by_id.items():
+            last = 0
+            while belief.unstored_ends:
+                number, task_id = belief.unstored_ends[0]
+                if self.jobs.waits_to_be_stored(task_id):
+                    break
+                belief.unstored_ends.popleft()
+                last = number
+            if last:
+                covered[worker_id] = (belief.started_unix_ms, last)
+        return covered
+
     def stored(self, changes: actions.Changes) -> list[model.WorkerId]:
         """Take note that changes are stored.
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -272,9 +272,7 @@
     ) -> None:
         belief = self.scheduler.beliefs_by_id[worker_id]
         sent_at = clock.now()
-        deadline_ms = belief.deadline_in(
-            sent_at, self._context.bounds.max_lease_s
-        )
+        deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
         self.scheduler.hold_sent(worker_id, deadline_ms)
         was_silent = belief.silent_since is not None
         try:
@@ -478,11 +476,8 @@
 
     async def _start(self, action: actions.Start) -> None:
         worker_id = action.worker.worker_id
-        belief = self.scheduler.beliefs_by_id[worker_id]
         sent_at = clock.now()
-        deadline_ms = belief.deadline_in(
-            sent_at, self._context.bounds.max_lease_s
-        )
+        deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
         outcome = specs.StartOutcome.LATE
         if deadline_ms is not None:
             self.scheduler.hold_sent(worker_id, deadline_ms)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -210,6 +210,12 @@
         finally:
             self._holder = None
             watch.cancel()
+            # Nothing is ordered any more, so that others may follow at once.
+            for identity in self._pings_by_identity:
+                self._listener.send(
+                    identity,
+                    messages.TakeOver(holder.scheduler.term, self._life),
+                )
             self._pings_by_identity.clear()
         self._context.log.write(
             'term.ended', term=holder.scheduler.term, reason=reason
@@ -232,14 +238,10 @@
             failing_since = holder.writer.failing_since
             if failing_since is None or now - failing_since < YIELD_AFTER_S:
                 continue
-            for identity, (_, ping) in self._pings_by_identity.items():
+            for _, ping in self._pings_by_identity.values():
                 if ping.store_age_s < STORE_REACHED_S:
-                    self._context.log.write('term.yielded', to=ping.vm_id)
+                    self._context.log.write('term.yielded', since=ping.vm_id)
                     holder.scheduler.fenced = True
-                    self._listener.send(
-                        identity,
-                        messages.TakeOver(holder.scheduler.term, self._life),
-                    )
                     return
 
     # Messages
--- /dev/null
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -0,0 +1,202 @@
+"""Builders for tests of the fleet scheduler."""
+
+from collections.abc import Iterable
+
+from samphirestack import model
+from samphirestack.fleet import actions
+from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
+from samphirestack.fleet import specs
+
+SERVICE = model.ServiceId('notices')
+LEASE_S = 6.0
+UNIX = 1_000_000.0
+"""Time of day when the scheduler's clock shows 0."""
+
+
+class FreeLanes:
+    """Advice calls are always possible."""
+
+    def take(self, urgent: bool, expected_s: float) -> bool:
+        """Return that there is a lane."""
+        return True
+
+
+def make_queue(name: str = 'q', **fields: object) -> specs.Queue:
+    values: dict[str, object] = {
+        'max_attempts': 3,
+        'stretch': 2.0,
+        'latency_target_s': 1.0,
+        'priority': 1,
+    }
+    values.update(fields)
+    return specs.Queue(
+        model.QueueId(name),
+        SERVICE,
+        'host',
+        f'/{name}/',
+        **values,  # type: ignore[arg-type]
+    )
+
+
+def make_step(count: int = 1, **fields: object) -> specs.StepSpec:
+    values: dict[str, object] = {
+        'size': model.Resources(1000, 1000),
+        'estimate_s': 1.0,
+    }
+    values.update(fields)
+    return specs.StepSpec(count, **values)  # type: ignore[arg-type]
+
+
+def make_job(
+    number: int,
+    steps: Iterable[specs.StepSpec] = (),
+    queue: specs.Queue | None = None,
+    customer: str = 'team',
+    **fields: object,
+) -> records.JobRecord:
+    steps = tuple(steps) or (make_step(),)
+    return records.JobRecord(
+        model.JobId(f'{number:016x}'),
+        queue or make_queue(),
+        model.TeamId(customer),
+        UNIX,
+        specs.JobSpec('payload', steps, **fields),  # type: ignore[arg-type]
+    )
+
+
+def make_worker(
+    name: str,
+    cpu: int = 16_000,
+    memory: int = 32_000,
+    state: specs.WorkerState = specs.WorkerState.READY,
+    started: int = 1,
+    **fields: object,
+) -> specs.WorkerEntry:
+    values: dict[str, object] = {'labels': ('a', 'r1'), 'rack': 'r1'}
+    values.update(fields)
+    return specs.WorkerEntry(
+        model.WorkerId(name),
+        f'{name}:1',
+        SERVICE,
+        model.ZoneId('z'),
+        state,
+        model.Resources(cpu, memory),
+        started_unix_ms=started,
+        **values,  # type: ignore[arg-type]
+    )
+
+
+def make_configuration(
+    queues: Iterable[specs.Queue] = (),
+    customers: Iterable[specs.Customer] = (),
+) -> specs.FleetConfiguration:
+    return specs.FleetConfiguration(
+        1, list(queues) or [make_queue()], list(customers), [], {}, 10_000
+    )
+
+
+def make_report(
+    clock_ms: float,
+    running: Iterable[tuple[str, int]] = (),
+    ended: Iterable[tuple[int, str, int, specs.EndReason]] = (),
+    started: int = 1,
+    percent: float = 10.0,
+) -> specs.WorkerReport:
+    return specs.WorkerReport(
+        clock_ms,
+        started,
+        tuple(
+            specs.RunningRow(
+                model.TaskId(task),
+                specs.RunNumber(run),
+                specs.NO_CHECKPOINT,
+                percent,
+            )
+            for task, run in running
+        ),
+        tuple(
+            specs.EndRow(
+                number,
+                model.TaskId(task),
+                specs.RunNumber(run),
+                reason,
+                specs.NO_CHECKPOINT,
+            )
+            for number, task, run, reason in ended
+        ),
+    )
+
+
+class World:
+    """A scheduler with workers that have reported."""
+
+    def __init__(
+        self,
+        workers: Iterable[specs.WorkerEntry],
+        configuration: specs.FleetConfiguration | None = None,
+        term: int = 1,
+        reported: bool = True,
+    ) -> None:
+        self.scheduler = schedulers.FleetScheduler(
+            0.0, term, configuration or make_configuration(), LEASE_S
+        )
+        self.workers = list(workers)
+        self.scheduler.set_workers(0.0, self.workers)
+        if reported:
+            for worker in self.workers:
+                self.report(0.0, worker.worker_id)
+
+    def report(
+        self,
+        now: float,
+        worker_id: str,
+        running: Iterable[tuple[str, int]] = (),
+        ended: Iterable[tuple[int, str, int, specs.EndReason]] = (),
+        sent_at: float | None = None,
+        started: int = 1,
+        percent: float = 10.0,
+    ) -> None:
+        self.scheduler.report(
+            now,
+            now if sent_at is None else sent_at,
+            model.WorkerId(worker_id),
+            make_report(now * 1000, running, ended, started, percent),
+        )
+
+    def accept(self, now: float, job: records.JobRecord) -> model.JobId:
+        assert self.scheduler.accept_job(now, UNIX + now, job)
+        return job.job_id
+
+    def plan(self, now: float) -> list[actions.Action]:
+        return self.scheduler.plan(now, FreeLanes())
+
+    def starts(self, now: float) -> list[actions.Start]:
+        return [
+            action
+            for action in self.plan(now)
+            if isinstance(action, actions.Start)
+        ]
+
+    def started(self, now: float) -> list[actions.Start]:
+        """Plan and let the workers take all starts."""
+        starts = self.starts(now)
+        for start in starts:
+            self.answer(now, start, specs.StartOutcome.STARTED)
+        return starts
+
+    def answer(
+        self, now: float, start: actions.Start, outcome: specs.StartOutcome
+    ) -> None:
+        self.scheduler.start_result(
+            now,
+            start.worker.worker_id,
+            start.order.task_id,
+            start.order.run,
+            outcome,
+        )
+
+    def store(self) -> actions.Changes:
+        changes = self.scheduler.take_changes()
+        self.scheduler.stored(changes)
+        return changes
--- /dev/null
+++ b/tests/unit/fleet/test_scheduler.py
@@ -0,0 +1,320 @@
+"""What the fleet scheduler believes about runs and workers."""
+
+from samphirestack import model
+from samphirestack.fleet import actions
+from samphirestack.fleet import records
+from samphirestack.fleet import specs
+from samphirestack_testing import fleet_world as worlds
+
+DONE = specs.EndReason.DONE
+FAILED = specs.EndReason.FAILED
+
+
+class TestLostWorkers:
+    """Guards against tasks that are never, or too early, started again."""
+
+    def test_holds_without_answer_extend_no_lease_for_ever(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        assert len(world.started(0.1)) == 1
+        scheduler = world.scheduler
+        for step in range(20):
+            now = 1.0 + step
+            scheduler.hold_sent(
+                model.WorkerId('a'), scheduler.lease_deadline(now, 'a')
+            )
+            scheduler.worker_silent(now, model.WorkerId('a'))
+        scheduler.set_workers(21.0, [worlds.make_worker('b')])
+        world.report(21.0, 'b')
+        assert [one.worker.worker_id for one in world.starts(21.1)] == ['b']
+
+    def test_a_silent_worker_keeps_its_task_for_the_lease(self) -> None:
+        world = worlds.World(
+            [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        world.accept(0.0, worlds.make_job(1))
+        start = world.started(0.1)[0]
+        lost = start.worker.worker_id
+        scheduler = world.scheduler
+        scheduler.hold_sent(lost, scheduler.lease_deadline(0.2, lost))
+        scheduler.worker_silent(1.0, lost)
+        assert world.starts(5.0) == []
+        assert [one.worker.worker_id != lost for one in world.starts(7.0)] == [
+            True
+        ]
+
+    def test_a_new_life_frees_the_runs_of_the_old_one(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        world.started(0.1)
+        world.report(1.0, 'a', started=2)
+        assert len(world.starts(1.1)) == 1
+
+    def test_an_unanswered_start_is_stopped_before_another(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        start = world.starts(0.1)[0]
+        world.answer(0.9, start, specs.StartOutcome.UNKNOWN)
+        assert isinstance(world.plan(0.9)[0], actions.Look)
+        world.report(1.0, 'a', sent_at=0.95)
+        stop = world.plan(1.0)[0]
+        assert isinstance(stop, actions.Stop)
+        assert world.starts(1.1) == []
+        world.scheduler.stop_result(
+            1.2, stop.worker.worker_id, stop.task_id, stop.run, True
+        )
+        world.report(1.3, 'a', sent_at=1.25)
+        assert len(world.starts(1.3)) == 1
+
+    def test_an_unanswered_start_that_is_listed_goes_on(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        start = world.starts(0.1)[0]
+        world.answer(0.9, start, specs.StartOutcome.UNKNOWN)
+        world.report(
+            1.0,
+            'a',
+            [(start.order.task_id, start.order.run)],
+            sent_at=0.95,
+        )
+        assert not any(
+            isinstance(action, actions.Stop) for action in world.plan(1.1)
+        )
+
+
+class TestStoring:
+    """Guards against ends that are forgotten before they are stored."""
+
+    def test_ends_of_jobs_that_did_not_fit_are_not_acknowledged(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 900_000, 900_000)])
+        count = 300
+        for number in range(count):
+            world.accept(0.0, worlds.make_job(number))
+        starts = world.started(0.1)
+        while world.scheduler.jobs.has_changes:
+            world.store()
+        ends = [
+            (number + 1, start.order.task_id, start.order.run, DONE)
+            for number, start in enumerate(starts)
+        ]
+        world.report(2.0, 'a', ended=ends)
+        changes = world.scheduler.take_changes()
+        assert len(changes.puts) < count
+        stored = {records.decode_job(put.value).job_id for put in changes.puts}
+        acknowledged = changes.ends_by_worker_id.get(
+            model.WorkerId('a'), (0, 0)
+        )[1]
+        for number, task_id, _, _ in ends:
+            if number <= acknowledged:
+                assert task_id.split('.')[0] in stored
+
+    def test_all_ends_are_acknowledged_in_the_end(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 900_000, 900_000)])
+        for number in range(300):
+            world.accept(0.0, worlds.make_job(number))
+        starts = world.started(0.1)
+        world.report(
+            2.0,
+            'a',
+            ended=[
+                (number + 1, start.order.task_id, start.order.run, DONE)
+                for number, start in enumerate(starts)
+            ],
+        )
+        while world.scheduler.jobs.has_changes:
+            changes = world.store()
+            entries = len(changes.puts) + len(changes.removals)
+            assert entries <= 99
+        belief = world.scheduler.beliefs_by_id[model.WorkerId('a')]
+        assert belief.last_seen == 300
+
+    def test_an_end_is_told_only_once_it_is_stored(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(0.0, worlds.make_job(1))
+        start = world.started(0.1)[0]
+        world.report(
+            1.0, 'a', ended=[(1, start.order.task_id, start.order.run, DONE)]
+        )
+        jobs = world.scheduler.jobs
+        assert jobs.state_of(job_id) is specs.JobState.RUNNING
+        world.store()
+        assert jobs.state_of(job_id) is specs.JobState.COMPLETED
+
+
+class TestInheritedWork:
+    """Guards against starting again what an earlier holder started."""
+
+    def _inherit(
+        self, workers: list[specs.WorkerEntry], worker: str
+    ) -> worlds.World:
+        world = worlds.World(workers, term=2, reported=False)
+        progress = records.JobProgress(placed_by_task={'0.0.0': (1, worker)})
+        world.scheduler.inherit_job(
+            0.0, worlds.UNIX, worlds.make_job(1), progress
+        )
+        return world
+
+    def test_a_run_on_an_unlisted_worker_is_awaited(self) -> None:
+        world = self._inherit([worlds.make_worker('b')], 'a')
+        world.report(0.1, 'b')
+        assert world.starts(0.2) == []
+        assert world.starts(9.0) == []
+        assert len(world.starts(10.0)) == 1
+
+    def test_an_unlisted_worker_that_returns_is_believed(self) -> None:
+        world = self._inherit([worlds.make_worker('b')], 'a')
+        world.report(0.1, 'b')
+        world.scheduler.set_workers(
+            1.0, [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        world.report(1.1, 'a', ended=[(1, f'{1:016x}.0.0.0', 1, DONE)])
+        assert world.starts(20.0) == []
+        world.store()
+        assert (
+            world.scheduler.jobs.state_of(model.JobId(f'{1:016x}'))
+            is specs.JobState.COMPLETED
+        )
+
+    def test_a_run_that_its_worker_does_not_list_is_started_again(
+        self,
+    ) -> None:
+        world = self._inherit([worlds.make_worker('a')], 'a')
+        assert world.starts(0.05) == []
+        world.report(0.1, 'a')
+        start = world.starts(0.2)[0]
+        assert start.order.run > 1
+
+    def test_a_listed_run_goes_on(self) -> None:
+        world = self._inherit([worlds.make_worker('a')], 'a')
+        world.report(0.1, 'a', [(f'{1:016x}.0.0.0', 1)])
+        assert world.plan(0.2) == []
+
+    def test_room_of_awaited_runs_is_not_given_away(self) -> None:
+        world = self._inherit([worlds.make_worker('a', 1000)], 'a')
+        world.accept(0.0, worlds.make_job(2))
+        assert world.starts(0.05) == []
+
+
+class TestAttempts:
+    """Guards against lost and doubled counts of failed runs."""
+
+    def test_a_job_fails_after_its_attempts(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(0.0, worlds.make_job(1))
+        for attempt in range(3):
+            start = world.started(100.0 * attempt + 0.1)[0]
+            world.report(
+                100.0 * attempt + 1,
+                'a',
+                ended=[
+                    (attempt + 1, start.order.task_id, start.order.run, FAILED)
+                ],
+            )
+        world.store()
+        assert world.scheduler.jobs.state_of(job_id) is specs.JobState.FAILED
+        assert world.starts(400.0) == []
+
+    def test_an_end_that_is_listed_again_counts_once(self) -> None:
+        world = worlds.World([worlds.make_worker('a')], term=2, reported=False)
+        job = worlds.make_job(1)
+        progress = records.JobProgress(failed_runs_by_task={'0.0.0': [1]})
+        world.scheduler.inherit_job(0.0, worlds.UNIX, job, progress)
+        world.report(0.1, 'a', ended=[(7, f'{1:016x}.0.0.0', 1, FAILED)])
+        task = world.scheduler.jobs.find_task(model.TaskId(f'{1:016x}.0.0.0'))
+        assert task is not None
+        assert task.failed_runs == {1}
+
+
+class TestGangs:
+    """Guards against members that run without each other."""
+
+    def test_a_refused_member_stops_the_others(self) -> None:
+        world = worlds.World(
+            [worlds.make_worker('a', 1000), worlds.make_worker('b', 1000)]
+        )
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(2, gang=True)]))
+        first, second = world.starts(0.1)
+        world.answer(0.2, first, specs.StartOutcome.STARTED)
+        world.answer(0.2, second, specs.StartOutcome.NO_ROOM)
+        stops = [
+            action
+            for action in world.plan(0.2)
+            if isinstance(action, actions.Stop)
+        ]
+        assert [stop.task_id for stop in stops] == [first.order.task_id]
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 3000)])
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(4, gang=True)]))
+        assert world.starts(0.1) == []
+
+    def test_one_success_ends_the_gang(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(
+            0.0, worlds.make_job(1, [worlds.make_step(3, gang=True)])
+        )
+        start = world.started(0.1)[0]
+        world.report(
+            1.0, 'a', ended=[(1, start.order.task_id, start.order.run, DONE)]
+        )
+        world.store()
+        assert (
+            world.scheduler.jobs.state_of(job_id) is specs.JobState.COMPLETED
+        )
+
+
+class TestSteps:
+    """Guards against steps that start before what they depend on."""
+
+    def test_a_step_waits_for_the_ones_before(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(
+            0.0,
+            worlds.make_job(
+                1, [worlds.make_step(2), worlds.make_step(1, after=(0,))]
+            ),
+        )
+        starts = world.started(0.1)
+        assert len(starts) == 2
+        world.report(
+            1.0,
+            'a',
+            [(starts[1].order.task_id, starts[1].order.run)],
+            [(1, starts[0].order.task_id, starts[0].order.run, DONE)],
+        )
+        assert world.starts(1.1) == []
+        world.report(
+            2.0,
+            'a',
+            ended=[(2, starts[1].order.task_id, starts[1].order.run, DONE)],
+        )
+        assert len(world.starts(2.1)) == 1
+
+
+class TestLimits:
+    """Guards against more running than a worker or a customer may have."""
+
+    def test_a_worker_is_not_overcommitted_while_a_run_stops(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 1000)])
+        first = world.accept(0.0, worlds.make_job(1))
+        world.started(0.1)
+        world.accept(0.2, worlds.make_job(2))
+        world.scheduler.cancel(0.3, first)
+        assert world.starts(0.4) == []
+        world.report(
+            0.8,
+            'a',
+            ended=[(1, f'{first}.0.0.0', 1, specs.EndReason.STOPPED)],
+        )
+        assert len(world.starts(0.9)) == 1
+
+    def test_a_customer_stays_below_its_limit(self) -> None:
+        customer = specs.Customer(
+            model.TeamId('team'), 5.0, model.Resources(2500)
+        )
+        world = worlds.World(
+            [worlds.make_worker('a')],
+            worlds.make_configuration(customers=[customer]),
+        )
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(6)]))
+        assert len(world.starts(0.1)) == 2
