--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -49,9 +49,9 @@
 class Changes(msgspec.Struct, frozen=True):
     """What has to be stored before it counts.
 
-    Starts numbered up to ``starts_until`` of the jobs named here may be sent
-    then.  Ends up to ``ends_by_worker_id`` can be forgotten by their workers once
-    everything here is stored.
+    Once everything here is stored, starts numbered up to ``starts_until`` of
+    the jobs named here may be sent, and workers may forget their ends up to
+    ``ends_by_worker_id``.
     """
 
     job_ids: tuple[model.JobId, ...]
--- a/packages/core/src/samphirestack/fleet/beliefs.py
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -89,6 +89,10 @@
         self.silent_since: float | None = None
         self.listed = True
         """It is in the list of workers."""
+        self.unknown_runs: dict[tuple[model.TaskId, int], float] = {}
+        """Listed runs of jobs that are not active, by when their stop was
+        ordered.  Their size is not known, so that the worker's room is not
+        either."""
         self.avoid_until = 0.0
         self.failed_jobs: set[model.JobId] = set()
         self.pauses = 0
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -162,10 +162,10 @@
             candidates.extend(unknown[: MAX_ASKED - len(good)])
         duration = work.advice_s(policy, len(candidates))
         renewed_at = now + duration + TICKET_MARGIN_S
-        if len(step.tickets.valid_ids(renewed_at)) >= min(need, len(good)):
-            if usable and good:
-                return usable
-        if not candidates:
+        enough = len(step.tickets.valid_ids(renewed_at)) >= min(
+            need, len(good)
+        )
+        if not candidates or (enough and usable and good):
             return usable
         candidates = candidates[:MAX_ASKED]
         urgent = step.job.queue.priority == ordering.URGENT_PRIORITY
@@ -371,6 +371,7 @@
         and belief.listed
         and belief.silent_since is None
         and not belief.is_draining
+        and not belief.unknown_runs
         and belief.avoid_until <= now
         and quarantined.accepts(now, belief.entry.worker_id)
     )
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -242,6 +242,9 @@
         for running in report.running:
             listed.add((running.task_id, running.run))
             self._running(now, belief, running)
+        for key in list(belief.unknown_runs):
+            if key not in listed:
+                del belief.unknown_runs[key]
         for key, run in list(belief.runs_by_key.items()):
             if key in listed:
                 continue
@@ -338,11 +341,15 @@
         """Count a run that an earlier holder of the term started."""
         task = self.jobs.find_task(row.task_id)
         if task is None:
-            self._urgent_actions.append(
-                actions.Stop(
-                    belief.entry, row.task_id, row.run, 'no active job'
+            key = (row.task_id, row.run)
+            ordered_at = belief.unknown_runs.get(key, float('-inf'))
+            if now - ordered_at > STOP_AGAIN_S:
+                belief.unknown_runs[key] = now
+                self._urgent_actions.append(
+                    actions.Stop(
+                        belief.entry, row.task_id, row.run, 'no active job'
+                    )
                 )
-            )
             return None
         run = beliefs.Run(
             task,
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -194,6 +194,21 @@
         world.accept(0.0, worlds.make_job(2))
         assert world.starts(0.05) == []
 
+    def test_a_run_of_an_ended_job_keeps_its_worker_closed(self) -> None:
+        world = self._inherit([worlds.make_worker('a')], 'a')
+        unknown = f'{9:016x}.0.0.0'
+        world.report(0.1, 'a', [(unknown, 1)])
+        stops = [
+            action.task_id
+            for action in world.plan(0.1)
+            if isinstance(action, actions.Stop)
+        ]
+        assert stops == [unknown]
+        world.accept(0.2, worlds.make_job(2))
+        assert world.starts(0.3) == []
+        world.report(0.8, 'a')
+        assert len(world.starts(0.9)) == 2
+
 
 class TestAttempts:
     """Guards against lost and doubled counts of failed runs."""
