--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from samphirestack import model
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
+from samphirestack import model
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/packages/core/src/samphirestack/fleet/beliefs.py
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -3,9 +3,9 @@
 import collections
 import enum
 
-from samphirestack import model
 from samphirestack.fleet import specs
 from samphirestack.fleet import work
+from samphirestack import model
 
 CLOCK_SLOWNESS = 0.03
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
--- a/packages/core/src/samphirestack/fleet/jobbook.py
+++ b/packages/core/src/samphirestack/fleet/jobbook.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
-from samphirestack import model
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import work
+from samphirestack import model
 
 MAX_ENTRIES = 96
 """Rows of one write.  A transaction holds 100 entries, of which the row of
@@ -141,7 +141,9 @@
             return None
         job_id, occurrence, number, index = parts
         job = self.active_by_id.get(job_id)
-        step = job and job.steps_by_key.get((occurrence, number))
+        if job is None:
+            return None
+        step = job.steps_by_key.get((occurrence, number))
         if step is None or index >= step.spec.count:
             return None
         return step.tasks[index]
@@ -302,8 +304,8 @@
         tuple[model.JobId, ...],
     ]:
         """Return rows to write and the jobs that they cover."""
-        puts = []
-        removals = []
+        puts: list[ports.Put] = []
+        removals: list[ports.Removal] = []
         job_ids = []
         for job_id in list(self._dirty):
             if len(puts) + len(removals) >= MAX_ENTRIES - 2:
--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from samphirestack import model
 from samphirestack.fleet import specs
+from samphirestack import model
 
 
 class Ping(msgspec.Struct, tag='ping', frozen=True):
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -10,7 +10,6 @@
 
 from typing import Protocol
 
-from samphirestack import model
 from samphirestack.fleet import actions
 from samphirestack.fleet import beliefs
 from samphirestack.fleet import jobbook
@@ -21,6 +20,7 @@
 from samphirestack.fleet import specs
 from samphirestack.fleet import work
 from samphirestack.internal.decisions import quarantine
+from samphirestack import model
 
 MAX_ASKED = 40
 """Workers named in one call for advice; a call grows longer with each."""
--- a/packages/core/src/samphirestack/fleet/ports.py
+++ b/packages/core/src/samphirestack/fleet/ports.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from samphirestack import model
 from samphirestack.fleet import specs
+from samphirestack import model
 
 
 class StoredRow(msgspec.Struct, frozen=True):
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from samphirestack import model
 from samphirestack.fleet import specs
+from samphirestack import model
 
 JOBS_TABLE = 'jobs'
 PROGRESS_TABLE = 'progress'
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable
 
-from samphirestack import model
 from samphirestack.fleet import actions
 from samphirestack.fleet import beliefs
 from samphirestack.fleet import jobbook
@@ -20,6 +19,7 @@
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import work
 from samphirestack.internal.decisions import quarantine
+from samphirestack import model
 
 RUNS_PER_TERM = 20
 """Run numbers that each term sets aside; runs that an earlier holder
@@ -471,9 +471,7 @@
         run.state = beliefs.RunState.STOPPING
         run.confirmed_at = float('inf')
         run.stop_sent_at = now
-        self._urgent_actions.append(
-            actions.Stop(belief.entry, run.task.id, run.run, reason)
-        )
+        self._urgent_actions.append(_stop_order(belief, run, reason))
 
     # Answers to actions
 
@@ -487,8 +485,10 @@
     ) -> None:
         """Take note of a worker's answer to a start."""
         belief = self.beliefs_by_id.get(worker_id)
-        run = belief and belief.runs_by_key.get((task_id, run_number))
-        if belief is None or run is None:
+        if belief is None:
+            return
+        run = belief.runs_by_key.get((task_id, run_number))
+        if run is None:
             return
         if run.state is not beliefs.RunState.ORDERED:
             return
@@ -550,7 +550,9 @@
     ) -> None:
         """Take note of a worker's answer to a stop."""
         belief = self.beliefs_by_id.get(worker_id)
-        run = belief and belief.runs_by_key.get((task_id, run_number))
+        if belief is None:
+            return
+        run = belief.runs_by_key.get((task_id, run_number))
         if run is None or run.state is not beliefs.RunState.STOPPING:
             return
         if accepted:
@@ -669,9 +671,7 @@
             ):
                 run.stop_sent_at = now
                 self._urgent_actions.append(
-                    actions.Stop(
-                        belief.entry, run.task.id, run.run, 'unanswered stop'
-                    )
+                    _stop_order(belief, run, 'unanswered stop')
                 )
             return
         if run.state is beliefs.RunState.ORDERED:
@@ -733,6 +733,14 @@
         self.jobs.not_stored(changes.job_ids)
 
 
+def _stop_order(
+    belief: beliefs.Belief, run: beliefs.Run, reason: str
+) -> actions.Stop:
+    return actions.Stop(
+        belief.entry, run.task.id, specs.RunNumber(run.run), reason
+    )
+
+
 def _unlisted(task: work.Task, worker_id: model.WorkerId) -> specs.WorkerEntry:
     """Stand for a worker that is known by a stored placement only."""
     return specs.WorkerEntry(
--- a/packages/core/src/samphirestack/fleet/shares.py
+++ b/packages/core/src/samphirestack/fleet/shares.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 
-from samphirestack import model
 from samphirestack.fleet import specs
+from samphirestack import model
 
 RATE_WINDOW_S = 5.0
 """Jobs that a customer may hand in at once are its rate times this."""
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -8,8 +8,8 @@
 work at the same time.
 """
 
-from samphirestack import model
 from samphirestack.fleet import records
+from samphirestack import model
 
 ORDER_LEASE_S = 2.5
 """From the sending of a renewal.  It bounds how long the fleet stands still
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -2,9 +2,9 @@
 
 import enum
 
-from samphirestack import model
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack import model
 
 MIN_ESTIMATE_S = 0.05
 """Least run time that is assumed; callers may declare none."""
--- a/packages/daemon/src/samphirestackd/fleet/decisions.py
+++ b/packages/daemon/src/samphirestackd/fleet/decisions.py
@@ -1,7 +1,7 @@
 """Log lines for decisions, bounded under load."""
 
-from samphirestackd import logs
 from samphirestackd.fleet import clock
+from samphirestackd import logs
 
 LINES_PER_S = 400.0
 """About three lines for each task of a heavy second of today's users."""
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from samphirestack import errors
-from samphirestack import model
-from samphirestack import verdict as verdicts
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack import model
+from samphirestack import verdict as verdicts
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import parts
 from samphirestackd.fleet import publication
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from samphirestack import errors
-from samphirestack import model
 from samphirestack.fleet import actions
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
@@ -15,11 +14,12 @@
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
-from samphirestackd import logs
+from samphirestack import model
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import lanes as advice_lanes
 from samphirestackd.fleet import parts
 from samphirestackd.fleet import writer as writers
+from samphirestackd import logs
 
 HOLD_WAIT_S = 0.5
 """A worker answers a hold at the first end or after this.  Leases are
@@ -573,7 +573,9 @@
         lane: advice_lanes.Lane,
         timeout_s: float,
     ) -> dict[model.WorkerId, str] | None:
-        waiter = asyncio.get_running_loop().create_future()
+        waiter: asyncio.Future[dict[model.WorkerId, str] | None] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._advice_waiters[number] = waiter
         try:
             self._send(
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -7,14 +7,15 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 import zmq
 import zmq.asyncio
 
 from samphirestack.fleet import messages
-from samphirestackd import logs
 from samphirestackd.fleet import clock
+from samphirestackd import logs
 
 PING_EVERY_S = 0.3
 SILENT_AFTER_S = 0.8
@@ -49,8 +50,10 @@
 
     def send(self, identity: bytes, message: messages.Message) -> None:
         """Send to a connected entry; dropped if it can't take more."""
-        future = self._socket.send_multipart(
-            [identity, messages.encode(message)], zmq.NOBLOCK
+        future = asyncio.ensure_future(
+            self._socket.send_multipart(
+                [identity, messages.encode(message)], zmq.NOBLOCK
+            )
         )
         future.add_done_callback(_log_failure)
 
@@ -118,7 +121,9 @@
         """Send to the holder; return whether the message was queued."""
         if self._socket is None:
             return False
-        future = self._socket.send(messages.encode(message), zmq.NOBLOCK)
+        future = asyncio.ensure_future(
+            self._socket.send(messages.encode(message), zmq.NOBLOCK)
+        )
         future.add_done_callback(_log_failure)
         return True
 
@@ -133,7 +138,7 @@
         self.heard_at = float('-inf')
 
 
-def _log_failure(future: asyncio.Future[object]) -> None:
+def _log_failure(future: asyncio.Future[Any]) -> None:
     if not future.cancelled() and future.exception() is not None:
         logs.warning('link.not_sent', reason=str(future.exception()))
 
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -8,19 +8,19 @@
 import zmq.asyncio
 
 from samphirestack import errors
-from samphirestack import model
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import term as terms
-from samphirestackd import http_client
-from samphirestackd import logs
+from samphirestack import model
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import holder as holders
 from samphirestackd.fleet import link
 from samphirestackd.fleet import parts
 from samphirestackd.fleet import publication
 from samphirestackd.fleet import writer as writers
+from samphirestackd import http_client
+from samphirestackd import logs
 
 OBSERVE_EVERY_S = 0.5
 """Between reads of the term's row while the holder does not answer."""
@@ -350,7 +350,9 @@
             return None
         self._last_query += 1
         number = self._last_query
-        waiter = asyncio.get_running_loop().create_future()
+        waiter: asyncio.Future[messages.StateReply] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._state_waiters[number] = waiter
         self._connection.send(messages.StateQuery(number, job_id))
         try:
--- a/packages/daemon/src/samphirestackd/fleet/parts.py
+++ b/packages/daemon/src/samphirestackd/fleet/parts.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from samphirestack import model
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
+from samphirestack import model
 from samphirestackd.fleet import decisions
 from samphirestackd.fleet import figures
 
--- a/packages/daemon/src/samphirestackd/fleet/publication.py
+++ b/packages/daemon/src/samphirestackd/fleet/publication.py
@@ -5,9 +5,9 @@
 from samphirestack import errors
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
-from samphirestackd import logs
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import parts
+from samphirestackd import logs
 
 FEED_WAIT_S = 1.0
 """Each answer of the feed, also an empty one, confirms the version."""
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -13,9 +13,9 @@
 from samphirestack.fleet import records
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import term as terms
-from samphirestackd import logs
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import parts
+from samphirestackd import logs
 
 BATCH_EVERY_S = 0.012
 """Between writes: batches starts and ends, since calls are paid for.  It
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
-from samphirestack import model
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
+from samphirestack import model
 
 SERVICE = model.ServiceId('notices')
 LEASE_S = 6.0
--- /dev/null
+++ b/tests/integration/test_platform_entry.py
@@ -0,0 +1,319 @@
+"""Entries as real processes on the stand-in of the platform."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import pathlib
+import signal
+
+import pytest
+import pytest_asyncio
+
+from samphirestack_platform_standin import deployment as deployments
+from samphirestack_platform_standin import store as stores
+
+LONGEST_WAIT_S = 40.0
+
+
+async def until(condition: Callable[[], Awaitable[bool] | bool]) -> None:
+    async with asyncio.timeout(LONGEST_WAIT_S):
+        while True:
+            result = condition()
+            if isinstance(result, Awaitable):
+                result = await result
+            if result:
+                return
+            await asyncio.sleep(0.05)
+
+
+@pytest_asyncio.fixture
+async def deployment(
+    tmp_path: pathlib.Path,
+) -> AsyncIterator[deployments.Deployment]:
+    async with deployments.Deployment(tmp_path) as one:
+        for entry in one.entries:
+            await until(lambda entry=entry: one.ready(entry))
+        await until(lambda: one.holder() != '')
+        yield one
+
+
+def job(
+    run_ms: int = 100, count: int = 2, more: str = '', **fields: object
+) -> dict[str, object]:
+    return {
+        'specification': f'run_ms={run_ms};{more}',
+        'steps': [
+            {
+                'count': count,
+                'cpu': 1000,
+                'memory_request_mb': 512,
+                'estimated_ms': run_ms,
+                **fields,
+            }
+        ],
+    }
+
+
+def path(number: int) -> str:
+    return f'/batch/{number:016x}'
+
+
+async def state(
+    deployment: deployments.Deployment, number: int, entry: int = 0
+) -> str:
+    status, body = await deployment.call(
+        deployment.entries[entry], 'GET', path(number)
+    )
+    return body['state'] if status == 200 else str(status)  # type: ignore[index]
+
+
+async def wait_for_state(
+    deployment: deployments.Deployment,
+    number: int,
+    wanted: str,
+    entry: int = 0,
+) -> None:
+    async def reached() -> bool:
+        return await state(deployment, number, entry) == wanted
+
+    await until(reached)
+
+
+def assert_no_task_ran_twice(deployment: deployments.Deployment) -> None:
+    by_task = itertools.groupby(
+        sorted(deployment.runs, key=lambda run: (run.task, run.started_at)),
+        key=lambda run: run.task,
+    )
+    for task, runs in by_task:
+        for before, after in itertools.pairwise(runs):
+            assert before.ended_at is not None, task
+            assert before.ended_at <= after.started_at, task
+            assert before.reason != 'done', task
+
+
+class TestCalls:
+    """Guards against wrong answers to clients."""
+
+    async def test_the_whole_path(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        assert (await deployment.call(entry, 'POST', path(1), job()))[0] == 200
+        assert (await deployment.call(entry, 'POST', path(1), job()))[0] == 200
+        for number in range(len(deployment.entries)):
+            await wait_for_state(deployment, 1, 'completed', number)
+        assert len(deployment.runs) == 2
+        assert deployment.advisor.calls >= 1
+
+    async def test_bad_input_is_refused_and_disturbs_nothing(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        calls = [
+            ('POST', path(1), {'specification': 'x'}, 400),
+            ('POST', path(1), {'specification': 'x', 'steps': []}, 400),
+            ('POST', path(1), job(count=0), 400),
+            ('POST', path(1), job(after=[3]), 400),
+            ('POST', '/batch/short', job(), 400),
+            ('POST', '/unknown/0123456789abcdef', job(), 404),
+            ('GET', path(7), None, 410),
+            ('DELETE', path(7), None, 410),
+            ('PUT', path(7), None, 405),
+        ]
+        for method, target, body, expected in calls:
+            status, _ = await deployment.call(entry, method, target, body)
+            assert status == expected, (method, target, body)
+        status, _ = await deployment.call(entry, 'GET', path(1), key='other')
+        assert status == 401
+        deployment.store.put('servers', 'w-strange', b'not json')
+        deployment.store.put('op', 'strange', b'{"version": 1}')
+        assert (await deployment.call(entry, 'POST', path(2), job()))[0] == 200
+        await wait_for_state(deployment, 2, 'completed')
+
+    async def test_a_job_that_always_fails_is_shown_as_failed(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        body = job(count=1, more='fail')
+        assert (await deployment.call(entry, 'POST', path(1), body))[0] == 200
+        await wait_for_state(deployment, 1, 'failed')
+        assert len(deployment.runs) == 2
+
+    async def test_a_cancelled_job_stops(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        await deployment.call(entry, 'POST', path(1), job(run_ms=30_000))
+        await until(lambda: len(deployment.runs) == 2)
+        assert (await deployment.call(entry, 'DELETE', path(1)))[0] == 200
+        await wait_for_state(deployment, 1, 'cancelled')
+        await until(
+            lambda: all(run.reason == 'stopped' for run in deployment.runs)
+        )
+
+    async def test_waiting_jobs_are_counted(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[1]
+        body = job(cpu=90_000)
+        await deployment.call(entry, 'POST', path(1), body)
+
+        async def counted() -> bool:
+            status, answer = await deployment.call(entry, 'GET', '/batch/')
+            return (status, answer) == (200, {'waiting': 1})
+
+        await until(counted)
+
+
+class TestFailures:
+    """Guards against lost and doubled work when parts fail."""
+
+    @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGTERM])
+    async def test_the_holder_ends_while_tasks_run(
+        self, deployment: deployments.Deployment, number: signal.Signals
+    ) -> None:
+        entry = deployment.entries[0]
+        for one in range(12):
+            body = job(run_ms=1500)
+            status, _ = await deployment.call(entry, 'POST', path(one), body)
+            assert status == 200
+        await until(lambda: len(deployment.runs) == 24)
+        name = deployment.holder()
+        holder = next(one for one in deployment.entries if one.name == name)
+        await holder.end(number)
+        other = next(
+            index
+            for index, one in enumerate(deployment.entries)
+            if one is not holder
+        )
+        for one in range(12):
+            await wait_for_state(deployment, one, 'completed', other)
+        assert_no_task_ran_twice(deployment)
+        assert len(deployment.runs) == 24
+
+    async def test_all_processes_are_killed_and_started_again(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        for one in range(6):
+            await deployment.call(entry, 'POST', path(one), job(run_ms=800))
+        await until(lambda: len(deployment.runs) > 0)
+        for one in deployment.entries:
+            await one.end(signal.SIGKILL)
+        for one in deployment.entries:
+            await one.start()
+        for number in range(6):
+            await wait_for_state(deployment, number, 'completed')
+        assert_no_task_ran_twice(deployment)
+
+    async def test_a_paused_holder_starts_nothing_when_it_wakes(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        name = deployment.holder()
+        holder = next(one for one in deployment.entries if one.name == name)
+        other = next(
+            index
+            for index, one in enumerate(deployment.entries)
+            if one is not holder
+        )
+        entry = deployment.entries[other]
+        assert holder.process is not None
+        await deployment.call(entry, 'POST', path(1), job(run_ms=5000))
+        await until(lambda: len(deployment.runs) == 2)
+        holder.process.send_signal(signal.SIGSTOP)
+        await deployment.call(entry, 'POST', path(2), job())
+        await until(lambda: deployment.holder() != name)
+        await wait_for_state(deployment, 2, 'completed', other)
+        holder.process.send_signal(signal.SIGCONT)
+        await wait_for_state(deployment, 1, 'completed', other)
+        assert_no_task_ran_twice(deployment)
+
+    async def test_an_outage_of_the_store_loses_nothing(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        await deployment.call(entry, 'POST', path(1), job(run_ms=2000))
+        await until(lambda: len(deployment.runs) == 2)
+        deployment.store.fault = stores.Fault.BUSY
+        status, _ = await deployment.call(entry, 'POST', path(2), job())
+        assert status == 503
+        await until(
+            lambda: all(run.ended_at is not None for run in deployment.runs)
+        )
+        deployment.store.fault = stores.Fault.NONE
+        await wait_for_state(deployment, 1, 'completed')
+        status, _ = await deployment.call(entry, 'POST', path(2), job())
+        assert status == 200
+        await wait_for_state(deployment, 2, 'completed')
+        assert_no_task_ran_twice(deployment)
+        assert len(deployment.runs) == 4
+
+    async def test_a_lost_answer_of_the_store_is_not_called_not_run(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        deployment.store.fault = stores.Fault.LOST
+        status, _ = await deployment.call(entry, 'POST', path(1), job())
+        assert status in (0, 200, 504)
+        deployment.store.fault = stores.Fault.NONE
+        status, _ = await deployment.call(entry, 'POST', path(1), job())
+        assert status == 200
+        await wait_for_state(deployment, 1, 'completed')
+        assert_no_task_ran_twice(deployment)
+
+    async def test_a_withdrawn_key_stops_working(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[2]
+        assert (await deployment.call(entry, 'POST', path(1), job()))[0] == 200
+        deployment.store.put(
+            'op', 'config', deployments.configuration(2, ('key-2',))
+        )
+
+        async def refused() -> bool:
+            return (await deployment.call(entry, 'GET', path(1)))[0] == 401
+
+        await until(refused)
+        status, _ = await deployment.call(entry, 'GET', path(1), key='key-2')
+        assert status == 200
+
+    async def test_a_history_that_was_dropped_is_read_again(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        deployment.store.put('op', 'other', b'{}')
+        deployment.store.forget_history()
+        deployment.store.put(
+            'op', 'config', deployments.configuration(5, ('key-5',))
+        )
+        entry = deployment.entries[0]
+
+        async def known() -> bool:
+            status, _ = await deployment.call(
+                entry, 'GET', path(9), key='key-5'
+            )
+            return status == 410
+
+        await until(known)
+
+    async def test_a_draining_worker_gets_nothing_new(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        leaving = deployment.workers[0]
+        leaving.state = 'draining'
+        deployment.register(leaving)
+        entry = deployment.entries[0]
+        assert (await deployment.call(entry, 'POST', path(1), job()))[0] == 200
+        await wait_for_state(deployment, 1, 'completed')
+        version = deployment.store.version
+        await until(lambda: deployment.store.version > version + 2)
+        for number in range(2, 6):
+            await deployment.call(entry, 'POST', path(number), job(count=4))
+            await wait_for_state(deployment, number, 'completed')
+        assert not [
+            run
+            for run in deployment.runs
+            if run.worker == leaving.worker_id
+            and not run.task.startswith(f'{1:016x}')
+        ]
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -1,9 +1,9 @@
 """What the fleet scheduler believes about runs and workers."""
 
-from samphirestack import model
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
 DONE = specs.EndReason.DONE
--- a/tests/unit/fleet/test_term.py
+++ b/tests/unit/fleet/test_term.py
@@ -1,8 +1,8 @@
 """Who may decide for the fleet, and from when."""
 
-from samphirestack import model
 from samphirestack.fleet import records
 from samphirestack.fleet import term as terms
+from samphirestack import model
 
 
 def make_term(vm: str = 'a', life: str = 'life-a') -> terms.Term:
