--- a/packages/core/src/samphirestack/fleet/beliefs.py
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -86,6 +86,8 @@
         self.clock_ms = 0.0
         self.clock_at = float('-inf')
         """When the worker's clock was read, on ours."""
+        self.failed_calls = 0
+        """Unanswered calls in a row."""
         self.silent_since: float | None = None
         self.listed = True
         """It is in the list of workers."""
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -11,20 +11,20 @@
 from samphirestack.fleet import records
 from samphirestack import model
 
-ORDER_LEASE_S = 2.5
+ORDER_LEASE_S = 1.8
 """From the sending of a renewal.  It bounds how long the fleet stands still
 after a holder went silent."""
 
-HOLD_LEASE_S = 6.5
+HOLD_LEASE_S = 5.5
 """From the sending of a renewal.  Running work outlives outages of the store
 of up to this length."""
 
-TAKEOVER_AFTER_S = 3.0
+TAKEOVER_AFTER_S = 2.2
 """Silence before a takeover; the margin above ORDER_LEASE_S covers the
 transit of a renewal and of a last order."""
 
-RENEW_EVERY_S = 0.8
-"""Three renewals fit into ORDER_LEASE_S, so that two may be lost."""
+RENEW_EVERY_S = 0.5
+"""Three renewals fit into ORDER_LEASE_S, so that two may be late."""
 
 OBSERVATION_GAP_S = 1.6
 """Reads further apart prove no silence of the holder: it could not have
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -37,6 +37,9 @@
 
 WORKER_FEED_WAIT_S = 1.0
 RETRY_AFTER_S = 0.15
+FAILURES_TO_SILENCE = 2
+"""A single lost answer does not make a worker count as silent."""
+
 ADVICE_SLACK_S = 0.6
 """Beyond the expected duration before a call for advice is given up."""
 
@@ -288,6 +291,9 @@
             await asyncio.sleep(RETRY_AFTER_S)
             return
         except errors.PlatformError as error:
+            belief.failed_calls += 1
+            if belief.failed_calls < FAILURES_TO_SILENCE:
+                return
             if not was_silent:
                 self._context.log.write(
                     'worker.silent', worker=worker_id, reason=error.message
@@ -296,6 +302,7 @@
             await asyncio.sleep(RETRY_AFTER_S)
             return
         now = clock.now()
+        belief.failed_calls = 0
         if was_silent:
             self._context.log.write('worker.regained', worker=worker_id)
         for row in report.ended:
