Carry out waves of upkeep and pace filling tasks

A wave's begun machines are stored before the call; a lost answer counts as down. Lasting tasks leave a worker one by one.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -43,7 +43,16 @@
     worker_id: model.WorkerId
 
 
-Action = Start | Stop | Ask | Look
+class Pace(msgspec.Struct, frozen=True):
+    """Set the share at which a filling task may work."""
+
+    worker: specs.WorkerEntry
+    task_id: model.TaskId
+    run: specs.RunNumber
+    percent: int
+
+
+Action = Start | Stop | Ask | Look | Pace
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/packages/core/src/samphirestack/fleet/beliefs.py
+++ b/packages/core/src/samphirestack/fleet/beliefs.py
@@ -30,6 +30,7 @@
         'counted',
         'load',
         'ordered_at',
+        'pace',
         'percent',
         'progressed_at',
         'run',
@@ -56,6 +57,8 @@
         self.percent = 0.0
         self.progressed_at = now
         self.load = 0.0
+        self.pace = 100
+        """Share at which it may work."""
         self.stop_sent_at = float('-inf')
         self.counted = True
         """Whether the task is PLACED by this run."""
@@ -96,8 +99,12 @@
         ordered.  Their size is not known, so that the worker's room is not
         either."""
         self.avoid_until = 0.0
-        self.failed_jobs: set[model.JobId] = set()
-        self.pauses = 0
+        self.closed = False
+        """Takes no new work, since its machine is about to go down."""
+        self.filler_cpu = 0
+        """Millicores that its filling tasks ask for."""
+        self.filler_percent = 100
+        self.paced_at = float('-inf')
 
     @property
     def is_draining(self) -> bool:
@@ -126,7 +133,9 @@
         """Count the room of a run."""
         self.runs_by_key[run.task.id, run.run] = run
         spec = run.task.step.spec
-        if not spec.filler:
+        if spec.filler:
+            self.filler_cpu += spec.size.millicores
+        else:
             self.free_cpu -= spec.size.millicores
         self.free_memory -= spec.size.memory_mb
         self.free_gpu -= spec.size.accelerators
@@ -140,7 +149,9 @@
         if self.runs_by_key.pop((run.task.id, run.run), None) is None:
             return
         spec = run.task.step.spec
-        if not spec.filler:
+        if spec.filler:
+            self.filler_cpu -= spec.size.millicores
+        else:
             self.free_cpu += spec.size.millicores
         self.free_memory += spec.size.memory_mb
         self.free_gpu += spec.size.accelerators
--- a/packages/core/src/samphirestack/fleet/jobbook.py
+++ b/packages/core/src/samphirestack/fleet/jobbook.py
@@ -8,9 +8,9 @@
 from samphirestack.fleet import work
 from samphirestack import model
 
-MAX_ENTRIES = 96
-"""Rows of one write.  A transaction holds 100 entries, of which the row of
-the term takes two and the last job up to two more than one."""
+MAX_ENTRIES = 90
+"""Rows of jobs in one write.  A transaction holds 100 entries, of which the
+row of the term takes two and waves of upkeep a few."""
 
 
 class JobBook:
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -15,21 +15,31 @@
 class Room:
     """Free room of a worker while a plan is made."""
 
-    __slots__ = ('belief', 'cpu', 'gpu', 'held_until', 'memory')
+    __slots__ = (
+        'belief',
+        'cpu',
+        'filler_cpu',
+        'gpu',
+        'held_until',
+        'memory',
+    )
 
     def __init__(self, belief: beliefs.Belief) -> None:
         self.belief = belief
         self.cpu = belief.free_cpu
         self.memory = belief.free_memory
         self.gpu = belief.free_gpu
+        self.filler_cpu = belief.free_cpu - belief.filler_cpu
+        """Left for filling tasks; other tasks take it from them."""
         self.held_until = 0.0
         """Kept for a waiting gang: only tasks that end before may start."""
 
     def fits(self, spec: specs.StepSpec) -> bool:
         """Return whether one task of a step has room."""
         size = spec.size
+        cpu = self.filler_cpu if spec.filler else self.cpu
         return (
-            (spec.filler or size.millicores <= self.cpu)
+            size.millicores <= cpu
             and size.memory_mb <= self.memory
             and size.accelerators <= self.gpu
         )
@@ -37,8 +47,9 @@
     def count(self, spec: specs.StepSpec, most: int) -> int:
         """Return how many tasks of a step have room, up to ``most``."""
         size = spec.size
-        if size.millicores and not spec.filler:
-            most = min(most, self.cpu // size.millicores)
+        cpu = self.filler_cpu if spec.filler else self.cpu
+        if size.millicores:
+            most = min(most, cpu // size.millicores)
         if size.memory_mb:
             most = min(most, self.memory // size.memory_mb)
         if size.accelerators:
@@ -49,6 +60,7 @@
         """Use room for tasks of a step."""
         if not spec.filler:
             self.cpu -= spec.size.millicores * count
+        self.filler_cpu -= spec.size.millicores * count
         self.memory -= spec.size.memory_mb * count
         self.gpu -= spec.size.accelerators * count
 
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -371,6 +371,7 @@
         and belief.listed
         and belief.silent_since is None
         and not belief.is_draining
+        and not belief.closed
         and not belief.unknown_runs
         and belief.avoid_until <= now
         and quarantined.accepts(now, belief.entry.worker_id)
--- a/packages/core/src/samphirestack/fleet/ports.py
+++ b/packages/core/src/samphirestack/fleet/ports.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from samphirestack.fleet import specs
+from samphirestack.fleet import upkeep
 from samphirestack import model
 
 
@@ -112,6 +113,16 @@
     ) -> bool:
         """Order a stop; return whether the worker took the order."""
 
+    async def pace(
+        self,
+        worker: specs.WorkerEntry,
+        task_id: model.TaskId,
+        run: specs.RunNumber,
+        percent: int,
+        term: int,
+    ) -> bool:
+        """Set the share of a run; return whether the order was taken."""
+
     async def hold(
         self,
         worker: specs.WorkerEntry,
@@ -128,6 +139,24 @@
         """
 
 
+class Machines(Protocol):
+    """The platform's machines under the workers."""
+
+    async def list_machines(self) -> dict[str, upkeep.MachineState]:
+        """Return the state of each machine.
+
+        :raises errors.PlatformError: no answer.
+        """
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, holder: model.VmId, term: int
+    ) -> bool:
+        """Take a machine down; return whether its upkeep has begun.
+
+        :raises errors.PlatformError: no answer; it may have begun.
+        """
+
+
 class Advice(msgspec.Struct, frozen=True):
     """Workers that may run a step."""
 
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -9,6 +9,7 @@
 PROGRESS_TABLE = 'progress'
 TERM_TABLE = 'term'
 TERM_KEY = 'fleet'
+UPKEEP_TABLE = 'upkeep'
 CANCEL_SUFFIX = '!'
 """Marks the row of a cancellation beside the row of its job."""
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -11,6 +11,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import beliefs
 from samphirestack.fleet import jobbook
+from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -560,6 +561,16 @@
             # it is over or will never start.
             run.confirmed_at = now
 
+    def pace_result(self, action: actions.Pace, accepted: bool) -> None:
+        """Take note of a worker's answer to a change of pace."""
+        belief = self.beliefs_by_id.get(action.worker.worker_id)
+        if belief is None or accepted:
+            return
+        run = belief.runs_by_key.get((action.task_id, action.run))
+        if run is not None:
+            # Differs from every share, so that the order is sent again.
+            run.pace = -1
+
     def advice_result(
         self,
         now: float,
@@ -605,6 +616,7 @@
         self._check_workers(now)
         self.jobs.begin_due(now)
         planned = planner.plan(now, self, ask_lanes)
+        self._pace_fillers(now)
         result = self._urgent_actions
         self._urgent_actions = []
         result.extend(planned)
@@ -677,13 +689,60 @@
         if run.state is beliefs.RunState.ORDERED:
             return
         spec = run.task.step.spec
-        if spec.long_running or not run.counted:
+        if not run.counted or not (belief.is_draining or belief.closed):
             return
-        if belief.is_draining and not spec.gang:
+        if spec.long_running:
+            if self._may_move(run.task.step):
+                self._stop(belief, run, now, 'worker leaves')
+        elif belief.is_draining and not spec.gang:
             left = spec.estimate_s * (1 - run.percent / 100)
             if spec.checkpoints and left > belief.entry.leaves_in_s:
                 self._stop(belief, run, now, 'worker leaves')
 
+    def _may_move(self, step: work.StepRun) -> bool:
+        """Return whether one more task of a lasting step may be away."""
+        away = len(step.waiting) + sum(
+            1
+            for belief in self.beliefs_by_id.values()
+            for run in belief.runs_by_key.values()
+            if run.task.step is step
+            and (
+                run.state is not beliefs.RunState.CONFIRMED
+                or run.percent < AT_WORK_PERCENT
+            )
+        )
+        return away < max(1, step.spec.max_unavailable)
+
+    def _pace_fillers(self, now: float) -> None:
+        for belief in self.beliefs_by_id.values():
+            fillers = []
+            serving = []
+            for run in belief.runs_by_key.values():
+                spec = run.task.step.spec
+                if run.state is not beliefs.RunState.CONFIRMED:
+                    continue
+                if spec.filler:
+                    fillers.append(run)
+                elif spec.latency_target_s:
+                    serving.append(run)
+            if not fillers:
+                continue
+            percent = pacing.wanted_percent(now, belief, serving)
+            if percent != belief.filler_percent:
+                belief.filler_percent = percent
+                belief.paced_at = now
+            for run in fillers:
+                if run.pace != percent:
+                    run.pace = percent
+                    self._urgent_actions.append(
+                        actions.Pace(
+                            belief.entry,
+                            run.task.id,
+                            specs.RunNumber(run.run),
+                            percent,
+                        )
+                    )
+
     # Storing
 
     def take_changes(self) -> actions.Changes:
@@ -755,5 +814,8 @@
     )
 
 
+AT_WORK_PERCENT = 100.0
+"""A task that lasts is at work when it reports this."""
+
 STOP_AGAIN_S = 1.0
 """Between orders to stop a run while the worker does not answer."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -18,6 +18,7 @@
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import lanes as advice_lanes
 from samphirestackd.fleet import parts
+from samphirestackd.fleet import waves
 from samphirestackd.fleet import writer as writers
 from samphirestackd import logs
 
@@ -76,6 +77,9 @@
         self.writer = writers.TermWriter(
             context, term, self.scheduler, self._stored
         )
+        self._upkeep = waves.UpkeepController(
+            context, term, self.scheduler, self.writer
+        )
         self.loaded = False
         self._jobs_version = 0
         self._workers_version = 0
@@ -118,6 +122,7 @@
             group.create_task(self._follow_jobs())
             group.create_task(self._plan())
             group.create_task(self._clean())
+            group.create_task(self._upkeep.run())
 
     # Loading
 
@@ -468,6 +473,8 @@
         elif isinstance(action, actions.Ask):
             number, lane = self.lanes.taken.pop(0)
             self._spawn(self._ask(action, number, lane))
+        elif isinstance(action, actions.Pace):
+            self._spawn(self._pace(action))
         else:
             self._spawn(self._hold_once(action.worker_id, 0.0))
 
@@ -533,6 +540,24 @@
             clock.now(), worker_id, action.task_id, action.run, accepted
         )
 
+    async def _pace(self, action: actions.Pace) -> None:
+        accepted = await self._context.workers.pace(
+            action.worker,
+            action.task_id,
+            action.run,
+            action.percent,
+            self.scheduler.term,
+        )
+        self._context.log.write(
+            'run.paced',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker.worker_id,
+            percent=action.percent,
+            accepted=accepted,
+        )
+        self.scheduler.pace_result(action, accepted)
+
     # Advice
 
     async def _ask(
--- a/packages/daemon/src/samphirestackd/fleet/parts.py
+++ b/packages/daemon/src/samphirestackd/fleet/parts.py
@@ -7,6 +7,7 @@
 
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
+from samphirestack.fleet import upkeep
 from samphirestack import model
 from samphirestackd.fleet import decisions
 from samphirestackd.fleet import figures
@@ -21,6 +22,8 @@
     """A withdrawn key must not work longer than this."""
     drain_s: float
     """Time to finish after a signal to stop."""
+    upkeep_s: float
+    """Time that a machine is away for its upkeep."""
     status_s: float
     """How long callers may ask about an ended job."""
 
@@ -39,6 +42,12 @@
     ) -> specs.FleetConfiguration | None:
         """Return a configuration, or ``None`` for another row."""
 
+    def wave(self, row: ports.StoredRow) -> upkeep.Wave | None:
+        """Return a wave of upkeep, or ``None`` for another row."""
+
+    def wave_status(self, number: int, completed: bool) -> ports.Put:
+        """Return the row that tells the operator how a wave stands."""
+
 
 class Context(msgspec.Struct):
     """Parts that are made once for the process."""
@@ -49,7 +58,9 @@
     store: ports.RowStore
     workers: ports.WorkerPort
     advisor: ports.Advisor
+    machines: ports.Machines
     registry: Registry
     log: decisions.DecisionLog
     figures: figures.Figures
     configuration: Callable[[], specs.FleetConfiguration | None]
+    waves: Callable[[], dict[int, upkeep.Wave]]
--- a/packages/daemon/src/samphirestackd/fleet/publication.py
+++ b/packages/daemon/src/samphirestackd/fleet/publication.py
@@ -5,6 +5,7 @@
 from samphirestack import errors
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
+from samphirestack.fleet import upkeep
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import parts
 from samphirestackd import logs
@@ -27,6 +28,7 @@
         self._store = store
         self._registry = registry
         self.configuration: specs.FleetConfiguration | None = None
+        self.waves_by_number: dict[int, upkeep.Wave] = {}
         self.confirmed_at = float('-inf')
         """When the question was sent whose answer confirmed it last."""
 
@@ -73,6 +75,10 @@
         for row in rows:
             if row.removed:
                 continue
+            wave = self._registry.wave(row)
+            if wave is not None:
+                self.waves_by_number[wave.number] = wave
+                continue
             found = self._registry.configuration(row)
             if found is None:
                 continue
--- /dev/null
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -0,0 +1,139 @@
+"""Carries out waves of upkeep while this process holds the term."""
+
+import asyncio
+
+import msgspec
+
+from samphirestack import errors
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
+from samphirestack.fleet import term as terms
+from samphirestack.fleet import upkeep
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import parts
+from samphirestackd.fleet import writer as writers
+from samphirestackd import logs
+
+CHECK_EVERY_S = 0.5
+"""While there are waves; their deadlines are many seconds."""
+
+_decode_progress = msgspec.msgpack.Decoder(upkeep.WaveProgress).decode
+
+
+class UpkeepController:
+    """Closes workers, takes machines down and reports waves."""
+
+    def __init__(
+        self,
+        context: parts.Context,
+        term: terms.Term,
+        scheduler: schedulers.FleetScheduler,
+        writer: writers.TermWriter,
+    ) -> None:
+        self._context = context
+        self._term = term
+        self._scheduler = scheduler
+        self._writer = writer
+        self._runs_by_number: dict[int, upkeep.WaveRun] = {}
+
+    async def run(self) -> None:
+        """Carry out waves for ever."""
+        while True:
+            await asyncio.sleep(CHECK_EVERY_S)
+            for number, wave in self._context.waves().items():
+                if number not in self._runs_by_number:
+                    await self._begin(wave)
+            active = [
+                run
+                for run in self._runs_by_number.values()
+                if not run.progress.completed
+            ]
+            if active and self._term.may_order(clock.now()):
+                try:
+                    await self._advance(active)
+                except errors.PlatformError as error:
+                    logs.warning('upkeep.failed', reason=error.message)
+
+    async def _begin(self, wave: upkeep.Wave) -> None:
+        key = str(wave.number)
+        try:
+            page = await self._context.store.read(
+                records.UPKEEP_TABLE, key, key + '\x00'
+            )
+        except errors.PlatformError as error:
+            logs.warning('upkeep.failed', reason=error.message)
+            return
+        progress = None
+        if page.rows:
+            progress = _decode_progress(page.rows[0].value)
+        run = upkeep.WaveRun(
+            wave, clock.now(), self._context.bounds.upkeep_s, progress
+        )
+        self._runs_by_number[wave.number] = run
+        self._context.log.write(
+            'upkeep.begun',
+            wave=wave.number,
+            machines=len(wave.machines),
+            max_down=wave.max_down,
+            deadline_s=wave.deadline_s,
+        )
+        if not run.progress.completed:
+            self._store(run)
+
+    def _store(self, run: upkeep.WaveRun) -> None:
+        number = run.wave.number
+        self._writer.more_puts.append(
+            ports.Put(
+                records.UPKEEP_TABLE,
+                str(number),
+                msgspec.msgpack.encode(run.progress),
+            )
+        )
+        self._writer.more_puts.append(
+            self._context.registry.wave_status(number, run.progress.completed)
+        )
+        self._writer.wake.set()
+
+    async def _advance(self, active: list[upkeep.WaveRun]) -> None:
+        sent_at = clock.now()
+        states = await self._context.machines.list_machines()
+        now = clock.now()
+        by_machine = upkeep.workers_of(self._scheduler.beliefs_by_id)
+        closed: set[str] = set()
+        for run in active:
+            run.machines_read(sent_at, states)
+            for machine in run.unconfirmed():
+                await self._call(run, machine)
+            if run.is_complete:
+                run.progress.completed = True
+                self._store(run)
+                self._context.log.write(
+                    'upkeep.completed', wave=run.wave.number
+                )
+                continue
+            closed.update(run.closed())
+            calls = run.next_calls(now, by_machine)
+            if calls:
+                self._store(run)
+            for machine in calls:
+                await self._call(run, machine)
+        for machine, belief in by_machine.items():
+            belief.closed = machine in closed
+
+    async def _call(self, run: upkeep.WaveRun, machine: str) -> None:
+        if not self._term.may_order(clock.now()):
+            return
+        begun = await self._context.machines.begin_upkeep(
+            machine, run.wave.number, self._context.vm_id, self._term.number
+        )
+        self._context.log.write(
+            'upkeep.ordered',
+            wave=run.wave.number,
+            machine=machine,
+            begun=begun,
+        )
+        if begun:
+            run.acknowledged(machine)
+        else:
+            run.refused(machine)
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -46,6 +46,8 @@
         self._scheduler = scheduler
         self._stored = stored
         self._releasing = False
+        self.more_puts: list[ports.Put] = []
+        """Rows beside those of jobs, at most a few."""
         self.wake = asyncio.Event()
         self.failing_since: float | None = None
         """When renewals began to fail, if they do."""
@@ -63,7 +65,11 @@
                 pass
             self.wake.clear()
             changes = self._scheduler.take_changes()
-            await self._write(changes, self._term.renewal(self._releasing))
+            more_puts = tuple(self.more_puts)
+            self.more_puts.clear()
+            await self._write(
+                changes, self._term.renewal(self._releasing), more_puts
+            )
             self._stored(changes)
             if self._releasing:
                 raise Deposed('this process gave the term up')
@@ -77,7 +83,10 @@
         self.wake.set()
 
     async def _write(
-        self, changes: actions.Changes, record: records.TermRecord
+        self,
+        changes: actions.Changes,
+        record: records.TermRecord,
+        more_puts: tuple[ports.Put, ...],
     ) -> None:
         """Write a batch; the same one again while its outcome is unknown."""
         condition = ports.Condition(
@@ -91,7 +100,9 @@
             sent_at = clock.now()
             try:
                 version = await self._context.store.transact(
-                    [condition], [put, *changes.puts], changes.removals
+                    [condition],
+                    [put, *more_puts, *changes.puts],
+                    changes.removals,
                 )
                 self._term.written(sent_at, record, version)
                 self.failing_since = None
