Refuse calls at once while the store is known to be out of reach

An entry that may have stored a job does not call its later refusal not run. Add the command that tells the story of a job from the logs.

--- a/packages/client/src/samphirestack_client/main.py
+++ b/packages/client/src/samphirestack_client/main.py
@@ -12,6 +12,7 @@
 from samphirestack_client.commands import profile
 from samphirestack_client.commands import queue
 from samphirestack_client.commands import service
+from samphirestack_client.commands import story
 from samphirestack_client.commands import team
 from samphirestack_client.commands import zone
 from samphirestack_client import failures
@@ -52,6 +53,7 @@
         (fleet.drain, 'samphirestack drain 10.0.0.4:8001'),
         (job.jobs, 'samphirestack jobs --team harbour --state waiting'),
         (timeline.timeline, timeline.EXAMPLE),
+        (story.story, story.EXAMPLE),
     )
     for function, example in singles:
         app.command(function, help_epilogue=options.examples(example))
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -29,6 +29,9 @@
 MAX_TASKS = 20_000
 """Tasks of one job; bounds the memory that one call can take."""
 
+MAX_UNKNOWN_JOBS = 1000
+"""More than an entry takes in during an outage that clients wait out."""
+
 QUERY_TIMEOUT_S = 0.35
 """An answer of the holder takes milliseconds; the store is asked next."""
 
@@ -127,6 +130,10 @@
     )
 
 
+def _unknown(detail: str) -> Reply:
+    return Reply(Outcome.UNKNOWN, verdicts.Verdict.MAY_HAVE_RUN, detail)
+
+
 class Edge:
     """Handles the calls of clients at one entry."""
 
@@ -141,6 +148,9 @@
         self._publication = newest
         self._holder = holder
         self._decode_job = decode_job
+        self._store_failed_at = float('-inf')
+        self._unknown_job_ids: dict[model.JobId, None] = {}
+        """Jobs whose storing had no answer, oldest first."""
         self._filters = (
             self._require_configuration,
             self._find_queue,
@@ -243,6 +253,9 @@
     # Operations
 
     async def _run(self, call: Call) -> Reply:
+        needs_store = call.operation in (Operation.SUBMIT, Operation.CANCEL)
+        if needs_store and self._store_is_lost():
+            return self._refuse(call, 'the store can not be reached')
         try:
             if call.operation is Operation.SUBMIT:
                 return await self._submit(call)
@@ -251,15 +264,34 @@
             if call.operation is Operation.STATE:
                 return await self._state(call)
         except errors.StoreUnavailable as error:
-            return _come_back(error.message)
+            self._store_failed_at = clock.now()
+            return self._refuse(call, error.message)
         except errors.OutcomeUnknown as error:
-            return Reply(
-                Outcome.UNKNOWN,
-                verdicts.Verdict.MAY_HAVE_RUN,
-                error.message,
-            )
+            self._store_failed_at = clock.now()
+            self._unknown_job_ids[call.job_id] = None
+            if len(self._unknown_job_ids) > MAX_UNKNOWN_JOBS:
+                del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
+            return _unknown(error.message)
         return self._waiting(call)
 
+    def _refuse(self, call: Call, detail: str) -> Reply:
+        """Refuse a call that did nothing.
+
+        A job that this entry may have stored on an earlier call can still
+        run, so that its refusal does not say otherwise.
+        """
+        if call.job_id in self._unknown_job_ids:
+            return _unknown(detail)
+        return _come_back(detail)
+
+    def _store_is_lost(self) -> bool:
+        """Return whether a call would only wait for the store.
+
+        After a failed call, others are refused at once until the
+        configuration was confirmed again, which is tried all the while.
+        """
+        return self._store_failed_at > self._publication.answered_at
+
     async def _submit(self, call: Call) -> Reply:
         configuration = self._publication.configuration
         assert configuration is not None
@@ -351,6 +383,8 @@
             if not self._owns(call, reply.customer_id):
                 return _not_run(Outcome.NO_JOB, 'there is no such job')
             return Reply(Outcome.OK, verdicts.Verdict.RAN, state=reply.state)
+        if self._store_is_lost():
+            return _come_back('the state of the job is not known at present')
         found = await self._read_job(call.job_id)
         if found is None or not self._owns(call, found[0].customer_id):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -81,6 +81,7 @@
             context, term, self.scheduler, self.writer
         )
         self.loaded = False
+        self._resigned = ''
         self._jobs_version = 0
         self._workers_version = 0
         self._entries_by_id: dict[str, specs.WorkerEntry] = {}
@@ -95,6 +96,11 @@
         """Starts whose placement is not stored yet."""
         self._cancelled_early: set[model.JobId] = set()
 
+    def resign(self, reason: str) -> None:
+        """Order nothing more and end, though the row can't be written."""
+        self._resigned = reason
+        self._wake_plan.set()
+
     async def run(self) -> None:
         """Lead until the term is lost.
 
@@ -456,6 +462,8 @@
                 self.scheduler.configure(configuration)
             if self.scheduler.fenced:
                 raise writers.Deposed('a worker has heard of a newer term')
+            if self._resigned:
+                raise writers.Deposed(self._resigned)
             if self._term.may_order(now):
                 for action in self.scheduler.plan(now, self.lanes):
                     self._carry_out(action)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -257,7 +257,7 @@
             for _, ping in self._pings_by_identity.values():
                 if ping.store_age_s < STORE_REACHED_S:
                     self._context.log.write('term.yielded', since=ping.vm_id)
-                    holder.scheduler.fenced = True
+                    holder.resign('only other entries reach the store')
                     return
 
     def _best_strength(self) -> float:
--- a/packages/daemon/src/samphirestackd/fleet/publication.py
+++ b/packages/daemon/src/samphirestackd/fleet/publication.py
@@ -29,6 +29,8 @@
         self._registry = registry
         self.configuration: specs.FleetConfiguration | None = None
         self.waves_by_number: dict[int, upkeep.Wave] = {}
+        self.answered_at = float('-inf')
+        """When the store answered last."""
         self.confirmed_at = float('-inf')
         """When the question was sent whose answer confirmed it last."""
 
@@ -51,10 +53,14 @@
                     read_at = sent_at
                     self._apply(page.rows)
                 else:
+                    # After a failure the first answer should come at once.
                     following = await self._store.feed(
-                        self._registry.operator_table, version, FEED_WAIT_S
+                        self._registry.operator_table,
+                        version,
+                        0.0 if failing else FEED_WAIT_S,
                     )
                     if following is None:
+                        self.answered_at = clock.now()
                         version = None
                         continue
                     page = following
@@ -69,6 +75,7 @@
                 logs.info('store.regained')
                 failing = False
             version = page.version
+            self.answered_at = clock.now()
             self.confirmed_at = sent_at
 
     def _apply(self, rows: list[ports.StoredRow]) -> None:
--- /dev/null
+++ b/tests/unit/fleet/test_edge.py
@@ -0,0 +1,156 @@
+"""Answers to clients while the store is out of reach."""
+
+from collections.abc import Sequence
+
+from samphirestack import errors
+from samphirestack.fleet import messages
+from samphirestack.fleet import ports
+from samphirestack.fleet import specs
+from samphirestack import model
+from samphirestack import verdict as verdicts
+from samphirestack_testing import fleet_world as worlds
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import decisions
+from samphirestackd.fleet import edge
+from samphirestackd.fleet import figures
+from samphirestackd.fleet import parts
+from samphirestackd.fleet import publication
+
+JOB = '5c0e7a21d94b36f8'
+
+
+class FailingStore:
+    """Fails every call in a chosen way and counts them."""
+
+    def __init__(self, error: type[errors.PlatformError]) -> None:
+        self.error: type[errors.PlatformError] | None = error
+        self.calls = 0
+
+    async def transact(
+        self,
+        conditions: Sequence[ports.Condition],
+        puts: Sequence[ports.Put],
+        removals: Sequence[ports.Removal] = (),
+    ) -> int:
+        del conditions, puts, removals
+        self.calls += 1
+        if self.error is not None:
+            raise self.error('broken')
+        return 1
+
+    async def read(self, table: str, first: str = '', end: str = '') -> None:
+        del table, first, end
+        self.calls += 1
+        raise errors.StoreUnavailable('broken')
+
+
+class NoHolder:
+    """Stands for a holder that does not answer."""
+
+    def job_stored(self, row: bytes) -> None:
+        del row
+
+    def cancel_stored(self, job_id: model.JobId) -> None:
+        del job_id
+
+    async def state_of(
+        self, job_id: model.JobId, timeout_s: float
+    ) -> messages.StateReply | None:
+        del job_id, timeout_s
+        return None
+
+    def waiting(self, now: float) -> None:
+        del now
+
+
+def make_edge(
+    store: FailingStore, age_s: float = 0.0
+) -> tuple[edge.Edge, publication.Publication]:
+    bounds = parts.Bounds(6.0, 5.0, 6.0, 2.0, 120.0)
+    context = parts.Context(
+        vm_id=model.VmId('vm'),
+        zone=model.ZoneId('z'),
+        strength=1.0,
+        bounds=bounds,
+        store=store,  # type: ignore[arg-type]
+        workers=None,  # type: ignore[arg-type]
+        advisor=None,  # type: ignore[arg-type]
+        machines=None,  # type: ignore[arg-type]
+        registry=None,  # type: ignore[arg-type]
+        log=decisions.DecisionLog(),
+        figures=figures.Figures(),
+        configuration=lambda: None,
+        waves=dict,
+    )
+    newest = publication.Publication(store, None)  # type: ignore[arg-type]
+    newest.configuration = specs.FleetConfiguration(
+        1,
+        [worlds.make_queue()],
+        [],
+        [],
+        {'key': model.TeamId('team')},
+        10_000,
+    )
+    newest.confirmed_at = clock.now() - age_s
+    newest.answered_at = clock.now()
+    spec = specs.JobSpec('payload', (worlds.make_step(),))
+    return (
+        edge.Edge(context, newest, NoHolder(), lambda body: spec),
+        newest,
+    )
+
+
+def make_call(method: str = 'POST', key: str = 'key') -> edge.Call:
+    return edge.Call(method, 'host', f'/q/{JOB}', key, b'{}', None)
+
+
+class TestStoreOutOfReach:
+    """Guards against untrue and late refusals."""
+
+    async def test_a_write_that_was_not_done_is_not_run(self) -> None:
+        entry, _ = make_edge(FailingStore(errors.StoreUnavailable))
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+        assert reply.verdict is verdicts.Verdict.NOT_RUN
+        assert reply.retry_after_s is not None
+
+    async def test_a_write_without_answer_is_never_called_not_run(
+        self,
+    ) -> None:
+        entry, _ = make_edge(FailingStore(errors.OutcomeUnknown))
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.UNKNOWN
+        assert reply.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+    async def test_later_calls_are_refused_without_waiting(self) -> None:
+        store = FailingStore(errors.StoreUnavailable)
+        entry, newest = make_edge(store)
+        await entry.handle(make_call())
+        before = store.calls
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+        assert store.calls == before
+        newest.answered_at = clock.now()
+        store.error = None
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.ACCEPTED
+
+    async def test_a_job_that_may_be_stored_is_not_called_not_run_later(
+        self,
+    ) -> None:
+        store = FailingStore(errors.OutcomeUnknown)
+        entry, _ = make_edge(store)
+        await entry.handle(make_call())
+        store.error = errors.StoreUnavailable
+        reply = await entry.handle(make_call())
+        assert reply.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+    async def test_keys_are_not_trusted_in_an_old_configuration(self) -> None:
+        entry, _ = make_edge(FailingStore(errors.StoreUnavailable), age_s=4.0)
+        reply = await entry.handle(make_call('GET'))
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+
+    async def test_an_unknown_key_is_refused(self) -> None:
+        entry, _ = make_edge(FailingStore(errors.StoreUnavailable))
+        reply = await entry.handle(make_call(key='other'))
+        assert reply.outcome is edge.Outcome.UNAUTHORIZED
