--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 
+import math
 from typing import Protocol
 
 from samphirestack.fleet import actions
@@ -22,8 +23,27 @@
 from samphirestack.internal.decisions import quarantine
 from samphirestack import model
 
-MAX_ASKED = 40
-"""Workers named in one call for advice; a call grows longer with each."""
+MAX_ASKED = 100
+"""Workers that one call for advice can name."""
+
+MIN_ASKED = 24
+"""A call grows by a few per cent with these; fewer leave little choice."""
+
+GANG_CHOICE = 2.0
+TASK_CHOICE = 2.0
+"""Suitable workers that are looked for, in multiples of the least number:
+most have no room at a given moment."""
+
+GANG_RENEW_AHEAD_S = 0.3
+"""Tickets of a gang are renewed this long before it is expected to fit."""
+
+ASK_CHECK_EVERY_S = 0.03
+"""Between looks whether a waiting step should ask; bounds their cost."""
+
+FIRST_SHARE = 0.4
+SHARE_WEIGHT = 0.1
+MIN_SHARE = 0.1
+"""Share of suitable workers: first guess, weight of a new answer, bound."""
 
 TICKET_MARGIN_S = 0.08
 """Left on a ticket when an order with it is sent: the way to the worker."""
@@ -55,6 +75,28 @@
         """Reserve a lane and return whether there was one."""
 
 
+class AdviceShares:
+    """Learns for each queue how many of its workers are suitable."""
+
+    def __init__(self) -> None:
+        self._share_by_queue: dict[model.QueueId, float] = {}
+
+    def share(self, queue_id: model.QueueId) -> float:
+        """Return the expected share of suitable workers."""
+        return max(MIN_SHARE, self._share_by_queue.get(queue_id, FIRST_SHARE))
+
+    def observe(
+        self, queue_id: model.QueueId, asked: int, suitable: int
+    ) -> None:
+        """Learn from one answer about workers that were not known."""
+        if not asked:
+            return
+        before = self._share_by_queue.get(queue_id, FIRST_SHARE)
+        self._share_by_queue[queue_id] = before + SHARE_WEIGHT * (
+            suitable / asked - before
+        )
+
+
 class Fleet(Protocol):
     """What the planner needs of the scheduler."""
 
@@ -64,6 +106,7 @@
     usage: shares.Usage
     jobs: jobbook.JobBook
     quarantine: quarantine.Quarantine
+    advice_shares: AdviceShares
 
     def placed(
         self,
@@ -98,6 +141,8 @@
         self._fleet = fleet
         self._ask_lanes = ask_lanes
         self._held_gangs = 0
+        self._lanes_full: set[bool] = set()
+        """Whether calls, urgent or not, found no lane in this round."""
         self._result: list[actions.Action] = []
         self._rooms_by_service: dict[
             model.ServiceId, dict[model.WorkerId, packing.Room]
@@ -110,75 +155,173 @@
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
         for step in steps:
-            rooms = self._eligible(step)
-            if not rooms:
+            if step.job.queue.advice is None:
+                self._place(step, self._eligible(step))
                 continue
-            if step.job.queue.advice is not None:
-                rooms = self._advised(step, rooms)
-                if not rooms:
-                    continue
-            if step.spec.gang:
-                self._place_gang(step, rooms)
-            else:
-                self._place_tasks(step, rooms)
+            self._place(step, self._ticketed(step))
+            if step.waiting:
+                self._ask(step)
         return self._result
 
-    def _eligible(self, step: work.StepRun) -> list[packing.Room]:
+    def _place(self, step: work.StepRun, rooms: list[packing.Room]) -> None:
+        if step.spec.gang:
+            self._place_gang(step, rooms)
+        elif rooms:
+            self._place_tasks(step, rooms)
+
+    def _rooms_by_id(
+        self, step: work.StepRun
+    ) -> dict[model.WorkerId, packing.Room]:
         queue = self._fleet.configuration.queues_by_id.get(
             step.job.queue.queue_id, step.job.queue
         )
+        return self._rooms_by_service.get(queue.service, {})
+
+    def _eligible(self, step: work.StepRun) -> list[packing.Room]:
         spec = step.spec
         return [
             room
-            for room in self._rooms_by_service.get(queue.service, {}).values()
+            for room in self._rooms_by_id(step).values()
             if (not spec.label or spec.label in room.belief.entry.labels)
             and spec.size.fits_in(room.belief.entry.capacity)
         ]
 
-    def _advised(
-        self, step: work.StepRun, rooms: list[packing.Room]
-    ) -> list[packing.Room]:
-        """Return the workers with a usable ticket; ask if there are few."""
-        now = self._now
-        valid = step.tickets.valid_ids(now + TICKET_MARGIN_S)
-        usable = [
-            room for room in rooms if room.belief.entry.worker_id in valid
+    def _ticketed(self, step: work.StepRun) -> list[packing.Room]:
+        """Return the workers with a ticket that can still be used."""
+        rooms_by_id = self._rooms_by_id(step)
+        usable_until = self._now + TICKET_MARGIN_S
+        result = []
+        for worker_id, ticket in step.tickets.by_worker_id.items():
+            _, expires_at, life = ticket
+            room = rooms_by_id.get(worker_id)
+            if (
+                room is not None
+                and expires_at > usable_until
+                and life == room.belief.started_unix_ms
+            ):
+                result.append(room)
+        return result
+
+    def _good(self, step: work.StepRun) -> list[packing.Room]:
+        """Return the workers that may run a step, with a ticket or not."""
+        rooms_by_id = self._rooms_by_id(step)
+        return [
+            rooms_by_id[worker_id]
+            for worker_id in step.tickets.good_ids
+            if worker_id in rooms_by_id
         ]
-        if now < step.tickets.asking_until:
-            return usable
+
+    def _ask(self, step: work.StepRun) -> None:
+        """Ask for advice if that lets the step start sooner."""
+        now = self._now
+        tickets = step.tickets
+        urgent = step.job.queue.priority == ordering.URGENT_PRIORITY
+        if now < max(tickets.asking_until, tickets.check_at):
+            return
+        if urgent in self._lanes_full or self._headroom(step) <= 0:
+            return
+        tickets.check_at = now + ASK_CHECK_EVERY_S
+        if step.spec.gang:
+            candidates = self._candidates_of_gang(step)
+        else:
+            candidates = self._candidates_of_tasks(step)
+        if not candidates:
+            return
         policy = step.job.queue.advice
         assert policy is not None
-        by_id = {room.belief.entry.worker_id: room for room in rooms}
-        good = [one for one in step.tickets.good_ids if one in by_id]
-        candidates = list(good)
-        need = self._workers_needed(step)
-        if len(good) < need:
-            unknown = [
-                worker_id
-                for worker_id in by_id
-                if worker_id not in step.tickets.asked_ids
-            ]
-            unknown.sort(key=lambda one: -by_id[one].cpu)
-            candidates.extend(unknown[: MAX_ASKED - len(good)])
         duration = work.advice_s(policy, len(candidates))
-        renewed_at = now + duration + TICKET_MARGIN_S
-        enough = len(step.tickets.valid_ids(renewed_at)) >= min(
-            need, len(good)
+        if not self._ask_lanes.take(urgent, duration):
+            self._lanes_full.add(urgent)
+            return
+        tickets.asking_until = now + duration + ASK_TIMEOUT_S
+        self._result.append(
+            actions.Ask(step.id, tuple(candidates), duration, urgent)
         )
-        if not candidates or (enough and usable and good):
-            return usable
-        candidates = candidates[:MAX_ASKED]
-        urgent = step.job.queue.priority == ordering.URGENT_PRIORITY
-        if self._ask_lanes.take(urgent, duration):
-            step.tickets.asking_until = now + duration + ASK_TIMEOUT_S
-            self._result.append(
-                actions.Ask(step.id, tuple(candidates), duration, urgent)
-            )
-        return usable
 
-    def _workers_needed(self, step: work.StepRun) -> int:
-        """Return a number of suitable workers that is enough."""
-        return max(3, min(12, len(step.waiting)))
+    def _renewed_until(self, step: work.StepRun, workers: int) -> float:
+        """Return until when tickets last if no call is made meanwhile."""
+        duration = work.advice_s(step.job.queue.advice, workers)
+        return self._now + duration + TICKET_MARGIN_S
+
+    def _candidates_of_gang(self, step: work.StepRun) -> list[model.WorkerId]:
+        """Return workers to ask about for a gang.
+
+        The suitable ones must have room for it twice over when they are
+        empty, since most are not.  Tickets are renewed once the gang has
+        room or is about to have it.
+        """
+        spec = step.spec
+        good = self._good(step)
+        reach = sum(_capacity_for(room, spec) for room in good)
+        missing = GANG_CHOICE * spec.count - reach
+        if missing > 0:
+            unknown = self._unknown(step)
+            if unknown:
+                fit = max(1, _capacity_for(unknown[0], spec))
+                return self._take_unknown(step, unknown, missing / fit)
+        until = self._renewed_until(step, len(good))
+        lasting = [
+            room for room in good if self._ticket_lasts(step, room, until)
+        ]
+        if packing.choose_gang(spec, lasting, spec.count) is not None:
+            return []
+        if packing.choose_gang(spec, good, spec.count) is None:
+            found = _first_fit(self._now, spec, good)
+            if found is None or found[0] > until + GANG_RENEW_AHEAD_S:
+                return []
+        good.sort(key=lambda room: -room.cpu)
+        return [room.belief.entry.worker_id for room in good[:MAX_ASKED]]
+
+    def _candidates_of_tasks(self, step: work.StepRun) -> list[model.WorkerId]:
+        """Return workers to ask about for independent tasks.
+
+        Suitable ones with room come first, then others with room.  A step
+        of which nothing is known asks even while nothing has room.
+        """
+        spec = step.spec
+        waiting = len(step.waiting)
+        good = self._good(step)
+        result = [
+            room.belief.entry.worker_id for room in good if room.fits(spec)
+        ][:MAX_ASKED]
+        if len(result) >= waiting:
+            return result
+        unknown = self._unknown(step)
+        with_room = [room for room in unknown if room.fits(spec)]
+        if not with_room and not step.tickets.asked_ids:
+            with_room = unknown
+        if with_room:
+            fit = max(1, with_room[0].count(spec, waiting))
+            result += self._take_unknown(
+                step, with_room, TASK_CHOICE * waiting / fit
+            )
+        return result[:MAX_ASKED]
+
+    def _ticket_lasts(
+        self, step: work.StepRun, room: packing.Room, until: float
+    ) -> bool:
+        entry = step.tickets.by_worker_id.get(room.belief.entry.worker_id)
+        return entry is not None and entry[1] > until
+
+    def _unknown(self, step: work.StepRun) -> list[packing.Room]:
+        """Return workers that were not asked about, emptiest first."""
+        asked = step.tickets.asked_ids
+        rooms = [
+            room
+            for room in self._eligible(step)
+            if room.belief.entry.worker_id not in asked
+        ]
+        rooms.sort(key=lambda room: -room.cpu)
+        return rooms
+
+    def _take_unknown(
+        self, step: work.StepRun, rooms: list[packing.Room], wanted: float
+    ) -> list[model.WorkerId]:
+        """Return as many as it takes to find the wanted number."""
+        share = self._fleet.advice_shares.share(step.job.queue.queue_id)
+        count = math.ceil(wanted / share)
+        count = max(MIN_ASKED, min(MAX_ASKED, count))
+        return [room.belief.entry.worker_id for room in rooms[:count]]
 
     def _headroom(self, step: work.StepRun) -> int:
         customers = self._fleet.configuration.customers_by_id
@@ -196,6 +339,8 @@
         free = [room for room in rooms if self._may_use(room, step)]
         chosen = packing.choose_gang(step.spec, free, count)
         if chosen is None:
+            if step.job.queue.advice is not None:
+                rooms = self._good(step)
             self._hold_room(step, rooms)
             return
         run_number = self._fleet.jobs.next_run(step.tasks)
@@ -331,6 +476,20 @@
     return None
 
 
+def _capacity_for(room: packing.Room, spec: specs.StepSpec) -> int:
+    """Return how many tasks of a step an empty worker takes."""
+    capacity = room.belief.entry.capacity
+    count = spec.count
+    for amount, size in (
+        (capacity.millicores, 0 if spec.filler else spec.size.millicores),
+        (capacity.memory_mb, spec.size.memory_mb),
+        (capacity.accelerators, spec.size.accelerators),
+    ):
+        if size:
+            count = min(count, amount // size)
+    return min(count, spec.max_per_worker or count)
+
+
 def _fitting(spec: specs.StepSpec, cpu: float, memory: float) -> float:
     most = float(spec.count)
     if spec.size.millicores and not spec.filler:
@@ -385,16 +544,24 @@
     asked_ids: Iterable[model.WorkerId],
     advice: ports.Advice | None,
     beliefs_by_id: dict[model.WorkerId, beliefs.Belief],
+    shares_by_queue: AdviceShares,
 ) -> None:
     """Take the answer of the advice service over into a step."""
     tickets = step.tickets
     tickets.asking_until = 0.0
+    tickets.check_at = 0.0
     if advice is None:
         step.blocked_until = now + ASK_AGAIN_S
         return
     policy = step.job.queue.advice
     validity_s = policy.validity_s if policy else 0.0
-    tickets.asked_ids.update(asked_ids)
+    new_ids = set(asked_ids) - tickets.asked_ids
+    shares_by_queue.observe(
+        step.job.queue.queue_id,
+        len(new_ids),
+        len(new_ids & advice.tickets_by_worker_id.keys()),
+    )
+    tickets.asked_ids |= new_ids
     for worker_id, ticket in advice.tickets_by_worker_id.items():
         belief = beliefs_by_id.get(worker_id)
         tickets.good_ids.add(worker_id)
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -62,6 +62,11 @@
         self.usage = shares.Usage()
         self.jobs = jobbook.JobBook(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
+        self.advice_shares = planner.AdviceShares()
+        self._checked_at = float('-inf')
+        self._runs_by_job: dict[
+            model.JobId, dict[tuple[model.TaskId, int], beliefs.Run]
+        ] = {}
         self._rates = shares.JobRates()
         self._max_lease_s = max_lease_s
         self._starts = 0
@@ -121,8 +126,7 @@
             task, run_number, worker_id, beliefs.RunState.CONFIRMED, now
         )
         run.confirmed_at = float('-inf')
-        belief.add(run)
-        self.usage.add(task.step.job.customer_id, task.step.spec.size)
+        self._occupy(belief, run)
         self.jobs.placed(task, run_number, worker_id)
 
     def accept_job(
@@ -164,10 +168,8 @@
         if state is specs.JobState.COMPLETED:
             # What is still listed has ended; its workers are about to say so.
             return
-        for belief in self.beliefs_by_id.values():
-            for run in list(belief.runs_by_key.values()):
-                if run.task.step.job is job:
-                    self._stop(belief, run, now, state.value)
+        for belief, run in self._runs_of(job):
+            self._stop(belief, run, now, state.value)
 
     # Workers
 
@@ -359,8 +361,7 @@
             beliefs.RunState.CONFIRMED,
             now,
         )
-        belief.add(run)
-        self.usage.add(task.step.job.customer_id, task.step.spec.size)
+        self._occupy(belief, run)
         task.last_run = max(task.last_run, row.run)
         elsewhere = task.state is not work.TaskState.WAITING
         if elsewhere:
@@ -407,10 +408,9 @@
             self._end_job(job, specs.JobState.COMPLETED, now)
 
     def _stop_copies(self, now: float, task: work.Task) -> None:
-        for belief in self.beliefs_by_id.values():
-            for run in list(belief.runs_by_key.values()):
-                if run.task is task:
-                    self._stop(belief, run, now, 'another run was done')
+        for belief, run in self._runs_of(task.step.job):
+            if run.task is task:
+                self._stop(belief, run, now, 'another run was done')
 
     def _task_failed(
         self,
@@ -441,7 +441,28 @@
         ):
             self.jobs.requeue(task)
 
+    def _occupy(self, belief: beliefs.Belief, run: beliefs.Run) -> None:
+        job = run.task.step.job
+        belief.add(run)
+        self.usage.add(job.customer_id, run.task.step.spec.size)
+        self._runs_by_job.setdefault(job.job_id, {})[run.task.id, run.run] = (
+            run
+        )
+
+    def _runs_of(
+        self, job: work.Job
+    ) -> list[tuple[beliefs.Belief, beliefs.Run]]:
+        return [
+            (self.beliefs_by_id[run.worker_id], run)
+            for run in self._runs_by_job.get(job.job_id, {}).values()
+        ]
+
     def _release(self, belief: beliefs.Belief, run: beliefs.Run) -> None:
+        job_id = run.task.step.job.job_id
+        runs = self._runs_by_job.get(job_id, {})
+        runs.pop((run.task.id, run.run), None)
+        if not runs:
+            self._runs_by_job.pop(job_id, None)
         belief.remove(run)
         self.usage.remove(
             run.task.step.job.customer_id, run.task.step.spec.size
@@ -451,10 +472,9 @@
         self, now: float, step: work.StepRun, run_number: int
     ) -> None:
         """Stop what is left of a gang of which one member ended."""
-        for belief in self.beliefs_by_id.values():
-            for run in list(belief.runs_by_key.values()):
-                if run.task.step is step and run.run == run_number:
-                    self._stop(belief, run, now, 'its gang is not whole')
+        for belief, run in self._runs_of(step.job):
+            if run.task.step is step and run.run == run_number:
+                self._stop(belief, run, now, 'its gang is not whole')
 
     def _stop(
         self,
@@ -584,7 +604,13 @@
         if step is None:
             return
         planner.keep_tickets(
-            now, asked_at, step, asked_ids, advice, self.beliefs_by_id
+            now,
+            asked_at,
+            step,
+            asked_ids,
+            advice,
+            self.beliefs_by_id,
+            self.advice_shares,
         )
 
     def lease_deadline(self, now: float, worker_id: str) -> int | None:
@@ -636,8 +662,7 @@
         run = beliefs.Run(
             task, run_number, worker_id, beliefs.RunState.ORDERED, now
         )
-        self.beliefs_by_id[worker_id].add(run)
-        self.usage.add(task.step.job.customer_id, task.step.spec.size)
+        self._occupy(self.beliefs_by_id[worker_id], run)
         self.jobs.placed(task, run_number, worker_id)
         self._starts += 1
         return self._starts
@@ -703,8 +728,7 @@
         """Return whether one more task of a lasting step may be away."""
         away = len(step.waiting) + sum(
             1
-            for belief in self.beliefs_by_id.values()
-            for run in belief.runs_by_key.values()
+            for _, run in self._runs_of(step.job)
             if run.task.step is step
             and (
                 run.state is not beliefs.RunState.CONFIRMED
@@ -814,6 +838,9 @@
     )
 
 
+CHECK_EVERY_S = 0.045
+"""Between looks at all runs; nothing there is due within less."""
+
 AT_WORK_PERCENT = 100.0
 """A task that lasts is at work when it reports this."""
 
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -54,7 +54,13 @@
 class Tickets:
     """What the advice service said about a step."""
 
-    __slots__ = ('asked_ids', 'asking_until', 'by_worker_id', 'good_ids')
+    __slots__ = (
+        'asked_ids',
+        'asking_until',
+        'by_worker_id',
+        'check_at',
+        'good_ids',
+    )
 
     def __init__(self) -> None:
         self.asked_ids: set[model.WorkerId] = set()
@@ -62,17 +68,11 @@
         self.good_ids: set[model.WorkerId] = set()
         self.by_worker_id: dict[model.WorkerId, tuple[str, float, int]] = {}
         """Ticket, when it expires and the worker's life, by worker."""
+        self.check_at = 0.0
+        """When to look next whether a call would help."""
         self.asking_until = 0.0
         """A call is in progress; it is given up after this moment."""
 
-    def valid_ids(self, now: float) -> set[model.WorkerId]:
-        """Return the workers with a ticket that can still be used."""
-        return {
-            worker_id
-            for worker_id, (_, expires_at, _) in self.by_worker_id.items()
-            if expires_at > now
-        }
-
 
 class StepRun:
     """One occurrence of a step of a job."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -29,6 +29,10 @@
 PLAN_EVERY_S = 0.004
 """Least time between two plans: batches what happens at once."""
 
+PLAN_REST = 2.0
+"""Rest after a plan in multiples of its duration, so that planning takes a
+third of the processor at most."""
+
 TICK_S = 0.05
 """Plans are made at least this often, for what depends on time alone."""
 
@@ -470,7 +474,8 @@
                 self.lanes.taken.clear()
             if self.scheduler.jobs.has_changes:
                 self.writer.wake.set()
-            await asyncio.sleep(PLAN_EVERY_S)
+            took_s = clock.now() - now
+            await asyncio.sleep(max(PLAN_EVERY_S, PLAN_REST * took_s))
 
     def _carry_out(self, action: actions.Action) -> None:
         if isinstance(action, actions.Start):
