--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -21,7 +21,8 @@
     """The holder's answer to a ping."""
 
     term: int
-    waiting_by_queue: dict[model.QueueId, int]
+    waiting_by_queue: dict[model.QueueId, int] | None
+    """Absent until the holder has read all jobs."""
     best_strength: float
     """Of the entries that the holder has heard of."""
 
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -304,14 +304,7 @@
             self._pings_by_identity[identity] = (clock.now(), message)
             holder.lanes.add(identity)
             self._listener.send(
-                identity,
-                messages.Pong(
-                    holder.scheduler.term,
-                    holder.scheduler.jobs.waiting_by_queue()
-                    if holder.loaded
-                    else {},
-                    self._best_strength(),
-                ),
+                identity, make_pong(holder, self._best_strength())
             )
         elif holder is None:
             return
@@ -330,9 +323,10 @@
 
     def _from_holder(self, identity: bytes, message: messages.Message) -> None:
         if isinstance(message, messages.Pong):
-            self._waiting = message.waiting_by_queue
             self._best_seen = message.best_strength
-            self._waiting_at = clock.now()
+            if message.waiting_by_queue is not None:
+                self._waiting = message.waiting_by_queue
+                self._waiting_at = clock.now()
         elif isinstance(message, messages.StateReply):
             waiter = self._state_waiters.get(message.number)
             if waiter is not None and not waiter.done():
@@ -407,6 +401,19 @@
 for calls with a key."""
 
 
+def make_pong(holder: holders.Holder, best_strength: float) -> messages.Pong:
+    """Return the holder's answer to a ping.
+
+    Before all jobs are read the counts would be too low.
+    """
+    jobs = holder.scheduler.jobs
+    return messages.Pong(
+        holder.scheduler.term,
+        jobs.waiting_by_queue() if holder.loaded else None,
+        best_strength,
+    )
+
+
 def _state_reply(
     holder: holders.Holder, number: int, job_id: model.JobId
 ) -> messages.StateReply:
