--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -70,10 +70,11 @@
         self._rates = shares.JobRates()
         self._max_lease_s = max_lease_s
         self._starts = 0
-        hold_after_takeover_s = terms.HOLD_LEASE_S - terms.TAKEOVER_AFTER_S
+        # A takeover may follow the last renewal at once: a cut that refuses
+        # connections looks like the death of the holder.
         self._unheard_until = (
             now
-            + hold_after_takeover_s
+            + terms.HOLD_LEASE_S
             + max_lease_s * (1 + beliefs.CLOCK_SLOWNESS)
         )
         self._urgent_actions: list[actions.Action] = []
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -3,6 +3,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack.fleet import term as terms
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
@@ -158,8 +159,9 @@
         world = self._inherit([worlds.make_worker('b')], 'a')
         world.report(0.1, 'b')
         assert world.starts(0.2) == []
-        assert world.starts(9.0) == []
-        assert len(world.starts(10.0)) == 1
+        longest_s = terms.HOLD_LEASE_S + worlds.LEASE_S * 1.02
+        assert world.starts(longest_s) == []
+        assert len(world.starts(longest_s + 0.2)) == 1
 
     def test_an_unlisted_worker_that_returns_is_believed(self) -> None:
         world = self._inherit([worlds.make_worker('b')], 'a')
