--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -6,13 +6,13 @@
 the first steps of the order and are repeated before tickets expire.
 """
 
-from collections.abc import Iterable
-
 import math
 from typing import Protocol
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import advising
 from samphirestack.fleet import beliefs
+from samphirestack.fleet import forecast
 from samphirestack.fleet import jobbook
 from samphirestack.fleet import ordering
 from samphirestack.fleet import packing
@@ -40,22 +40,14 @@
 ASK_CHECK_EVERY_S = 0.03
 """Between looks whether a waiting step should ask; bounds their cost."""
 
-FIRST_SHARE = 0.4
-SHARE_WEIGHT = 0.1
-MIN_SHARE = 0.1
-"""Share of suitable workers: first guess, weight of a new answer, bound."""
 
 TICKET_MARGIN_S = 0.08
 """Left on a ticket when an order with it is sent: the way to the worker."""
 
-TICKET_TRANSIT_S = 0.02
-"""A ticket is older than its arrival here by at least the way back."""
 
 ASK_TIMEOUT_S = 1.0
 """Beyond the expected duration of a call for advice."""
 
-ASK_AGAIN_S = 0.1
-"""After a call for advice that failed."""
 
 LONG_CALL_S = 0.15
 """Calls for advice above this are kept out of one lane, so that urgent
@@ -75,28 +67,6 @@
         """Reserve a lane and return whether there was one."""
 
 
-class AdviceShares:
-    """Learns for each queue how many of its workers are suitable."""
-
-    def __init__(self) -> None:
-        self._share_by_queue: dict[model.QueueId, float] = {}
-
-    def share(self, queue_id: model.QueueId) -> float:
-        """Return the expected share of suitable workers."""
-        return max(MIN_SHARE, self._share_by_queue.get(queue_id, FIRST_SHARE))
-
-    def observe(
-        self, queue_id: model.QueueId, asked: int, suitable: int
-    ) -> None:
-        """Learn from one answer about workers that were not known."""
-        if not asked:
-            return
-        before = self._share_by_queue.get(queue_id, FIRST_SHARE)
-        self._share_by_queue[queue_id] = before + SHARE_WEIGHT * (
-            suitable / asked - before
-        )
-
-
 class Fleet(Protocol):
     """What the planner needs of the scheduler."""
 
@@ -106,7 +76,7 @@
     usage: shares.Usage
     jobs: jobbook.JobBook
     quarantine: quarantine.Quarantine
-    advice_shares: AdviceShares
+    advice_shares: advising.AdviceShares
 
     def placed(
         self,
@@ -252,12 +222,12 @@
         """
         spec = step.spec
         good = self._good(step)
-        reach = sum(_capacity_for(room, spec) for room in good)
+        reach = sum(forecast.capacity_for(room, spec) for room in good)
         missing = GANG_CHOICE * spec.count - reach
         if missing > 0:
             unknown = self._unknown(step)
             if unknown:
-                fit = max(1, _capacity_for(unknown[0], spec))
+                fit = max(1, forecast.capacity_for(unknown[0], spec))
                 return self._take_unknown(step, unknown, missing / fit)
         until = self._renewed_until(step, len(good))
         lasting = [
@@ -266,7 +236,7 @@
         if packing.choose_gang(spec, lasting, spec.count) is not None:
             return []
         if packing.choose_gang(spec, good, spec.count) is None:
-            found = _first_fit(self._now, spec, good)
+            found = forecast.first_fit(self._now, spec, good)
             if found is None or found[0] > until + GANG_RENEW_AHEAD_S:
                 return []
         good.sort(key=lambda room: -room.cpu)
@@ -428,7 +398,7 @@
         place = ordering.standing(self._now, step)
         if place is not ordering.Standing.IN_TIME:
             return
-        found = _first_fit(self._now, step.spec, rooms)
+        found = forecast.first_fit(self._now, step.spec, rooms)
         if found is None:
             return
         fits_at, chosen = found
@@ -439,87 +409,6 @@
             room.held_until = max(room.held_until, fits_at)
 
 
-def _first_fit(
-    now: float, spec: specs.StepSpec, rooms: list[packing.Room]
-) -> tuple[float, list[packing.Room]] | None:
-    """Return when a gang will fit, by estimates, and on which workers."""
-    events: list[tuple[float, packing.Room]] = []
-    frees: dict[int, list[list[float]]] = {}
-    for room in rooms:
-        ends = [
-            (expected_end(now, run), run)
-            for run in room.belief.runs_by_key.values()
-        ]
-        ends.sort(key=lambda pair: pair[0])
-        cpu, memory = room.cpu, room.memory
-        points = [[now, room.count(spec, spec.count)]]
-        for at, run in ends:
-            size = run.task.step.spec.size
-            cpu += 0 if run.task.step.spec.filler else size.millicores
-            memory += size.memory_mb
-            points.append([at, _fitting(spec, cpu, memory)])
-            events.append((at, room))
-        frees[id(room)] = points
-    events.sort(key=lambda event: event[0])
-    for at, _ in events:
-        counts = [(_count_at(frees[id(room)], at), room) for room in rooms]
-        counts.sort(key=lambda pair: -pair[0])
-        total = 0
-        chosen = []
-        for count, room in counts:
-            if count <= 0 or total >= spec.count:
-                break
-            total += int(count)
-            chosen.append(room)
-        if total >= spec.count:
-            return at, chosen
-    return None
-
-
-def _capacity_for(room: packing.Room, spec: specs.StepSpec) -> int:
-    """Return how many tasks of a step an empty worker takes."""
-    capacity = room.belief.entry.capacity
-    count = spec.count
-    for amount, size in (
-        (capacity.millicores, 0 if spec.filler else spec.size.millicores),
-        (capacity.memory_mb, spec.size.memory_mb),
-        (capacity.accelerators, spec.size.accelerators),
-    ):
-        if size:
-            count = min(count, amount // size)
-    return min(count, spec.max_per_worker or count)
-
-
-def _fitting(spec: specs.StepSpec, cpu: float, memory: float) -> float:
-    most = float(spec.count)
-    if spec.size.millicores and not spec.filler:
-        most = min(most, cpu // spec.size.millicores)
-    if spec.size.memory_mb:
-        most = min(most, memory // spec.size.memory_mb)
-    return most
-
-
-def _count_at(points: list[list[float]], at: float) -> float:
-    result = 0.0
-    for moment, count in points:
-        if moment <= at:
-            result = count
-    return result
-
-
-def expected_end(now: float, run: beliefs.Run) -> float:
-    """Return when a run is expected to end."""
-    elapsed = now - run.ordered_at
-    estimate = max(run.task.step.spec.estimate_s, work.MIN_ESTIMATE_S)
-    if run.percent >= MIN_PERCENT and elapsed > 0:
-        estimate = elapsed * 100.0 / run.percent
-    return max(now, run.ordered_at + estimate)
-
-
-MIN_PERCENT = 20.0
-"""Progress from which a run's own pace replaces its declared run time."""
-
-
 def _is_usable(
     now: float,
     belief: beliefs.Belief,
@@ -535,38 +424,3 @@
         and belief.avoid_until <= now
         and quarantined.accepts(now, belief.entry.worker_id)
     )
-
-
-def keep_tickets(
-    now: float,
-    asked_at: float,
-    step: work.StepRun,
-    asked_ids: Iterable[model.WorkerId],
-    advice: ports.Advice | None,
-    beliefs_by_id: dict[model.WorkerId, beliefs.Belief],
-    shares_by_queue: AdviceShares,
-) -> None:
-    """Take the answer of the advice service over into a step."""
-    tickets = step.tickets
-    tickets.asking_until = 0.0
-    tickets.check_at = 0.0
-    if advice is None:
-        step.blocked_until = now + ASK_AGAIN_S
-        return
-    policy = step.job.queue.advice
-    validity_s = policy.validity_s if policy else 0.0
-    new_ids = set(asked_ids) - tickets.asked_ids
-    shares_by_queue.observe(
-        step.job.queue.queue_id,
-        len(new_ids),
-        len(new_ids & advice.tickets_by_worker_id.keys()),
-    )
-    tickets.asked_ids |= new_ids
-    for worker_id, ticket in advice.tickets_by_worker_id.items():
-        belief = beliefs_by_id.get(worker_id)
-        tickets.good_ids.add(worker_id)
-        tickets.by_worker_id[worker_id] = (
-            ticket,
-            now + validity_s - TICKET_TRANSIT_S,
-            belief.started_unix_ms if belief else 0,
-        )
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import advising
 from samphirestack.fleet import beliefs
 from samphirestack.fleet import jobbook
 from samphirestack.fleet import pacing
@@ -40,6 +41,15 @@
 STALL_PAUSE_S = 6.0
 """No new work for a worker on which a run stood still."""
 
+CHECK_EVERY_S = 0.045
+"""Between looks at all runs; nothing there is due within less."""
+
+AT_WORK_PERCENT = 100.0
+"""A task that lasts is at work when it reports this."""
+
+STOP_AGAIN_S = 1.0
+"""Between orders to stop a run while the worker does not answer."""
+
 
 class FleetScheduler:
     """Decides for all workers during one term.
@@ -62,7 +72,7 @@
         self.usage = shares.Usage()
         self.jobs = jobbook.JobBook(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
-        self.advice_shares = planner.AdviceShares()
+        self.advice_shares = advising.AdviceShares()
         self._checked_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], beliefs.Run]
@@ -604,7 +614,7 @@
         step = self.jobs.find_step(step_id)
         if step is None:
             return
-        planner.keep_tickets(
+        advising.keep_tickets(
             now,
             asked_at,
             step,
@@ -837,13 +847,3 @@
         (),
         '',
     )
-
-
-CHECK_EVERY_S = 0.045
-"""Between looks at all runs; nothing there is due within less."""
-
-AT_WORK_PERCENT = 100.0
-"""A task that lasts is at work when it reports this."""
-
-STOP_AGAIN_S = 1.0
-"""Between orders to stop a run while the worker does not answer."""
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -30,6 +30,19 @@
 """Reads further apart prove no silence of the holder: it could not have
 renewed during an outage of the store either."""
 
+MBPS_PER_CORE = 40.0
+"""Traffic of a holder at the load that takes one core, with room for
+bursts: starts, holds and links to entries are below 10 Mbit/s there."""
+
+MAX_CLAIM_DELAY_S = 0.8
+"""A strong entry claims a free term within its jitter of 0.15 s."""
+
+HAND_OVER_AFTER_S = 3.0
+"""A new holder is not replaced before it has settled."""
+
+HAND_OVER_FACTOR = 1.6
+"""A handover costs about a tenth of a second of all decisions."""
+
 
 class Term:
     """What one entry knows of the term.
@@ -181,17 +194,3 @@
 def should_hand_over(own: float, best: float, held_s: float) -> bool:
     """Return whether a much stronger entry should hold the term instead."""
     return held_s > HAND_OVER_AFTER_S and best > HAND_OVER_FACTOR * own
-
-
-MBPS_PER_CORE = 40.0
-"""Traffic of a holder at the load that takes one core, with room for
-bursts: starts, holds and links to entries are below 10 Mbit/s there."""
-
-MAX_CLAIM_DELAY_S = 0.8
-"""A strong entry claims a free term within its jitter of 0.15 s."""
-
-HAND_OVER_AFTER_S = 3.0
-"""A new holder is not replaced before it has settled."""
-
-HAND_OVER_FACTOR = 1.6
-"""A handover costs about a tenth of a second of all decisions."""
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -42,6 +42,10 @@
 MAX_JITTER_S = 0.15
 """Entries claim a free term at moments spread over this."""
 
+READY_MARGIN_S = 2.0
+"""An entry is taken out of rotation before its configuration is too old
+for calls with a key."""
+
 STORE_REACHED_S = 1.0
 """An entry reaches the store if it had an answer this recently."""
 
@@ -396,11 +400,6 @@
         return self._waiting
 
 
-READY_MARGIN_S = 2.0
-"""An entry is taken out of rotation before its configuration is too old
-for calls with a key."""
-
-
 def make_pong(holder: holders.Holder, best_strength: float) -> messages.Pong:
     """Return the holder's answer to a ping.
 
