Notice the end of a holder sooner, and keep weak entries from the term

A holder that the store turned away yielded late, since the age of the entries' answers counted from the sending of a long poll.

Change: the term's row names the strength of the best entry; an entry that knows nothing waits if it is weak. A closed connection to the holder is looked into at once, and a process that is asked in place of a holder says that the holder is gone. After a gap a holder that does not answer either is replaced at once. Order lease 1.2 s (was 1.8), takeover after 1.55 s (2.2), reads from the first missing answer. A holder yields 0.4 s after refusals to an entry that had an answer since.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -11,6 +11,8 @@
 
     vm_id: model.VmId
     term: int
+    holder_life: str
+    """The process that the entry believes it speaks to."""
     store_age_s: float
     """Time since the entry last had an answer of the store."""
     strength: float
@@ -25,6 +27,8 @@
     """Absent until the holder has read all jobs."""
     best_strength: float
     """Of the entries that the holder has heard of."""
+    renewal_age_s: float
+    """Time since the holder last renewed the term in the store."""
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
@@ -71,7 +75,11 @@
 
 
 class TakeOver(msgspec.Struct, tag='take_over', frozen=True):
-    """The holder orders nothing more and asks an entry to follow it."""
+    """A process orders nothing more; another entry should follow it.
+
+    It is sent by a holder that gives up, and by whoever is asked in place
+    of a holder whose process is gone.
+    """
 
     term: int
     life: str
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -72,6 +72,9 @@
     """Count of the holder's writes, to find out about a lost answer."""
     released: bool = False
     """The holder gave the term up and orders nothing more."""
+    best_strength: float = 0.0
+    """Of the strongest entry that the holder has heard of, for entries that
+    have never heard of the holder."""
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -11,22 +11,23 @@
 from samphirestack.fleet import records
 from samphirestack import model
 
-ORDER_LEASE_S = 1.8
+ORDER_LEASE_S = 1.2
 """From the sending of a renewal.  It bounds how long the fleet stands still
-after a holder went silent."""
+after a holder went silent, and is above two transactions in a row while the
+store is 60 times slower (0.42 s each)."""
 
 HOLD_LEASE_S = 5.5
 """From the sending of a renewal.  Running work outlives outages of the store
 of up to this length."""
 
-TAKEOVER_AFTER_S = 2.2
+TAKEOVER_AFTER_S = 1.55
 """Silence before a takeover; the margin above ORDER_LEASE_S covers the
 transit of a renewal and of a last order."""
 
-RENEW_EVERY_S = 0.5
-"""Three renewals fit into ORDER_LEASE_S, so that two may be late."""
+RENEW_EVERY_S = 0.3
+"""Four renewals fit into ORDER_LEASE_S, so that three may be late."""
 
-OBSERVATION_GAP_S = 1.6
+OBSERVATION_GAP_S = 1.4
 """Reads further apart prove no silence of the holder: it could not have
 renewed during an outage of the store either."""
 
@@ -34,11 +35,20 @@
 """Traffic of a holder at the load that takes one core, with room for
 bursts: starts, holds and links to entries are below 10 Mbit/s there."""
 
-MAX_CLAIM_DELAY_S = 0.8
-"""A strong entry claims a free term within its jitter of 0.15 s."""
+MAX_CLAIM_DELAY_S = 1.0
+"""Entries notice the end of a holder within half a second of each other, and
+a strong one claims the free term within its jitter of 0.15 s."""
 
-HAND_OVER_AFTER_S = 3.0
-"""A new holder is not replaced before it has settled."""
+USUAL_STRENGTH = 1.0
+"""Assumed of the strongest entry while nothing is known of the others: one
+core carries the smallest deployment.  A weak entry that held the term of a
+large one could not even read its jobs over 5 Mbit/s in time."""
+
+HAND_OVER_AFTER_S = 1.0
+"""A new holder waits for the pings of other entries, three a second."""
+
+HOLDER_SILENT_S = 1.0
+"""Without three of its answers, a holder is taken for out of reach."""
 
 HAND_OVER_FACTOR = 1.6
 """A handover costs about a tenth of a second of all decisions."""
@@ -58,7 +68,11 @@
         self._address = address
         self.record: records.TermRecord | None = None
         self.version = 0
+        self.best_strength = 0.0
+        """Of the strongest entry that is known."""
         self._changed_at: float | None = None
+        self._seen_at = float('-inf')
+        """When this version of the row was first read."""
         self._read_at: float | None = None
         self._renewed_at = float('-inf')
         self._dead_lives: set[str] = set()
@@ -102,8 +116,13 @@
         gap = self._read_at is None or (
             sent_at - self._read_at > OBSERVATION_GAP_S
         )
-        if version != self.version or gap or self._changed_at is None:
+        if version != self.version or self._changed_at is None:
+            self._seen_at = now
+            self._changed_at = now
+        elif gap:
             self._changed_at = now
+        if record is not None and record.best_strength:
+            self.best_strength = record.best_strength
         self._read_at = now
         self.record = record
         self.version = version
@@ -112,8 +131,17 @@
         """Take note of proof that a process is gone."""
         self._dead_lives.add(life)
 
-    def may_take_over(self, now: float) -> bool:
-        """Return whether this entry may claim the term."""
+    def may_take_over(
+        self, now: float, holder_heard_at: float = float('inf')
+    ) -> bool:
+        """Return whether this entry may claim the term.
+
+        After a gap between reads, such as an outage of the store, a holder
+        that lives is given time to renew.  One that is out of reach as well
+        is not: its last renewal came before the row was first read so.
+
+        :param holder_heard_at: when the holder answered this entry last.
+        """
         if self._read_at is None or self.is_mine:
             return False
         if now - self._read_at > OBSERVATION_GAP_S:
@@ -129,12 +157,22 @@
             return True
         if self._changed_at is None:
             return False
-        return now - self._changed_at >= TAKEOVER_AFTER_S
+        if now - self._changed_at >= TAKEOVER_AFTER_S:
+            return True
+        return (
+            now - holder_heard_at >= HOLDER_SILENT_S
+            and now - self._seen_at >= TAKEOVER_AFTER_S
+        )
 
     def claim(self) -> records.TermRecord:
         """Return the row that claims the next term."""
         return records.TermRecord(
-            self.number + 1, self._vm_id, self._life, self._address, 1
+            self.number + 1,
+            self._vm_id,
+            self._life,
+            self._address,
+            1,
+            best_strength=self.best_strength,
         )
 
     def renewal(self, release: bool = False) -> records.TermRecord:
@@ -147,6 +185,7 @@
             self._address,
             self.record.writes + 1,
             release,
+            self.best_strength,
         )
 
     def written(
@@ -160,6 +199,7 @@
         self.version = version
         self._renewed_at = sent_at
         self._changed_at = sent_at
+        self._seen_at = sent_at
         self._read_at = sent_at
 
     def given_up(self, life: str) -> None:
@@ -184,10 +224,10 @@
 def claim_delay_s(own: float, best: float) -> float:
     """Return how long an entry leaves a free term to stronger ones.
 
-    :param best: strength of the strongest entry that it has heard of.
+    :param best: strength of the strongest entry that is known; 0 if none.
     """
     if best <= 0:
-        return 0.0
+        best = USUAL_STRENGTH
     return max(0.0, 1.0 - own / best) * MAX_CLAIM_DELAY_S
 
 
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -18,12 +18,19 @@
 from samphirestackd import logs
 
 PING_EVERY_S = 0.3
+LATE_AFTER_S = 0.45
+"""One ping without an answer, and the way."""
+
 SILENT_AFTER_S = 0.8
 """Two pings without an answer, and the way."""
 
 MAX_QUEUED = 5000
 """Messages kept for a peer that does not read."""
 
+MONITORED = zmq.EVENT_DISCONNECTED
+"""A process that dies closes its connections, long before pings are
+missed."""
+
 Handler = Callable[[bytes, messages.Message], None]
 """Called with the identity of the sender and its message."""
 
@@ -66,13 +73,19 @@
     """The connection of an entry to the holder of the term."""
 
     def __init__(
-        self, context: zmq.asyncio.Context, name: str, handler: Handler
+        self,
+        context: zmq.asyncio.Context,
+        name: str,
+        handler: Handler,
+        disconnected: Callable[[], None],
     ) -> None:
         self._context = context
+        self._disconnected = disconnected
         self._name = name
         self._handler = handler
         self._socket: zmq.asyncio.Socket | None = None
-        self._receiver: asyncio.Task[None] | None = None
+        self._monitor: zmq.asyncio.Socket | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._generation = 0
         self.address = ''
         self.heard_at = float('-inf')
@@ -84,6 +97,11 @@
         """Return whether the holder answered lately."""
         return clock.now() - self.heard_at < SILENT_AFTER_S
 
+    @property
+    def is_late(self) -> bool:
+        """Return whether an answer of the holder is missing."""
+        return clock.now() - self.heard_at > LATE_AFTER_S
+
     @property
     def is_silent(self) -> bool:
         """Return whether the connection should be replaced."""
@@ -107,7 +125,16 @@
         )
         sock.connect(f'tcp://{address}')
         self._socket = sock
-        self._receiver = asyncio.create_task(self._receive(sock))
+        self._monitor = sock.get_monitor_socket(MONITORED)
+        self._tasks = [
+            asyncio.create_task(self._receive(sock)),
+            asyncio.create_task(self._watch(self._monitor)),
+        ]
+
+    async def _watch(self, monitor: zmq.asyncio.Socket) -> None:
+        while True:
+            await monitor.recv_multipart()
+            self._disconnected()
 
     async def _receive(self, sock: zmq.asyncio.Socket) -> None:
         while True:
@@ -129,10 +156,14 @@
 
     def close(self) -> None:
         """Disconnect."""
-        if self._receiver is not None:
-            self._receiver.cancel()
-            self._receiver = None
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        if self._monitor is not None:
+            self._monitor.close(0)
+            self._monitor = None
         if self._socket is not None:
+            self._socket.disable_monitor()
             self._socket.close(0)
             self._socket = None
         self.heard_at = float('-inf')
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -22,7 +22,7 @@
 from samphirestackd import http_client
 from samphirestackd import logs
 
-OBSERVE_EVERY_S = 0.5
+OBSERVE_EVERY_S = 0.25
 """Between reads of the term's row while the holder does not answer."""
 
 OBSERVE_IDLE_S = 4.0
@@ -30,8 +30,11 @@
 
 CHECK_EVERY_S = 0.1
 YIELD_AFTER_S = 1.2
-"""A holder whose renewals fail for this long lets an entry that reaches
-the store follow it."""
+"""A holder whose renewals have no answer for this long lets an entry that
+reaches the store follow it: a single lost answer takes 0.9 s."""
+
+YIELD_WHEN_REFUSED_S = 0.4
+"""Likewise if the store turns its renewals away: four tries."""
 
 ENTRY_LOST_AFTER_S = 1.5
 """Three pings of an entry without one."""
@@ -42,12 +45,17 @@
 MAX_JITTER_S = 0.15
 """Entries claim a free term at moments spread over this."""
 
+ANSWER_TRANSIT_S = 0.1
+"""The store may have answered an entry this long before its own clock says
+so: the way of the answer and of the ping."""
+
 READY_MARGIN_S = 2.0
 """An entry is taken out of rotation before its configuration is too old
 for calls with a key."""
 
-STORE_REACHED_S = 1.0
-"""An entry reaches the store if it had an answer this recently."""
+STORE_REACHED_S = publication.FEED_WAIT_S + 0.5
+"""An entry reaches the store if it had an answer this recently: the feed of
+the configuration answers once a second."""
 
 
 class Node:
@@ -59,12 +67,24 @@
         self._life = os.urandom(6).hex()
         self._listener = link.Listener(self._zmq, peer_address)
         self._connection = link.Connection(
-            self._zmq, f'{context.vm_id}/{self._life}', self._from_holder
+            self._zmq,
+            f'{context.vm_id}/{self._life}',
+            self._from_holder,
+            self._holder_disconnected,
         )
         self.term = terms.Term(context.vm_id, self._life, peer_address)
         self.publication = publication.Publication(
             context.store, context.registry
         )
+        self._observe_soon = asyncio.Event()
+        self.publication.on_regained = self._observe_soon.set
+        self._check_soon = asyncio.Event()
+        self._disconnected_life = ''
+        """The holder whose connection broke and who was not heard since."""
+        self._heard: tuple[str, float] = ('', 0.0)
+        """Process of the holder, and when it answered last."""
+        self._holder_wrote_at = float('-inf')
+        """When the holder, at another entry, last wrote to the store."""
         self._holder: holders.Holder | None = None
         self._pings_by_identity: dict[bytes, tuple[float, messages.Ping]] = {}
         self._state_waiters: dict[
@@ -73,11 +93,9 @@
         self._last_query = 0
         self._waiting: dict[model.QueueId, int] | None = None
         self._waiting_at = float('-inf')
-        self._best_seen = 0.0
         self._led_since = 0.0
         self._stopping = False
         self._calls: set[asyncio.Task[None]] = set()
-        self._observe_soon = asyncio.Event()
 
     @property
     def is_ready(self) -> bool:
@@ -111,13 +129,12 @@
         while True:
             if not self.term.is_mine:
                 await self._read_term()
-            pause = OBSERVE_EVERY_S
-            if self.term.is_mine or self._connection.is_alive:
-                pause = OBSERVE_IDLE_S
+            await asyncio.sleep(OBSERVE_EVERY_S)
+            if self.term.is_mine or not self._connection.is_late:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(OBSERVE_IDLE_S):
+                        await self._observe_soon.wait()
             self._observe_soon.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(pause):
-                    await self._observe_soon.wait()
 
     async def _read_term(self) -> None:
         sent_at = clock.now()
@@ -145,29 +162,52 @@
     async def _hold_terms(self) -> None:
         jitter_s = _jitter(self._life)
         while True:
-            await asyncio.sleep(CHECK_EVERY_S)
-            now = clock.now()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_EVERY_S):
+                    await self._check_soon.wait()
+            self._check_soon.clear()
+            if self._connection.is_late:
+                # The row has to be seen unchanged for a while.
+                self._observe_soon.set()
             configuration = self.publication.configuration
             if self._stopping or configuration is None:
                 continue
-            if not self.term.may_take_over(now):
+            if not self._may_take_over():
                 await self._check_death()
+            if not self._may_take_over():
                 continue
             await asyncio.sleep(
                 jitter_s
-                + terms.claim_delay_s(self._context.strength, self._best_seen)
+                + terms.claim_delay_s(
+                    self._context.strength, self.term.best_strength
+                )
             )
-            if not self.term.may_take_over(clock.now()):
+            if not self._may_take_over():
                 continue
             if await self._claim():
                 await self._lead()
 
+    def _may_take_over(self) -> bool:
+        now = clock.now()
+        record = self.term.record
+        if record is not None and record.life != self._heard[0]:
+            self._heard = (record.life, now)
+        return self.term.may_take_over(now, self._heard[1])
+
+    def _holder_disconnected(self) -> None:
+        record = self.term.record
+        if record is not None:
+            self._disconnected_life = record.life
+            self._check_soon.set()
+
     async def _check_death(self) -> None:
         """Find out whether the holder's process is gone."""
         record = self.term.record
         if record is None or self.term.is_mine or record.released:
             return
-        if not self._connection.is_silent:
+        broken = self._disconnected_life == record.life
+        self._disconnected_life = ''
+        if not broken and not self._connection.is_silent:
             return
         self._observe_soon.set()
         if await http_client.refuses_connections(record.address):
@@ -255,14 +295,31 @@
                 )
                 holder.writer.release()
                 return
-            failing_since = holder.writer.failing_since
-            if failing_since is None or now - failing_since < YIELD_AFTER_S:
-                continue
-            for _, ping in self._pings_by_identity.values():
-                if ping.store_age_s < STORE_REACHED_S:
-                    self._context.log.write('term.yielded', since=ping.vm_id)
-                    holder.resign('only other entries reach the store')
-                    return
+            self.term.best_strength = self._best_strength()
+            other = self._who_reaches_the_store(now, holder.writer)
+            if other is not None:
+                self._context.log.write('term.yielded', to=other)
+                holder.resign('only other entries reach the store')
+                return
+
+    def _who_reaches_the_store(
+        self, now: float, writer: writers.TermWriter
+    ) -> model.VmId | None:
+        """Return an entry that had an answer since the holder's failed."""
+        failing_since = writer.failing_since
+        refused_since = writer.refused_since
+        if failing_since is None:
+            return None
+        refused = (
+            refused_since is not None
+            and now - refused_since >= YIELD_WHEN_REFUSED_S
+        )
+        if not refused and now - failing_since < YIELD_AFTER_S:
+            return None
+        for heard_at, ping in self._pings_by_identity.values():
+            if heard_at - ping.store_age_s > failing_since + ANSWER_TRANSIT_S:
+                return ping.vm_id
+        return None
 
     def _best_strength(self) -> float:
         """Return the strength of the best entry that reaches the store."""
@@ -270,7 +327,7 @@
             (
                 ping.strength
                 for _, ping in self._pings_by_identity.values()
-                if ping.store_age_s < STORE_REACHED_S + publication.FEED_WAIT_S
+                if ping.store_age_s < STORE_REACHED_S
             ),
             default=self._context.strength,
         )
@@ -295,7 +352,8 @@
                 messages.Ping(
                     self._context.vm_id,
                     self.term.number,
-                    now - self.publication.confirmed_at,
+                    record.life,
+                    now - self.publication.answered_at,
                     self._context.strength,
                 )
             )
@@ -303,12 +361,24 @@
     def _from_entry(self, identity: bytes, message: messages.Message) -> None:
         holder = self._holder
         if isinstance(message, messages.Ping):
+            if message.holder_life != self._life:
+                # The process that it asks for is gone, or gave the term up.
+                self._listener.send(
+                    identity,
+                    messages.TakeOver(message.term, message.holder_life),
+                )
+                return
             if holder is None:
                 return
             self._pings_by_identity[identity] = (clock.now(), message)
             holder.lanes.add(identity)
             self._listener.send(
-                identity, make_pong(holder, self._best_strength())
+                identity,
+                make_pong(
+                    holder,
+                    self._best_strength(),
+                    self.term.renewal_age(clock.now()),
+                ),
             )
         elif holder is None:
             return
@@ -327,7 +397,11 @@
 
     def _from_holder(self, identity: bytes, message: messages.Message) -> None:
         if isinstance(message, messages.Pong):
-            self._best_seen = message.best_strength
+            self.term.best_strength = message.best_strength
+            self._holder_wrote_at = clock.now() - message.renewal_age_s
+            record = self.term.record
+            if record is not None:
+                self._heard = (record.life, clock.now())
             if message.waiting_by_queue is not None:
                 self._waiting = message.waiting_by_queue
                 self._waiting_at = clock.now()
@@ -342,6 +416,7 @@
         elif isinstance(message, messages.TakeOver):
             self.term.holder_died(message.life)
             self._observe_soon.set()
+            self._check_soon.set()
 
     async def _advise(self, message: messages.AdviceRequest) -> None:
         tickets = None
@@ -399,8 +474,17 @@
             return None
         return self._waiting
 
+    def reaches_store(self, now: float) -> bool:
+        """Return whether the holder, elsewhere, lately wrote to the store."""
+        return (
+            self._holder is None
+            and now - self._holder_wrote_at < terms.ORDER_LEASE_S
+        )
+
 
-def make_pong(holder: holders.Holder, best_strength: float) -> messages.Pong:
+def make_pong(
+    holder: holders.Holder, best_strength: float, renewal_age_s: float
+) -> messages.Pong:
     """Return the holder's answer to a ping.
 
     Before all jobs are read the counts would be too low.
@@ -410,6 +494,7 @@
         holder.scheduler.term,
         jobs.waiting_by_queue() if holder.loaded else None,
         best_strength,
+        renewal_age_s,
     )
 
 
--- a/packages/daemon/src/samphirestackd/fleet/publication.py
+++ b/packages/daemon/src/samphirestackd/fleet/publication.py
@@ -1,6 +1,7 @@
 """Follows the operator's configuration and knows how fresh it is."""
 
 import asyncio
+from collections.abc import Callable
 
 from samphirestack import errors
 from samphirestack.fleet import ports
@@ -31,6 +32,8 @@
         self.waves_by_number: dict[int, upkeep.Wave] = {}
         self.answered_at = float('-inf')
         """When the store answered last."""
+        self.on_regained: Callable[[], None] = lambda: None
+        """Called when the store answers again after a failure."""
         self.confirmed_at = float('-inf')
         """When the question was sent whose answer confirmed it last."""
 
@@ -74,6 +77,7 @@
             if failing:
                 logs.info('store.regained')
                 failing = False
+                self.on_regained()
             version = page.version
             self.answered_at = clock.now()
             self.confirmed_at = sent_at
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -51,6 +51,8 @@
         self.wake = asyncio.Event()
         self.failing_since: float | None = None
         """When renewals began to fail, if they do."""
+        self.refused_since: float | None = None
+        """When the store began to turn renewals away, if it does."""
 
     async def run(self) -> None:
         """Write until the term is lost.
@@ -105,7 +107,7 @@
                     changes.removals,
                 )
                 self._term.written(sent_at, record, version)
-                self.failing_since = None
+                self._succeeded()
                 return
             except errors.TransactionConflict:
                 await self._resolve_conflict(
@@ -139,7 +141,7 @@
             found = records.decode_term(row.value) if row else None
             if row is not None and found == record:
                 self._term.written(sent_at, record, row.version)
-                self.failing_since = None
+                self._succeeded()
                 return
             self._term.observe(
                 sent_at, clock.now(), found, row.version if row else 0
@@ -150,3 +152,11 @@
         if self.failing_since is None:
             self.failing_since = now
             logs.warning('term.renewal_failed', reason=error.message)
+        if isinstance(error, errors.OutcomeUnknown):
+            self.refused_since = None
+        elif self.refused_since is None:
+            self.refused_since = now
+
+    def _succeeded(self) -> None:
+        self.failing_since = None
+        self.refused_since = None
