--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -23,8 +23,13 @@
 """A configuration older than the bound for withdrawn keys less this is not
 used for calls with a key: covers the way of a call and of its answer."""
 
-RETRY_SOON_S = 0.5
-"""Retry-After while the store or the configuration is out of reach."""
+RETRY_SOON_S = 1.0
+"""Retry-After while the store is out of reach of everyone, as far as this
+entry knows."""
+
+RETRY_ELSEWHERE_S = 0.0
+"""Retry-After while only this entry does not reach the store: clients try
+again at another one, which serves them at once."""
 
 MAX_TASKS = 20_000
 """Tasks of one job; bounds the memory that one call can take."""
@@ -116,20 +121,14 @@
     def waiting(self, now: float) -> dict[model.QueueId, int] | None:
         """Return the jobs that have not begun; ``None`` if not known."""
 
+    def reaches_store(self, now: float) -> bool:
+        """Return whether the holder, elsewhere, lately wrote to the store."""
+
 
 def _not_run(outcome: Outcome, detail: str) -> Reply:
     return Reply(outcome, verdicts.Verdict.NOT_RUN, detail)
 
 
-def _come_back(detail: str) -> Reply:
-    return Reply(
-        Outcome.UNAVAILABLE,
-        verdicts.Verdict.NOT_RUN,
-        detail,
-        retry_after_s=RETRY_SOON_S,
-    )
-
-
 def _unknown(detail: str) -> Reply:
     return Reply(Outcome.UNKNOWN, verdicts.Verdict.MAY_HAVE_RUN, detail)
 
@@ -199,7 +198,7 @@
 
     def _require_configuration(self, call: Call) -> Reply | None:
         if self._publication.configuration is None:
-            return _come_back('this node has no configuration yet')
+            return self._come_back('this node has no configuration yet')
         return None
 
     def _find_queue(self, call: Call) -> Reply | None:
@@ -222,7 +221,7 @@
         if call.queue.open_to_all:
             return None
         if age_s > bound_s:
-            return _come_back('the configuration may be out of date')
+            return self._come_back('the configuration may be out of date')
         if customer_id is None:
             return _not_run(Outcome.UNAUTHORIZED, 'the key is not known')
         return None
@@ -274,6 +273,16 @@
             return _unknown(error.message)
         return self._waiting(call)
 
+    def _come_back(self, detail: str) -> Reply:
+        """Refuse a call that any entry may answer later."""
+        elsewhere = self._holder.reaches_store(clock.now())
+        return Reply(
+            Outcome.UNAVAILABLE,
+            verdicts.Verdict.NOT_RUN,
+            detail,
+            retry_after_s=RETRY_ELSEWHERE_S if elsewhere else RETRY_SOON_S,
+        )
+
     def _refuse(self, call: Call, detail: str) -> Reply:
         """Refuse a call that did nothing.
 
@@ -282,7 +291,7 @@
         """
         if call.job_id in self._unknown_job_ids:
             return _unknown(detail)
-        return _come_back(detail)
+        return self._come_back(detail)
 
     def _store_is_lost(self) -> bool:
         """Return whether a call would only wait for the store.
@@ -392,7 +401,9 @@
                 return _not_run(Outcome.NO_JOB, 'there is no such job')
             return Reply(Outcome.OK, verdicts.Verdict.RAN, state=reply.state)
         if self._store_is_lost():
-            return _come_back('the state of the job is not known at present')
+            return self._come_back(
+                'the state of the job is not known at present'
+            )
         found = await self._read_job(call.job_id)
         if found is None or not self._owns(call, found[0].customer_id):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
@@ -415,7 +426,7 @@
         assert call.queue is not None
         waiting = self._holder.waiting(clock.now())
         if waiting is None:
-            return _come_back('the number of waiting jobs is not known')
+            return self._come_back('the number of waiting jobs is not known')
         return Reply(
             Outcome.OK,
             verdicts.Verdict.RAN,
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -49,6 +49,9 @@
 class NoHolder:
     """Stands for a holder that does not answer."""
 
+    def __init__(self, has_store: bool = False) -> None:
+        self.has_store = has_store
+
     def job_stored(self, row: bytes) -> None:
         del row
 
@@ -64,9 +67,15 @@
     def waiting(self, now: float) -> None:
         del now
 
+    def reaches_store(self, now: float) -> bool:
+        del now
+        return self.has_store
+
 
 def make_edge(
-    store: FailingStore | row_store.MemoryRowStore, age_s: float = 0.0
+    store: FailingStore | row_store.MemoryRowStore,
+    age_s: float = 0.0,
+    holder_has_store: bool = False,
 ) -> tuple[edge.Edge, publication.Publication]:
     context = worlds.make_context(store)  # type: ignore[arg-type]
     newest = publication.Publication(store, None)  # type: ignore[arg-type]
@@ -82,7 +91,9 @@
     newest.answered_at = clock.now()
     spec = specs.JobSpec('payload', (worlds.make_step(),))
     return (
-        edge.Edge(context, newest, NoHolder(), lambda body: spec),
+        edge.Edge(
+            context, newest, NoHolder(holder_has_store), lambda body: spec
+        ),
         newest,
     )
 
@@ -132,6 +143,18 @@
         reply = await entry.handle(make_call())
         assert reply.verdict is verdicts.Verdict.MAY_HAVE_RUN
 
+    async def test_clients_go_elsewhere_at_once_if_others_serve(self) -> None:
+        """A pause would only make them late at the next entry."""
+        entry, _ = make_edge(
+            FailingStore(errors.StoreUnavailable), holder_has_store=True
+        )
+        reply = await entry.handle(make_call())
+        assert reply.retry_after_s == 0.0
+        entry, _ = make_edge(FailingStore(errors.StoreUnavailable))
+        reply = await entry.handle(make_call())
+        assert reply.retry_after_s is not None
+        assert reply.retry_after_s > 0.0
+
     async def test_keys_are_not_trusted_in_an_old_configuration(self) -> None:
         entry, _ = make_edge(FailingStore(errors.StoreUnavailable), age_s=4.0)
         reply = await entry.handle(make_call('GET'))
