--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -63,6 +63,10 @@
 """Gangs that keep room while they wait.  Each takes a forecast of 1 ms a
 plan."""
 
+FORECAST_EVERY_S = 0.05
+"""Between forecasts of the room that is kept for a gang: they took a third
+of the time of plans while eight gangs waited."""
+
 GANG_WAIT_S = 6.0
 """Room is not kept for a gang that fits only after this."""
 
@@ -456,15 +460,30 @@
         place = ordering.standing(self._now, step)
         if place is not ordering.Standing.IN_TIME:
             return
-        found = forecast.first_fit(self._now, step.spec, rooms)
-        if found is None:
-            return
-        fits_at, chosen = found
-        if fits_at > self._now + GANG_WAIT_S:
+        kept = step.kept_room
+        if self._now - kept.forecast_at >= FORECAST_EVERY_S:
+            self._forecast(step, rooms)
+        if kept.fits_at > self._now + GANG_WAIT_S:
             return
         self._held_gangs += 1
-        for room in chosen:
-            room.held_until = max(room.held_until, fits_at)
+        rooms_by_id = self._rooms_by_id(step)
+        for worker_id in kept.worker_ids:
+            room = rooms_by_id.get(worker_id)
+            if room is not None:
+                room.held_until = max(room.held_until, kept.fits_at)
+
+    def _forecast(self, step: work.StepRun, rooms: list[packing.Room]) -> None:
+        """Choose the workers that are kept for a gang from now on."""
+        kept = step.kept_room
+        kept.forecast_at = self._now
+        kept.fits_at = float('inf')
+        kept.worker_ids = []
+        found = forecast.first_fit(self._now, step.spec, rooms)
+        if found is not None:
+            kept.fits_at = found[0]
+            kept.worker_ids = [
+                room.belief.entry.worker_id for room in found[1]
+            ]
 
 
 def _is_usable(
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -42,7 +42,8 @@
 """No new work for a worker on which a run stood still."""
 
 CHECK_EVERY_S = 0.045
-"""Between looks at all runs; nothing there is due within less."""
+"""Between looks at all runs; nothing there is due within less.  They took
+a third of the time of plans for 176 workers."""
 
 AT_WORK_PERCENT = 100.0
 """A task that lasts is at work when it reports this."""
@@ -653,10 +654,12 @@
         self, now: float, ask_lanes: planner.AskLanes
     ) -> list[actions.Action]:
         """Return what to do now."""
-        self._check_workers(now)
+        if now - self._checked_at >= CHECK_EVERY_S:
+            self._checked_at = now
+            self._check_workers(now)
+            self._pace_fillers(now)
         self.jobs.begin_due(now)
         planned = planner.plan(now, self, ask_lanes)
-        self._pace_fillers(now)
         result = self._urgent_actions
         self._urgent_actions = []
         result.extend(planned)
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -74,6 +74,17 @@
         """A call is in progress; it is given up after this moment."""
 
 
+class KeptRoom:
+    """Workers that are kept for a gang, by the last forecast."""
+
+    __slots__ = ('fits_at', 'forecast_at', 'worker_ids')
+
+    def __init__(self) -> None:
+        self.forecast_at = float('-inf')
+        self.fits_at = float('inf')
+        self.worker_ids: list[model.WorkerId] = []
+
+
 class StepRun:
     """One occurrence of a step of a job."""
 
@@ -81,6 +92,7 @@
         'blocked_until',
         'done_count',
         'job',
+        'kept_room',
         'number',
         'occurrence',
         'pending_steps',
@@ -107,6 +119,7 @@
         self.ready_at: float | None = None
         self.tickets = Tickets()
         self.per_worker: dict[model.WorkerId, int] = {}
+        self.kept_room = KeptRoom()
         self.blocked_until = 0.0
         """Nothing of it is started before, after a failed attempt."""
 
