--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -60,8 +60,8 @@
 steps do not wait behind them."""
 
 MAX_HELD_GANGS = 8
-"""Gangs that keep room while they wait.  Each takes a forecast of 1 ms a
-plan."""
+"""Gangs that keep room while they wait.  Each takes a forecast of 1 ms at
+intervals of FORECAST_EVERY_S."""
 
 FORECAST_EVERY_S = 0.05
 """Between forecasts of the room that is kept for a gang: they took a third
