Wait on a message in the test of a connection that is closed here

It yielded once to the loop, so that an event that came later was missed and the test could hardly fail. It now waits for a message over the next connection. Seen to fail when all events of a connection count as its end (the monitor's mask widened); passes on the code as it is. Only this test changes.

--- a/tests/unit/fleet/test_link.py
+++ b/tests/unit/fleet/test_link.py
@@ -80,6 +80,11 @@
         self,
     ) -> None:
         async with connected() as peers:
-            peers.connection.close()
-            await asyncio.sleep(0)
+            address = peers.connection.address
+            peers.received.clear()
+            # A message over a second connection comes after the listener
+            # has lost the first one.
+            peers.connection.open(address)
+            peers.connection.send(PING)
+            await peers.received.wait()
             assert not peers.disconnected.is_set()
