Serve with 1,500 workers: no work per worker for each event

One bad row, report or answer no longer ends a term or a process, each with a test that failed on the former code: rows of workers and jobs that raise anything are set aside; a job whose stored progress can't be read is not run again; the lease of a worker is renewed after an unexpected error; a term that ends by one goes to another entry; a malformed row of the term is ignored; a malformed answer of the store to a write is an unknown outcome; an order to a worker that restarts and stays silent expires; forecasts count accelerators; the older edge answers unexpected errors, with a verdict that is true.

--- a/packages/core/src/samphirestack/fleet/forecast.py
+++ b/packages/core/src/samphirestack/fleet/forecast.py
@@ -24,11 +24,13 @@
     events: list[tuple[float, int, int]] = []
     for position, candidate in enumerate(candidates):
         cpu, memory = candidate.free_cpu, candidate.free_memory
+        gpu = candidate.free_gpu
         for at, ended in _ends(now, candidate):
             cpu += 0 if ended.filler else ended.size.millicores
             memory += ended.size.memory_mb
+            gpu += ended.size.accelerators
             events.append(
-                (at, position, _count_fitting(spec, limit, cpu, memory))
+                (at, position, _count_fitting(spec, limit, cpu, memory, gpu))
             )
     events.sort()
     total = sum(counts)
@@ -86,12 +88,14 @@
 
 
 def _count_fitting(
-    spec: specs.StepSpec, max_count: int, cpu: int, memory: int
+    spec: specs.StepSpec, max_count: int, cpu: int, memory: int, gpu: int
 ) -> int:
     if spec.size.millicores and not spec.filler:
         max_count = min(max_count, cpu // spec.size.millicores)
     if spec.size.memory_mb:
         max_count = min(max_count, memory // spec.size.memory_mb)
+    if spec.size.accelerators:
+        max_count = min(max_count, gpu // spec.size.accelerators)
     return max(0, max_count)
 
 
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -310,10 +310,7 @@
         Callers see the final state once it is stored.
         """
         job.state = state
-        self.active_by_id.pop(job.job_id, None)
-        self._scheduled.pop(job.job_id, None)
-        for step in job.steps_by_key.values():
-            self.ready_steps.pop(step.id, None)
+        self._deactivate(job)
         self._ending_by_id[job.job_id] = records.JobRecord(
             job.job_id,
             specs.Queue(
@@ -330,6 +327,17 @@
         )
         self._dirty[job.job_id] = None
 
+    def discard(self, job: work.Job) -> None:
+        """Forget an active job without any change to its rows."""
+        self._deactivate(job)
+        self._dirty.pop(job.job_id, None)
+
+    def _deactivate(self, job: work.Job) -> None:
+        self.active_by_id.pop(job.job_id, None)
+        self._scheduled.pop(job.job_id, None)
+        for step in job.steps_by_key.values():
+            self.ready_steps.pop(step.id, None)
+
     def mark_archived(self, job_ids: Iterable[model.JobId]) -> None:
         """Record that the ends of jobs are stored in their own rows."""
         for job_id in job_ids:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -121,10 +121,16 @@
         job = self._add_job(now, unix_now, record)
         if job is None:
             return
-        if progress is not None:
+        if progress is None:
+            return
+        try:
             self.jobs.restore_progress(now, job, progress)
-            for task, run, worker_id in self.jobs.inherited_placements(job):
-                self._add_inherited_run(now, task, run, worker_id)
+        except Exception:
+            # Without its progress, its finished tasks would run again.
+            self.jobs.discard(job)
+            raise
+        for task, run, worker_id in self.jobs.inherited_placements(job):
+            self._add_inherited_run(now, task, run, worker_id)
 
     def _add_inherited_run(
         self,
@@ -202,18 +208,35 @@
     ) -> list[model.WorkerId]:
         """Apply the list of registered workers; return the new ones."""
         listed = {entry.worker_id: entry for entry in entries}
-        new = []
-        for worker_id, entry in listed.items():
-            worker = self.workers_by_id.get(worker_id)
-            if worker is None:
-                self.workers_by_id[worker_id] = tracking.TrackedWorker(entry)
-                new.append(worker_id)
-            else:
-                self._update_entry(now, worker, entry)
-        for worker_id, worker in list(self.workers_by_id.items()):
+        new = [
+            entry.worker_id
+            for entry in listed.values()
+            if self.update_worker(now, entry)
+        ]
+        for worker_id, worker in self.workers_by_id.items():
             worker.registered = worker_id in listed
         return new
 
+    def update_worker(self, now: float, entry: specs.WorkerEntry) -> bool:
+        """Apply the entry of one registered worker; return whether it is new.
+
+        Its cost doesn't depend on the number of workers, all of which renew
+        their entries every few heartbeats.
+        """
+        worker = self.workers_by_id.get(entry.worker_id)
+        if worker is None:
+            self.workers_by_id[entry.worker_id] = tracking.TrackedWorker(entry)
+            return True
+        self._update_entry(now, worker, entry)
+        worker.registered = True
+        return False
+
+    def mark_worker_unregistered(self, worker_id: model.WorkerId) -> None:
+        """Record that a worker is no longer registered."""
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None:
+            worker.registered = False
+
     def _update_entry(
         self,
         now: float,
@@ -308,8 +331,7 @@
         worker.last_handled_end = 0
         worker.last_stored_end = 0
         worker.unstored_ends.clear()
-        worker.lease_deadline_ms = 0.0
-        worker.clock_read_at = float('-inf')
+        worker.reset_clock(now, self._max_lease_s)
         listed = (
             {(row.task_id, row.run) for row in report.running}
             if (report)
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -7,6 +7,9 @@
 from samphirestack.fleet import work
 from samphirestack import model
 
+LATE_ORDER_S = 12.0
+"""An order without an answer may be carried out this much later."""
+
 MAX_CLOCK_DRIFT = 0.03
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
@@ -95,6 +98,9 @@
         self.clock_ms = 0.0
         self.clock_read_at = float('-inf')
         """When the worker's clock was read, on the scheduler's clock."""
+        self.late_orders_end_at = float('inf')
+        """Since its restart, when no run of an order to the process before
+        it can be active any more."""
         self.consecutive_failed_calls = 0
         """Failed calls since the last answer."""
         self.silent_since: float | None = None
@@ -135,10 +141,18 @@
             return None
         return int(self.clock_ms + (now - self.clock_read_at + lease_s) * 1000)
 
+    def reset_clock(self, now: float, max_lease_s: float) -> None:
+        """Forget the clock and the lease of a worker that restarted."""
+        self.lease_deadline_ms = 0.0
+        self.clock_read_at = float('-inf')
+        self.late_orders_end_at = (
+            now + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
+        )
+
     def lease_expired(self, now: float) -> bool:
         """Return whether the lease has expired even on the slowest clock."""
         if self.clock_read_at == float('-inf'):
-            return False
+            return now >= self.late_orders_end_at
         passed_ms = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT) * 1000
         return self.clock_ms + passed_ms > self.lease_deadline_ms
 
--- a/packages/daemon/src/samphirestackd/edge/endpoints.py
+++ b/packages/daemon/src/samphirestackd/edge/endpoints.py
@@ -9,6 +9,7 @@
 from starlette import types
 
 from samphirestack import errors
+from samphirestack import verdict as verdicts
 from samphirestackd import context as contexts
 from samphirestackd.edge import bodies
 from samphirestackd.edge import exchange as exchanges
@@ -69,5 +70,13 @@
             return
         except Exception:
             # The log may hold nothing of the call except its id.
-            eliot.write_traceback(request_id=exchange.request_id)
-            await exchange.fail(errors.SamphireError('unexpected failure'))
+            with eliot.start_action(
+                action_type='call.failed', request_id=exchange.request_id
+            ):
+                eliot.write_traceback()
+            await exchange.fail(
+                errors.SamphireError(
+                    'unexpected failure',
+                    verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                )
+            )
--- a/packages/daemon/src/samphirestackd/fleet/advice_callers.py
+++ b/packages/daemon/src/samphirestackd/fleet/advice_callers.py
@@ -21,16 +21,24 @@
     :param identity: identity of the entry's connection.
     """
 
-    __slots__ = ('expected_s_by_call', 'identity')
+    __slots__ = ('backlog_s', 'expected_s_by_call', 'identity')
 
     def __init__(self, identity: bytes) -> None:
         self.identity = identity
         self.expected_s_by_call: dict[int, float] = {}
+        self.backlog_s = 0.0
+        """Expected duration of all calls in progress."""
 
-    @property
-    def backlog_s(self) -> float:
-        """Return the expected duration of all calls in progress."""
-        return sum(self.expected_s_by_call.values())
+    def begin(self, number: int, expected_s: float) -> None:
+        """Count a call that is about to be made."""
+        self.expected_s_by_call[number] = expected_s
+        self.backlog_s += expected_s
+
+    def end(self, number: int) -> None:
+        """Count the end of a call."""
+        self.backlog_s -= self.expected_s_by_call.pop(number)
+        if not self.expected_s_by_call:
+            self.backlog_s = 0.0
 
 
 class AdviceCallerPool:
@@ -38,6 +46,7 @@
 
     def __init__(self) -> None:
         self.callers_by_identity: dict[bytes, AdviceCaller] = {}
+        self._callers_by_call: dict[int, AdviceCaller] = {}
         self._last_call_number = 0
         self.reserved_calls: list[tuple[int, AdviceCaller]] = []
         """Numbers and callers of reserved calls, in order of reservation."""
@@ -63,14 +72,16 @@
         if not _can_accept(caller, callers, urgent, expected_s):
             return False
         self._last_call_number += 1
-        caller.expected_s_by_call[self._last_call_number] = expected_s
+        caller.begin(self._last_call_number, expected_s)
+        self._callers_by_call[self._last_call_number] = caller
         self.reserved_calls.append((self._last_call_number, caller))
         return True
 
     def release(self, number: int) -> None:
         """End the reservation of a call."""
-        for caller in self.callers_by_identity.values():
-            caller.expected_s_by_call.pop(number, None)
+        caller = self._callers_by_call.pop(number, None)
+        if caller is not None:
+            caller.end(number)
 
 
 def _can_accept(
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 
+import eliot
 import msgspec
 
 from samphirestack import errors
@@ -23,10 +24,14 @@
 from samphirestackd.fleet import writer as writers
 from samphirestackd import logs
 
-HOLD_WAIT_S = 0.5
-"""Longest time for which a worker delays its answer to a hold call; it answers
-at once when a run ends.  Leases are therefore renewed at least this often,
-so that they do not expire while another entry takes over the term."""
+MIN_HOLD_WAIT_S = 0.5
+MAX_HOLD_WAIT_S = 1.5
+"""Range of the time for which a worker delays its answer to a hold call; it
+answers at once when a run ends.  Leases are therefore renewed at least this
+often, so that they do not expire while another entry takes over the term."""
+
+IDLE_HOLDS_PER_S = 1200.0
+"""Rate of hold calls to all workers above which they wait longer."""
 
 MIN_PLAN_INTERVAL_S = 0.004
 """Shortest interval between plans, which batches concurrent events."""
@@ -43,6 +48,10 @@
 by an entry was lost."""
 
 WORKER_FEED_WAIT_S = 1.0
+WORKER_FEED_PAUSE_S = 0.1
+"""Pause between reads of the feed of workers.  Hundreds of workers renew their
+entries each second, and without it each renewal costs a call."""
+
 RETRY_AFTER_S = 0.15
 FAILURES_UNTIL_SILENT = 2
 """Consecutive failed calls after which a worker counts as silent; one lost
@@ -154,9 +163,11 @@
         self._workers_version = await self._read_workers()
         progress_by_id: dict[str, records.JobProgress] = {}
         rows, _ = await self._read_table(records.PROGRESS_TABLE)
+        unreadable_ids = {row.key for row in rows}
         for row in rows:
             with self._logging_bad_row(row):
                 progress_by_id[row.key] = records.decode_progress(row.value)
+                unreadable_ids.discard(row.key)
         rows, self._jobs_version = await self._read_jobs()
         now = clock.now()
         unix_now = clock.unix_now()
@@ -168,6 +179,9 @@
                     model.JobId(row.key.removesuffix(records.CANCEL_SUFFIX))
                 )
                 continue
+            if row.key in unreadable_ids:
+                # Without its progress, its finished tasks would run again.
+                continue
             with self._logging_bad_row(row):
                 self.scheduler.load_job(
                     now,
@@ -192,8 +206,10 @@
     def _logging_bad_row(self, row: ports.StoredRow):  # type: ignore[no-untyped-def]
         try:
             yield
-        except msgspec.DecodeError as error:
-            logs.error('store.bad_row', row=row.key, reason=str(error))
+        except Exception as error:
+            # One row must not keep every holder from loading the others.
+            self._context.metrics.set_aside.inc({'source': 'row'})
+            logs.error('store.bad_row', row=row.key, reason=repr(error))
 
     async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
         """Return the rows of all jobs and a version that all rows reflect."""
@@ -235,10 +251,13 @@
         )
         self._worker_entries_by_id = {}
         for row in rows:
-            self._update_worker_entry(row)
+            with self._logging_bad_row(row):
+                self._update_worker_entry(row)
         return version
 
-    def _update_worker_entry(self, row: ports.StoredRow) -> None:
+    def _update_worker_entry(
+        self, row: ports.StoredRow
+    ) -> specs.WorkerEntry | None:
         entry = None if row.removed else self._context.registry.worker(row)
         previous = self._worker_entries_by_id.pop(row.key, None)
         if entry is not None:
@@ -251,16 +270,31 @@
                 state=entry.state.value if entry else 'gone',
                 leaves_in_s=entry.leaves_in_s if entry else 0,
             )
+        return entry
 
     def _apply_worker_entries(self) -> None:
+        """Apply the complete list of workers."""
         now = clock.now()
         self.scheduler.set_workers(now, self._worker_entries_by_id.values())
         for worker_id, worker in self.scheduler.workers_by_id.items():
-            if worker_id not in self._lease_tasks and worker.entry.address:
-                self._stored_events[worker_id] = asyncio.Event()
-                self._lease_tasks[worker_id] = asyncio.create_task(
-                    self._maintain_lease(worker_id)
-                )
+            if worker.entry.address:
+                self._call_worker_regularly(worker_id)
+
+    def _apply_worker_row(self, row: ports.StoredRow) -> None:
+        entry = self._update_worker_entry(row)
+        if entry is None:
+            self.scheduler.mark_worker_unregistered(model.WorkerId(row.key))
+            return
+        self.scheduler.update_worker(clock.now(), entry)
+        if entry.address:
+            self._call_worker_regularly(entry.worker_id)
+
+    def _call_worker_regularly(self, worker_id: model.WorkerId) -> None:
+        if worker_id not in self._lease_tasks:
+            self._stored_events[worker_id] = asyncio.Event()
+            self._lease_tasks[worker_id] = asyncio.create_task(
+                self._maintain_lease(worker_id)
+            )
 
     async def _follow_workers(self) -> None:
         version = self._workers_version
@@ -281,11 +315,12 @@
                 self._apply_worker_entries()
                 continue
             version = page.version
+            for row in page.rows:
+                with self._logging_bad_row(row):
+                    self._apply_worker_row(row)
             if page.rows:
-                for row in page.rows:
-                    self._update_worker_entry(row)
-                self._apply_worker_entries()
                 self._plan_requested.set()
+                await asyncio.sleep(WORKER_FEED_PAUSE_S)
 
     async def _maintain_lease(self, worker_id: model.WorkerId) -> None:
         """Renew the lease of one worker and process its reports.
@@ -305,15 +340,23 @@
             event.clear()
             unstored = worker.last_handled_end > worker.last_stored_end
             wait_s = (
-                0.0 if unstored or not worker.has_reported else HOLD_WAIT_S
+                0.0
+                if unstored or not worker.has_reported
+                else hold_wait_s(len(self.scheduler.workers_by_id))
             )
             if unstored:
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(HOLD_WAIT_S):
+                    async with asyncio.timeout(MIN_HOLD_WAIT_S):
                         await event.wait()
                 if worker.last_handled_end == worker.last_stored_end:
                     continue
-            await self._renew_lease(worker_id, wait_s)
+            try:
+                await self._renew_lease(worker_id, wait_s)
+            except Exception:
+                # The leases of its runs must still be renewed.
+                self._context.metrics.set_aside.inc({'source': 'report'})
+                eliot.write_traceback()
+                await asyncio.sleep(RETRY_AFTER_S)
 
     async def _renew_lease(
         self, worker_id: model.WorkerId, wait_s: float
@@ -382,7 +425,13 @@
             logs.error('job.bad_row', reason=str(error))
             return
         now = clock.now()
-        if self.scheduler.accept_job(now, clock.unix_now(), record):
+        try:
+            accepted = self.scheduler.accept_job(now, clock.unix_now(), record)
+        except Exception as error:
+            self._context.metrics.set_aside.inc({'source': 'job'})
+            logs.error('job.bad_row', job_id=record.job_id, reason=repr(error))
+            return
+        if accepted:
             if record.job_id in self._early_cancellations:
                 self._early_cancellations.discard(record.job_id)
                 self.cancel_job(record.job_id)
@@ -505,6 +554,7 @@
             if self.scheduler.jobs.has_changes:
                 self.writer.write_requested.set()
             took_s = clock.now() - now
+            self._context.metrics.plan_time.observe({}, took_s)
             await asyncio.sleep(
                 max(MIN_PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s)
             )
@@ -677,6 +727,13 @@
             waiter.set_result(message.tickets_by_worker_id)
 
 
+def hold_wait_s(worker_count: int) -> float:
+    """Return how long workers may delay their answers to hold calls."""
+    return min(
+        MAX_HOLD_WAIT_S, max(MIN_HOLD_WAIT_S, worker_count / IDLE_HOLDS_PER_S)
+    )
+
+
 async def call_advisor(
     context: node_context.Context,
     step_id: str,
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -29,9 +29,9 @@
             'samphirestack_fleet_jobs_ended_total',
             'Ended jobs by queue and state.',
         )
-        self.store_calls = self._counter(
-            'samphirestack_fleet_store_calls_total',
-            'Calls to the store by operation and outcome.',
+        self.set_aside = self._counter(
+            'samphirestack_fleet_set_aside_total',
+            'Rows, jobs and reports that raised an error, by source.',
         )
         self.wait_time = self._histogram(
             'samphirestack_fleet_wait_seconds',
@@ -41,11 +41,16 @@
             'samphirestack_fleet_call_seconds',
             'Time to answer a call of a client, by operation.',
         )
-        self.state = collectors.Gauge(
-            'samphirestack_fleet_state',
-            'State of this process: leading, configuration version, jobs.',
+        self.plan_time = self._histogram(
+            'samphirestack_fleet_plan_seconds',
+            'Time that a plan of the holder of the term took.',
+        )
+        self.term = collectors.Gauge(
+            'samphirestack_fleet_term',
+            'Number of the term that this process holds; 0 if none.',
             registry=self._registry,
         )
+        self.term.set({}, 0)
 
     def _counter(self, name: str, help_text: str) -> collectors.Counter:
         return collectors.Counter(name, help_text, registry=self._registry)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -5,6 +5,8 @@
 import hashlib
 import os
 
+import eliot
+import msgspec
 import zmq.asyncio
 
 from samphirestack import errors
@@ -48,6 +50,10 @@
 MAX_CLAIM_JITTER_S = 0.15
 """Range of the delays of entries that claim a free term."""
 
+CLAIM_PAUSE_S = 5.0
+"""Pause of an entry whose term ended by an unexpected error, in which another
+entry takes over."""
+
 ANSWER_TRANSIT_S = 0.1
 """Transit of the store's answer to an entry and of the entry's ping, which
 reports the age of the answer."""
@@ -104,6 +110,11 @@
         self._waiting_counts: dict[model.QueueId, int] | None = None
         self._waiting_counts_at = float('-inf')
         self._holder_since = 0.0
+        self._pong_counts: dict[model.QueueId, int] | None = None
+        self._pong_counts_at = float('-inf')
+        self._claim_after = float('-inf')
+        """Earliest next claim, after a term that ended by an unexpected
+        error."""
         self._stopping = False
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -156,7 +167,12 @@
             logs.debug('term.read_failed', reason=error.message)
             return
         row = page.rows[0] if page.rows else None
-        record = records.decode_term(row.value) if row else None
+        try:
+            record = records.decode_term(row.value) if row else None
+        except msgspec.DecodeError as error:
+            # Without the number of the term, a claim could repeat it.
+            logs.error('term.bad_row', reason=str(error))
+            return
         before = self.term.number
         self.term.observe(
             sent_at, clock.now(), record, row.version if row else 0
@@ -182,6 +198,8 @@
             configuration = self.configuration_feed.configuration
             if self._stopping or configuration is None:
                 continue
+            if clock.now() < self._claim_after:
+                continue
             if not self._may_take_over():
                 await self._check_holder_process()
             if not self._may_take_over():
@@ -265,14 +283,21 @@
         )
         self._holder = holder
         self._holder_since = clock.now()
+        self._pong_counts = None
+        self._context.metrics.term.set({}, holder.scheduler.term)
         supervisor = asyncio.create_task(self._supervise_holder(holder))
         reason = 'stopped'
         try:
             await holder.run()
         except* writers.TermLost as group:
             reason = str(group.exceptions[0])
+        except* Exception as group:
+            reason = f'unexpected error: {group.exceptions[0]!r}'
+            eliot.write_traceback()
+            self._claim_after = clock.now() + CLAIM_PAUSE_S
         finally:
             self._holder = None
+            self._context.metrics.term.set({}, 0)
             supervisor.cancel()
             # This process sends no more orders, so that another entry may
             # take over at once.
@@ -306,9 +331,10 @@
                 if now - received_at > ENTRY_LOST_AFTER_S:
                     del self._pings_by_identity[identity]
                     holder.advice_callers.remove(identity)
+            self.term.best_strength = self._best_strength()
             if terms.should_hand_over(
                 self._context.strength,
-                self._best_strength(),
+                self.term.best_strength,
                 now - self._holder_since,
             ):
                 self._context.log.write(
@@ -316,7 +342,6 @@
                 )
                 holder.writer.release()
                 return
-            self.term.best_strength = self._best_strength()
             other = self._find_entry_reaching_store(now, holder.writer)
             if other is not None:
                 self._context.log.write('term.yielded', to=other)
@@ -405,9 +430,10 @@
             holder.advice_callers.add(identity)
             self._listener.send(
                 identity,
-                make_pong(
-                    holder,
-                    self._best_strength(),
+                messages.Pong(
+                    holder.scheduler.term,
+                    self._counts_for_pongs(holder),
+                    self.term.best_strength,
                     self.term.renewal_age(clock.now()),
                 ),
             )
@@ -460,6 +486,25 @@
                 )
         self._connection.send(messages.AdviceReply(message.number, tickets))
 
+    def _counts_for_pongs(
+        self, holder: holders.Holder
+    ) -> dict[model.QueueId, int] | None:
+        """Return the counts of waiting jobs to send to entries.
+
+        There are none until the holder has read all jobs; they would be too
+        low.  They are computed once for the pongs of CHECK_INTERVAL_S, since
+        each entry sends three pings per second.
+        """
+        if not holder.loaded:
+            return None
+        now = clock.now()
+        counts = self._pong_counts
+        if counts is None or now - self._pong_counts_at > CHECK_INTERVAL_S:
+            counts = holder.scheduler.jobs.waiting_by_queue()
+            self._pong_counts = counts
+            self._pong_counts_at = now
+        return counts
+
     # edge.HolderAccess
 
     def announce_job(self, row: bytes) -> None:
@@ -518,23 +563,6 @@
         )
 
 
-def make_pong(
-    holder: holders.Holder, best_strength: float, renewal_age_s: float
-) -> messages.Pong:
-    """Return the holder's reply to a ping.
-
-    It has no counts of waiting jobs until the holder has read all jobs; they
-    would be too low.
-    """
-    jobs = holder.scheduler.jobs
-    return messages.Pong(
-        holder.scheduler.term,
-        jobs.waiting_by_queue() if holder.loaded else None,
-        best_strength,
-        renewal_age_s,
-    )
-
-
 def _state_reply(
     holder: holders.Holder, number: int, job_id: model.JobId
 ) -> messages.StateReply:
--- a/packages/daemon/src/samphirestackd/http_client.py
+++ b/packages/daemon/src/samphirestackd/http_client.py
@@ -17,6 +17,8 @@
 MAX_IDLE_PER_ADDRESS = 6
 """Maximum number of idle connections kept open to one server."""
 
+DEFAULT_MAX_IDLE = 1000
+
 
 class NotSent(Exception):
     """The call failed before anything was sent to the server."""
@@ -110,10 +112,17 @@
 
 
 class HttpClient:
-    """Client that reuses connections to servers."""
+    """Client that reuses connections to servers.
 
-    def __init__(self) -> None:
+    :param max_idle: maximum number of idle connections to all servers; the
+        ones that were used least recently are closed.
+    """
+
+    def __init__(self, max_idle: int = DEFAULT_MAX_IDLE) -> None:
+        self._max_idle = max_idle
         self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._addresses_by_idle: dict[_Connection, str] = {}
+        """Address of each idle connection, least recently used first."""
 
     async def call(
         self,
@@ -164,6 +173,7 @@
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
+            del self._addresses_by_idle[connection]
             if not connection.closed:
                 return connection
         return None
@@ -172,8 +182,20 @@
         idle = self._idle_by_address.setdefault(address, [])
         if len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.abort()
-        else:
-            idle.append(connection)
+            return
+        idle.append(connection)
+        self._addresses_by_idle[connection] = address
+        if len(self._addresses_by_idle) > self._max_idle:
+            self._close_least_recently_used()
+
+    def _close_least_recently_used(self) -> None:
+        connection, address = next(iter(self._addresses_by_idle.items()))
+        del self._addresses_by_idle[connection]
+        idle = self._idle_by_address[address]
+        idle.remove(connection)
+        if not idle:
+            del self._idle_by_address[address]
+        connection.abort()
 
     async def _connect(self, address: str, timeout_s: float) -> _Connection:
         host, _, port = address.rpartition(':')
@@ -190,6 +212,7 @@
     def forget(self, address: str) -> None:
         """Close the idle connections to a server, such as one that failed."""
         for connection in self._idle_by_address.pop(address, []):
+            del self._addresses_by_idle[connection]
             connection.abort()
 
     def close(self) -> None:
--- a/tests/unit/daemon/test_edge.py
+++ b/tests/unit/daemon/test_edge.py
@@ -55,6 +55,23 @@
         )
 
 
+class TestUnexpectedErrors:
+    """Guards against calls without an answer after an error in a handler."""
+
+    async def test_the_caller_gets_an_error_body(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        node = _Node()
+
+        def fail(*arguments: object) -> None:
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(node.dispatcher, 'submit', fail)
+        reply = await node.call()
+        assert reply.status == 500
+        assert reply.data['verdict'] == 'may_have_run'
+
+
 class TestFilters:
     """Each filter refuses with its error code and verdict."""
 
--- a/tests/unit/daemon/test_platform_http.py
+++ b/tests/unit/daemon/test_platform_http.py
@@ -13,6 +13,10 @@
 from samphirestackd import platform_http
 
 TIMEOUT_S = 0.3
+CONNECTED_TIMEOUT_S = 3.0
+"""Deadline of calls that must reach the server before they time out, also
+while this process gets no processor time for a while."""
+
 WRITE = platform.Write('t', 'zone/key', 0, {'a': 1})
 
 
@@ -56,6 +60,15 @@
     await client.close()
 
 
+@pytest.fixture
+async def patient_table(server):
+    client = platform_http.HttpTable(
+        f'http://{server.address}', CONNECTED_TIMEOUT_S
+    )
+    yield client
+    await client.close()
+
+
 @pytest.fixture
 async def agent(server):
     agents = platform_http.Agents(TIMEOUT_S)
@@ -91,11 +104,11 @@
         ],
     )
     async def test_failure_after_sending_is_unknown(
-        self, server, table, answer
+        self, server, patient_table, answer
     ):
         server.answer = answer
         with pytest.raises(errors.OutcomeUnknown):
-            await table.transact([WRITE])
+            await patient_table.transact([WRITE])
         assert len(server.calls) == 1
 
     @pytest.mark.parametrize('code', [400, 503])
--- a/tests/unit/fleet/test_forecast.py
+++ b/tests/unit/fleet/test_forecast.py
@@ -104,3 +104,10 @@
         candidates = [make_candidate('w', [(5.0, 9000)])]
         spec = worlds.make_step(8, gang=True, size=model.Resources(4000, 100))
         assert forecast.earliest_fit(0.0, spec, candidates) is None
+
+    def test_accelerators_that_never_suffice_have_no_forecast(self) -> None:
+        candidates = [make_candidate('w', [(5.0, 9000)])]
+        spec = worlds.make_step(
+            1, gang=True, size=model.Resources(4000, 100, 1)
+        )
+        assert forecast.earliest_fit(0.0, spec, candidates) is None
--- /dev/null
+++ b/tests/unit/fleet/test_holder.py
@@ -0,0 +1,210 @@
+"""The holder of the term beside rows and reports that raise errors."""
+
+import asyncio
+from collections.abc import Sequence
+
+from samphirestack import errors
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import specs
+from samphirestack.fleet import term as terms
+from samphirestack import model
+from samphirestack_testing import fleet_world as worlds
+from samphirestack_testing import row_store
+from samphirestack_testing import waiting
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import holder as holders
+
+WORKERS = ('w0', 'w1')
+TIMEOUT_S = 10.0
+
+
+class Registry:
+    """Registry whose rows of workers hold nothing but their key."""
+
+    operator_table = 'operator'
+    workers_table = 'workers'
+
+    def worker(self, row: ports.StoredRow) -> specs.WorkerEntry | None:
+        if row.value == b'bad':
+            raise OverflowError('absurd capacity')
+        return worlds.make_worker(row.key)
+
+
+class Workers:
+    """Workers that answer hold calls, some of them with an error.
+
+    :param error: raised by the first answers of ``w0``.
+    :param error_count: number of such answers.
+    """
+
+    def __init__(self, error: Exception, error_count: int) -> None:
+        self.error = error
+        self.errors_left = error_count
+        self.reports_by_id: dict[str, int] = {}
+
+    async def hold(
+        self,
+        worker: specs.WorkerEntry,
+        term: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> specs.WorkerReport:
+        del term, last_seen, deadline_ms, wait_s
+        await asyncio.sleep(0)
+        if worker.worker_id == 'w0' and self.errors_left:
+            self.errors_left -= 1
+            raise self.error
+        count = self.reports_by_id.get(worker.worker_id, 0) + 1
+        self.reports_by_id[worker.worker_id] = count
+        await asyncio.sleep(0.01)
+        return worlds.make_report(1000.0)
+
+
+class FollowedStore(row_store.MemoryRowStore):
+    """Store whose feeds have no changes."""
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        del table
+        await asyncio.sleep(wait_s)
+        return ports.Page([], after, False)
+
+
+def make_holder(
+    store: row_store.MemoryRowStore, workers: Workers | None = None
+) -> holders.Holder:
+    context = worlds.make_context(store)
+    context.registry = Registry()  # type: ignore[assignment]
+    context.workers = workers  # type: ignore[assignment]
+    term = terms.Term(model.VmId('vm'), 'life', 'address')
+    record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
+    term.record_write(clock.now(), record, 0)
+    return holders.Holder(
+        context, term, worlds.make_configuration(), lambda identity, one: None
+    )
+
+
+async def put_rows(
+    store: row_store.MemoryRowStore,
+    table: str,
+    values_by_key: dict[str, bytes],
+    parts: Sequence[str] = ('',),
+) -> None:
+    for part in parts:
+        puts = [
+            ports.Put(table, key, value)
+            for key, value in values_by_key.items()
+        ]
+        await store.transact([], puts, (), part)
+
+
+class TestReports:
+    """Guards against a worker that is given up after an unexpected error.
+
+    Its lease would expire, and with it all that runs there.
+    """
+
+    async def test_leases_are_renewed_after_an_unexpected_error(self) -> None:
+        store = FollowedStore()
+        await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
+        workers = Workers(ZeroDivisionError('report'), 1)
+        holder = make_holder(store, workers)
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(
+                lambda: all(
+                    workers.reports_by_id.get(worker_id, 0) > 1
+                    for worker_id in WORKERS
+                ),
+                TIMEOUT_S,
+                'reports of all workers',
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    async def test_a_refused_report_does_not_end_the_term(self) -> None:
+        store = FollowedStore()
+        await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
+        workers = Workers(errors.PlatformError('malformed report'), 3)
+        holder = make_holder(store, workers)
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(
+                lambda: 'w0' in workers.reports_by_id, TIMEOUT_S, 'a report'
+            )
+            assert not running.done()
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
+class TestBadRows:
+    """Guards against one bad row that no holder can load."""
+
+    async def test_a_bad_worker_is_set_aside(self) -> None:
+        store = FollowedStore()
+        await put_rows(store, 'workers', {'w0': b'bad', 'w1': b''})
+        holder = make_holder(store)
+        await holder._load()
+        assert holder.scheduler.workers_by_id.keys() == {'w1'}
+
+    async def test_progress_with_malformed_keys_is_set_aside(self) -> None:
+        store = FollowedStore()
+        for number in (1, 2):
+            job = worlds.make_job(number)
+            part = records.job_part(job.job_id)
+            row = records.encode(job)
+            await put_rows(
+                store, records.JOBS_TABLE, {job.job_id: row}, [part]
+            )
+        bad = records.JobProgress(failed_runs_by_task={'x': [1]})
+        key = worlds.make_job(1).job_id
+        await put_rows(
+            store, records.PROGRESS_TABLE, {key: records.encode(bad)}
+        )
+        holder = make_holder(store)
+        await holder._load()
+        active = holder.scheduler.jobs.active_by_id
+        assert active.keys() == {worlds.make_job(2).job_id}
+
+    async def test_a_job_with_unreadable_progress_does_not_run_again(
+        self,
+    ) -> None:
+        store = FollowedStore()
+        job = worlds.make_job(1)
+        part = records.job_part(job.job_id)
+        row = records.encode(job)
+        await put_rows(store, records.JOBS_TABLE, {job.job_id: row}, [part])
+        await put_rows(store, records.PROGRESS_TABLE, {job.job_id: b'\xff'})
+        holder = make_holder(store)
+        await holder._load()
+        assert not holder.scheduler.jobs.active_by_id
+
+    async def test_a_bad_job_of_an_entry_is_set_aside(self) -> None:
+        holder = make_holder(FollowedStore())
+        await holder._load()
+        holder.add_job(b'\xff')
+        holder.add_job(records.encode(worlds.make_job(2)))
+        assert len(holder.scheduler.jobs.active_by_id) == 1
+
+
+class TestHoldWait:
+    """Guards against a rate of hold calls that grows with the fleet."""
+
+    def test_small_fleets_keep_the_shortest_wait(self) -> None:
+        assert holders.hold_wait_s(24) == holders.MIN_HOLD_WAIT_S
+        assert holders.hold_wait_s(270) == holders.MIN_HOLD_WAIT_S
+
+    def test_the_rate_is_bounded_until_the_longest_wait(self) -> None:
+        for count in (600, 1100, 1500):
+            rate = count / holders.hold_wait_s(count)
+            assert rate <= holders.IDLE_HOLDS_PER_S * 1.001
+
+    def test_a_lease_outlives_a_takeover(self) -> None:
+        shortest_lease_s = 6.0
+        left_s = shortest_lease_s - holders.hold_wait_s(1_000_000)
+        assert left_s > terms.TAKEOVER_AFTER_S + 2.0
--- /dev/null
+++ b/tests/unit/fleet/test_http_client.py
@@ -0,0 +1,97 @@
+"""Connections of the client for many small calls, and the store behind it."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import pytest
+
+from samphirestack import errors
+from samphirestack.fleet import ports
+from samphirestack_platform import store as stores
+from samphirestackd import http_client
+
+TIMEOUT_S = 10.0
+RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+
+class Server:
+    """Server that answers every call with ``RESPONSE``."""
+
+    def __init__(self) -> None:
+        self.open_connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open_connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                for line in head.lower().split(b'\r\n'):
+                    if line.startswith(b'content-length:'):
+                        await reader.readexactly(int(line.split(b':')[1]))
+                writer.write(RESPONSE)
+        self.open_connections -= 1
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def serving() -> AsyncIterator[tuple[Server, str]]:
+    server = Server()
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    try:
+        yield server, f'127.0.0.1:{port}'
+    finally:
+        listener.close()
+
+
+class TestIdleConnections:
+    """Guards against idle connections that use up the file descriptors.
+
+    A holder with thousands of workers keeps a call to each in progress; with
+    several idle connections to each as well it can accept no client.
+    """
+
+    async def test_all_servers_together_keep_a_bounded_number(self) -> None:
+        client = http_client.HttpClient(max_idle=3)
+        async with contextlib.AsyncExitStack() as stack:
+            addresses = [
+                (await stack.enter_async_context(serving()))[1]
+                for _ in range(5)
+            ]
+            for address in addresses:
+                await client.call(address, 'GET', '/', timeout_s=TIMEOUT_S)
+            kept = [
+                address
+                for address, idle in client._idle_by_address.items()
+                if idle
+            ]
+            assert kept == addresses[-3:]
+            assert len(client._addresses_by_idle) == 3
+            client.close()
+            assert not client._addresses_by_idle
+
+    async def test_a_connection_in_use_is_not_counted_as_idle(self) -> None:
+        client = http_client.HttpClient(max_idle=1)
+        async with serving() as (_, address):
+            for _ in range(3):
+                await client.call(address, 'GET', '/', timeout_s=TIMEOUT_S)
+                assert len(client._addresses_by_idle) == 1
+            client.forget(address)
+            assert not client._addresses_by_idle
+
+
+class TestStoreAnswers:
+    """Guards against a malformed answer that ends the process."""
+
+    async def test_a_write_with_a_malformed_answer_may_have_happened(
+        self,
+    ) -> None:
+        client = http_client.HttpClient()
+        async with serving() as (_, address):
+            store = stores.Store(client, address)
+            with pytest.raises(errors.OutcomeUnknown):
+                await store.transact([], [ports.Put('t', 'k', b'v')])
+            client.close()
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -3,40 +3,32 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import pytest
+
 from samphirestack.fleet import messages
+from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 from samphirestack_testing import row_store
+from samphirestackd.fleet import advice_callers
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import holder as holders
 from samphirestackd.fleet import node
 from samphirestackd.fleet import writer as writers
 
 
-class LoadingHolder:
-    """Holder that has not read all jobs yet."""
+class StubHolder:
+    """Holder without I/O.
 
-    def __init__(self) -> None:
+    :param loaded: whether it has read all jobs.
+    """
+
+    def __init__(self, loaded: bool) -> None:
         self.world = worlds.World([])
         self.scheduler = self.world.scheduler
-        self.loaded = False
-
-
-class TestCounts:
-    """Guards against counts of waiting jobs that are too low."""
-
-    def test_a_holder_that_is_loading_gives_no_counts(self) -> None:
-        holder: holders.Holder = LoadingHolder()  # type: ignore[assignment]
-        assert node.make_pong(holder, 1.0, 0.1).waiting_by_queue is None
-
-    def test_a_holder_that_has_loaded_counts_what_has_not_begun(self) -> None:
-        loading = LoadingHolder()
-        loading.loaded = True
-        loading.world.accept(0.0, worlds.make_job(1))
-        holder: holders.Holder = loading  # type: ignore[assignment]
-        counts = node.make_pong(holder, 1.0, 0.1).waiting_by_queue
-        assert counts == {model.QueueId('q'): 1}
+        self.advice_callers = advice_callers.AdviceCallerPool()
+        self.loaded = loaded
 
 
 class MessageRecorder:
@@ -76,6 +68,47 @@
     return messages.Ping(model.VmId('other'), 3, life, store_age_s, 1.0)
 
 
+class TestCounts:
+    """Guards against counts of waiting jobs that are too low or too old."""
+
+    async def _counts(self, holder: StubHolder) -> dict[str, int] | None:
+        async with running_node() as (fleet_node, recorder):
+            fleet_node._holder = holder  # type: ignore[assignment]
+            fleet_node._handle_entry_message(
+                b'e', make_ping(fleet_node._incarnation)
+            )
+            (pong,) = recorder.sent
+            assert isinstance(pong, messages.Pong)
+            return pong.waiting_by_queue  # type: ignore[return-value]
+
+    async def test_a_holder_that_is_loading_gives_no_counts(self) -> None:
+        assert await self._counts(StubHolder(loaded=False)) is None
+
+    async def test_a_holder_that_has_loaded_counts_what_has_not_begun(
+        self,
+    ) -> None:
+        holder = StubHolder(loaded=True)
+        holder.world.accept(0.0, worlds.make_job(1))
+        assert await self._counts(holder) == {'q': 1}
+
+    async def test_counts_are_computed_again_after_a_while(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        now = clock.now()
+        monkeypatch.setattr(clock, 'now', lambda: now)
+        holder = StubHolder(loaded=True)
+        async with running_node() as (fleet_node, recorder):
+            fleet_node._holder = holder  # type: ignore[assignment]
+            ping = make_ping(fleet_node._incarnation)
+            fleet_node._handle_entry_message(b'e', ping)
+            holder.world.accept(0.0, worlds.make_job(1))
+            now += 2 * node.CHECK_INTERVAL_S
+            fleet_node._handle_entry_message(b'e', ping)
+            last = recorder.sent[-1]
+            assert isinstance(last, messages.Pong)
+            assert last.waiting_by_queue == {'q': 1}
+
+
 class TestEndedHolder:
     """Guards against pings for an ended holder that stay without a reply.
 
@@ -145,3 +178,48 @@
 
     async def test_it_keeps_the_term_after_one_lost_answer(self) -> None:
         assert await self._find_entry(1.0, 0.5, False) is None
+
+
+class FailingHolder(StubHolder):
+    """Holder that ends with an unexpected error."""
+
+    def __init__(self) -> None:
+        super().__init__(loaded=True)
+        self.writer = None
+
+    async def run(self) -> None:
+        raise ZeroDivisionError('plan')
+
+
+class TestUnexpectedErrors:
+    """Guards against one error that ends the process or repeats for ever."""
+
+    async def test_the_term_goes_to_another_entry(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(
+            holders, 'Holder', lambda *arguments: FailingHolder()
+        )
+        async with running_node() as (fleet_node, recorder):
+            fleet_node.configuration_feed.configuration = (
+                worlds.make_configuration()
+            )
+            fleet_node._pings_by_identity[b'e'] = (
+                clock.now(),
+                make_ping('life'),
+            )
+            await fleet_node._hold_term()
+            assert [type(one) for one in recorder.sent] == [messages.TakeOver]
+            assert fleet_node._claim_after > clock.now()
+            assert fleet_node._holder is None
+
+    async def test_a_malformed_term_is_neither_followed_nor_claimed(
+        self,
+    ) -> None:
+        async with running_node() as (fleet_node, _):
+            store = fleet_node._context.store
+            put = ports.Put(records.TERM_TABLE, records.TERM_KEY, b'\xff')
+            await store.transact([], [put])
+            await fleet_node._read_term()
+            assert fleet_node.term.record is None
+            assert not fleet_node.term.may_take_over(clock.now())
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -4,6 +4,7 @@
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
+from samphirestack.fleet import tracking
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
@@ -50,6 +51,23 @@
             start.worker.worker_id != lost for start in world.plan_starts(7.0)
         ] == [True]
 
+    def test_an_order_to_a_worker_that_restarts_and_is_silent_expires(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('w')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.plan_starts(0.0)
+        world.answer_start(0.1, start, specs.StartOutcome.UNKNOWN)
+        world.scheduler.set_workers(1.0, [worlds.make_worker('w', started=2)])
+        world.scheduler.mark_worker_silent(1.0, model.WorkerId('w'))
+        worker = world.scheduler.workers_by_id[model.WorkerId('w')]
+        lease_s = worlds.LEASE_S * (1 + tracking.MAX_CLOCK_DRIFT)
+        bound = 1.0 + tracking.LATE_ORDER_S + lease_s
+        world.plan(bound - 0.1)
+        assert worker.runs_by_key
+        world.plan(bound + 0.1)
+        assert not worker.runs_by_key
+
     def test_a_restart_of_a_worker_ends_its_runs(self) -> None:
         world = worlds.World([worlds.make_worker('a')])
         world.accept(0.0, worlds.make_job(1))
@@ -89,6 +107,31 @@
         )
 
 
+class TestWorkerEntries:
+    """Guards against entries of workers that are applied to other workers."""
+
+    def test_one_entry_leaves_other_workers_registered(self) -> None:
+        world = worlds.World(
+            [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        draining = worlds.make_worker('a', state=specs.WorkerState.DRAINING)
+        assert not world.scheduler.update_worker(1.0, draining)
+        assert world.scheduler.update_worker(1.0, worlds.make_worker('c'))
+        by_id = world.scheduler.workers_by_id
+        assert by_id[model.WorkerId('a')].is_draining
+        assert by_id[model.WorkerId('b')].registered
+
+    def test_a_removed_worker_gets_no_work_until_it_returns(self) -> None:
+        worker = worlds.make_worker('a')
+        world = worlds.World([worker])
+        world.scheduler.mark_worker_unregistered(worker.worker_id)
+        world.accept(0.0, worlds.make_job(1))
+        assert not world.plan_starts(1.0)
+        world.scheduler.update_worker(2.0, worker)
+        world.report(2.0, 'a')
+        assert world.plan_starts(2.0)
+
+
 class TestStoring:
     """Guards against ends that workers forget before they are stored."""
 
