--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -6,6 +6,20 @@
 from samphirestack import model
 
 
+MIN_PING_INTERVAL_S = 0.3
+MAX_PINGS_PER_S = 330.0
+"""Rate of the pings of all entries above which each pings less often."""
+
+
+def ping_interval_s(entry_count: int) -> float:
+    """Return the interval of each entry's pings.
+
+    This answers systems with hundreds of entries, whose pings would occupy
+    most of a small holder.
+    """
+    return max(MIN_PING_INTERVAL_S, entry_count / MAX_PINGS_PER_S)
+
+
 class Ping(msgspec.Struct, tag='ping', frozen=True):
     """Periodic message from an entry to the holder."""
 
@@ -29,6 +43,8 @@
     """Highest strength among the entries known to the holder."""
     renewal_age_s: float
     """Time since the holder last renewed the term in the store."""
+    ping_interval_s: float = MIN_PING_INTERVAL_S
+    """Interval of the entry's pings from now on."""
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -127,6 +127,14 @@
     spec: specs.StepSpec, candidates: list[Candidate], count: int
 ) -> list[Candidate] | None:
     limit = spec.max_per_worker or count
+    free = 0
+    for candidate in candidates:
+        free += candidate.count(spec, limit)
+        if free >= count:
+            break
+    else:
+        # Most gangs of a backlog don't fit; they need no order of workers.
+        return None
     chosen: list[Candidate] = []
     for candidate in sorted(
         candidates, key=lambda candidate: candidate.leftover_score(spec)
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -6,6 +6,9 @@
 for the first steps in this order, and again before their tickets expire.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+import itertools
 import math
 from typing import Protocol
 
@@ -48,6 +51,10 @@
 advice.  The check of a gang takes 1 ms, and after a burst forty gangs wait
 for seconds."""
 
+MAX_ADVICE_CHECKS = 40
+"""Steps in one plan that are checked for advice, those to start first.  Each
+check visits up to all workers; the others follow in the next plans."""
+
 TICKET_MARGIN_S = 0.08
 """Minimum validity left when an order is sent, for its way to the worker."""
 
@@ -131,7 +138,11 @@
         self._reserved_gang_count = 0
         self._exhausted_urgencies: set[bool] = set()
         """Urgency of requests for which no caller was left in this round."""
+        self._advice_check_count = 0
         self._result: list[actions.Action] = []
+        self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
+        """Candidates of each service, those with most free processors at the
+        start of this round first."""
         self._candidates_by_service: dict[
             model.ServiceId, dict[model.WorkerId, packing.Candidate]
         ] = {}
@@ -159,23 +170,35 @@
         elif candidates:
             self._place_tasks(step, candidates)
 
-    def _candidates_by_id(
-        self, step: work.StepRun
-    ) -> dict[model.WorkerId, packing.Candidate]:
+    def _service(self, step: work.StepRun) -> model.ServiceId:
         queue = self._fleet.configuration.queues_by_id.get(
             step.job.queue.queue_id, step.job.queue
         )
-        return self._candidates_by_service.get(queue.service, {})
+        return queue.service
+
+    def _candidates_by_id(
+        self, step: work.StepRun
+    ) -> dict[model.WorkerId, packing.Candidate]:
+        return self._candidates_by_service.get(self._service(step), {})
 
     def _eligible(self, step: work.StepRun) -> list[packing.Candidate]:
-        spec = step.spec
         return [
             candidate
             for candidate in self._candidates_by_id(step).values()
-            if (not spec.label or spec.label in candidate.worker.entry.labels)
-            and spec.size.fits_in(candidate.worker.entry.capacity)
+            if _is_eligible(candidate, step.spec)
         ]
 
+    def _most_free_first(self, step: work.StepRun) -> list[packing.Candidate]:
+        service = self._service(step)
+        result = self._by_free_cpu.get(service)
+        if result is None:
+            result = sorted(
+                self._candidates_by_service.get(service, {}).values(),
+                key=lambda candidate: -candidate.free_cpu,
+            )
+            self._by_free_cpu[service] = result
+        return result
+
     def _with_valid_ticket(
         self, step: work.StepRun
     ) -> list[packing.Candidate]:
@@ -212,8 +235,11 @@
             return
         if urgent in self._exhausted_urgencies:
             return
+        if self._advice_check_count >= MAX_ADVICE_CHECKS:
+            return
         if not self._may_start(step):
             return
+        self._advice_check_count += 1
         if step.spec.gang:
             tickets.next_check_at = now + GANG_CHECK_INTERVAL_S
             worker_ids = self._gang_workers_to_ask(step)
@@ -264,9 +290,12 @@
         missing = GANG_CANDIDATE_FACTOR * spec.count - capacity
         if missing > 0:
             unknown = self._with_unknown_suitability(step)
-            if unknown:
-                fit = max(1, forecast.capacity_when_empty(unknown[0], spec))
-                return self._select_unknown(step, unknown, missing / fit)
+            first = next(unknown, None)
+            if first is not None:
+                fit = max(1, forecast.capacity_when_empty(first, spec))
+                return self._select_unknown(
+                    step, itertools.chain([first], unknown), missing / fit
+                )
         until = self._renewal_done_at(step, len(suitable))
         lasting = [
             candidate
@@ -335,14 +364,21 @@
         ][:MAX_ASKED]
         if len(result) >= waiting:
             return result
-        unknown = self._with_unknown_suitability(step)
-        to_ask = [candidate for candidate in unknown if candidate.fits(spec)]
-        if not to_ask and not step.tickets.asked_ids:
-            to_ask = unknown
-        if to_ask:
-            fit = max(1, to_ask[0].count(spec, waiting))
+        to_ask: Iterator[packing.Candidate] = (
+            candidate
+            for candidate in self._with_unknown_suitability(step)
+            if candidate.fits(spec)
+        )
+        first = next(to_ask, None)
+        if first is None and not step.tickets.asked_ids:
+            to_ask = self._with_unknown_suitability(step)
+            first = next(to_ask, None)
+        if first is not None:
+            fit = max(1, first.count(spec, waiting))
             result += self._select_unknown(
-                step, to_ask, TASK_CANDIDATE_FACTOR * waiting / fit
+                step,
+                itertools.chain([first], to_ask),
+                TASK_CANDIDATE_FACTOR * waiting / fit,
             )
         return result[:MAX_ASKED]
 
@@ -354,21 +390,20 @@
 
     def _with_unknown_suitability(
         self, step: work.StepRun
-    ) -> list[packing.Candidate]:
-        """Return workers without advice, most free processors first."""
+    ) -> Iterator[packing.Candidate]:
+        """Yield workers without advice, most free processors first."""
         asked = step.tickets.asked_ids
-        candidates = [
+        return (
             candidate
-            for candidate in self._eligible(step)
+            for candidate in self._most_free_first(step)
             if candidate.worker.entry.worker_id not in asked
-        ]
-        candidates.sort(key=lambda candidate: -candidate.free_cpu)
-        return candidates
+            and _is_eligible(candidate, step.spec)
+        )
 
     def _select_unknown(
         self,
         step: work.StepRun,
-        candidates: list[packing.Candidate],
+        candidates: Iterable[packing.Candidate],
         wanted: float,
     ) -> list[model.WorkerId]:
         """Return the first candidates, as many as likely contain enough.
@@ -380,7 +415,7 @@
         count = max(MIN_ASKED, min(MAX_ASKED, count))
         return [
             candidate.worker.entry.worker_id
-            for candidate in candidates[:count]
+            for candidate in itertools.islice(candidates, count)
         ]
 
     def _may_start(self, step: work.StepRun) -> bool:
@@ -543,6 +578,13 @@
             ]
 
 
+def _is_eligible(candidate: packing.Candidate, spec: specs.StepSpec) -> bool:
+    entry = candidate.worker.entry
+    return (
+        not spec.label or spec.label in entry.labels
+    ) and spec.size.fits_in(entry.capacity)
+
+
 def _is_usable(
     now: float,
     worker: tracking.TrackedWorker,
--- a/packages/core/src/samphirestack/fleet/ports.py
+++ b/packages/core/src/samphirestack/fleet/ports.py
@@ -1,5 +1,6 @@
 """Interfaces to the platform on which the fleet scheduler runs."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -111,8 +112,13 @@
         order: TaskOrder,
         term: int,
         deadline_ms: int,
+        may_send: Callable[[], bool],
     ) -> specs.StartOutcome:
-        """Order the start of a run and extend the worker's lease."""
+        """Order the start of a run and extend the worker's lease.
+
+        :param may_send: whether the term still permits orders; checked
+            directly before the order is sent.
+        """
 
     async def stop(
         self,
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -47,6 +47,10 @@
 """Interval between checks of all runs.  Nothing they detect needs a faster
 reaction, and with every plan they took a third of its time at 176 workers."""
 
+WORKERS_PER_CHECK_INTERVAL = 300
+"""Number of workers above which the interval grows with them, so that the
+checks don't occupy a small holder."""
+
 READY_PERCENT = 100.0
 """Progress that a long-running task reports once it serves."""
 
@@ -277,6 +281,10 @@
             worker.started_unix_ms = report.started_unix_ms
         elif report.started_unix_ms > worker.started_unix_ms:
             self._handle_restart(now, worker, report.started_unix_ms, report)
+        if worker.silent_since is not None:
+            # A run may have stood still only because its worker did.
+            for run in worker.runs_by_key.values():
+                run.last_progress_at = now
         worker.silent_since = None
         worker.record_clock(now, report.clock_ms)
         if not worker.has_reported:
@@ -712,7 +720,9 @@
 
         :param advice_callers: capacity for calls to the advice service.
         """
-        if now - self._last_check_at >= CHECK_INTERVAL_S:
+        if now - self._last_check_at >= check_interval_s(
+            len(self.workers_by_id)
+        ):
             self._last_check_at = now
             self._check_workers(now)
             self._throttle_fillers(now)
@@ -900,6 +910,13 @@
         return advanced
 
 
+def check_interval_s(worker_count: int) -> float:
+    """Return the interval between checks of all runs."""
+    return CHECK_INTERVAL_S * max(
+        1.0, worker_count / WORKERS_PER_CHECK_INTERVAL
+    )
+
+
 def _stop_action(
     worker: tracking.TrackedWorker, run: tracking.Run, reason: str
 ) -> actions.Stop:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -121,6 +121,18 @@
         """Speed limit of its filler runs."""
         self.throttle_changed_at = float('-inf')
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the worker has no run and nothing to report."""
+        return (
+            self.has_reported
+            and self.silent_since is None
+            and not self.consecutive_failed_calls
+            and not self.runs_by_key
+            and not self.unknown_runs
+            and self.last_handled_end == self.last_stored_end
+        )
+
     @property
     def is_draining(self) -> bool:
         """Return whether the worker announced that it takes no new work."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -15,6 +15,7 @@
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
+from samphirestack.fleet import tracking
 from samphirestack import model
 from samphirestackd.fleet import advice_callers
 from samphirestackd.fleet import archiver
@@ -24,14 +25,20 @@
 from samphirestackd.fleet import writer as writers
 from samphirestackd import logs
 
+MIN_PACE_STRENGTH = 0.5
 MIN_HOLD_WAIT_S = 0.5
-MAX_HOLD_WAIT_S = 1.5
+MAX_HOLD_WAIT_S = 2.0
 """Range of the time for which a worker delays its answer to a hold call; it
 answers at once when a run ends.  Leases are therefore renewed at least this
 often, so that they do not expire while another entry takes over the term."""
 
-IDLE_HOLDS_PER_S = 1200.0
-"""Rate of hold calls to all workers above which they wait longer."""
+MAX_IDLE_PAUSE_S = 3.0
+"""Longest pause between hold calls to a worker without runs, in which its
+end is not detected."""
+
+IDLE_HOLDS_PER_S = 600.0
+"""Rate of hold calls to all workers above which they wait longer, for a holder
+with one core or more.  A call takes 0.7 KB and 0.3 ms with its report."""
 
 MIN_PLAN_INTERVAL_S = 0.004
 """Shortest interval between plans, which batches concurrent events."""
@@ -43,6 +50,9 @@
 MAX_PLAN_INTERVAL_S = 0.05
 """Longest interval between plans, for decisions that depend only on time."""
 
+SLOW_PLAN_S = 0.2
+"""Duration of a plan from which it is logged: it delays all orders."""
+
 JOB_FEED_INTERVAL_S = 0.5
 """Interval of reads of the feed of jobs, which finds jobs whose announcement
 by an entry was lost."""
@@ -64,6 +74,15 @@
 """Identity of this process in the pool of advice callers."""
 
 
+class HoldPace(msgspec.Struct, frozen=True):
+    """Pace of the hold calls to each worker."""
+
+    wait_s: float
+    """Time for which a worker may delay its answer."""
+    idle_pause_s: float
+    """Pause between two calls to a worker without runs."""
+
+
 class Holder:
     """Runs the scheduler of the fleet while this process holds the term.
 
@@ -104,6 +123,8 @@
         self._plan_requested = asyncio.Event()
         self._stored_events: dict[model.WorkerId, asyncio.Event] = {}
         """Set when the ends of runs that a worker reported are stored."""
+        self._work_events: dict[model.WorkerId, asyncio.Event] = {}
+        """Set when a run is ordered on a worker."""
         self._lease_tasks: dict[model.WorkerId, asyncio.Task[None]] = {}
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_waiters: dict[
@@ -292,6 +313,7 @@
     def _call_worker_regularly(self, worker_id: model.WorkerId) -> None:
         if worker_id not in self._lease_tasks:
             self._stored_events[worker_id] = asyncio.Event()
+            self._work_events[worker_id] = asyncio.Event()
             self._lease_tasks[worker_id] = asyncio.create_task(
                 self._maintain_lease(worker_id)
             )
@@ -342,7 +364,7 @@
             wait_s = (
                 0.0
                 if unstored or not worker.has_reported
-                else hold_wait_s(len(self.scheduler.workers_by_id))
+                else self._hold_pace().wait_s
             )
             if unstored:
                 with contextlib.suppress(TimeoutError):
@@ -357,6 +379,23 @@
                 self._context.metrics.set_aside.inc({'source': 'report'})
                 eliot.write_traceback()
                 await asyncio.sleep(RETRY_AFTER_S)
+            await self._pause_while_idle(worker)
+
+    def _hold_pace(self) -> HoldPace:
+        return hold_pace(
+            len(self.scheduler.workers_by_id), self._context.strength
+        )
+
+    async def _pause_while_idle(self, worker: tracking.TrackedWorker) -> None:
+        """Pause the hold calls to a worker that has nothing to report."""
+        pause_s = self._hold_pace().idle_pause_s
+        if not pause_s or not worker.is_idle:
+            return
+        event = self._work_events[worker.entry.worker_id]
+        event.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await event.wait()
 
     async def _renew_lease(
         self, worker_id: model.WorkerId, wait_s: float
@@ -555,6 +594,13 @@
                 self.writer.write_requested.set()
             took_s = clock.now() - now
             self._context.metrics.plan_time.observe({}, took_s)
+            if took_s > SLOW_PLAN_S:
+                logs.warning(
+                    'plan.slow',
+                    took_s=round(took_s, 3),
+                    waiting_steps=len(self.scheduler.jobs.ready_steps),
+                    workers=len(self.scheduler.workers_by_id),
+                )
             await asyncio.sleep(
                 max(MIN_PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s)
             )
@@ -587,11 +633,17 @@
         worker_id = action.worker.worker_id
         sent_at = clock.now()
         deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
+        if worker_id in self._work_events:
+            self._work_events[worker_id].set()
         outcome = specs.StartOutcome.LATE
         if deadline_ms is not None:
             self.scheduler.record_lease_deadline(worker_id, deadline_ms)
             outcome = await self._context.workers.start(
-                action.worker, action.order, self.scheduler.term, deadline_ms
+                action.worker,
+                action.order,
+                self.scheduler.term,
+                deadline_ms,
+                lambda: self._term.may_start_work(clock.now()),
             )
         now = clock.now()
         self.scheduler.handle_start_result(
@@ -727,10 +779,20 @@
             waiter.set_result(message.tickets_by_worker_id)
 
 
-def hold_wait_s(worker_count: int) -> float:
-    """Return how long workers may delay their answers to hold calls."""
-    return min(
-        MAX_HOLD_WAIT_S, max(MIN_HOLD_WAIT_S, worker_count / IDLE_HOLDS_PER_S)
+def hold_pace(worker_count: int, strength: float) -> HoldPace:
+    """Return the pace at which a holder calls its workers.
+
+    This answers fleets of which a holder can't call each worker twice a
+    second.  Runs keep their leases and report their ends at once; workers
+    without runs are called less often.
+
+    :param strength: of the holder; see ``term.strength``.
+    """
+    rate = IDLE_HOLDS_PER_S * min(1.0, max(MIN_PACE_STRENGTH, strength))
+    interval_s = worker_count / rate
+    wait_s = min(MAX_HOLD_WAIT_S, max(MIN_HOLD_WAIT_S, interval_s))
+    return HoldPace(
+        wait_s, min(MAX_IDLE_PAUSE_S, max(0.0, interval_s - wait_s))
     )
 
 
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -17,12 +17,11 @@
 from samphirestackd.fleet import clock
 from samphirestackd import logs
 
-PING_INTERVAL_S = 0.3
-LATE_AFTER_S = 0.45
-"""Time to miss one reply to a ping, with the transit."""
+LATE_TRANSIT_S = 0.15
+"""Transit of a ping and its reply, after which one counts as missed."""
 
-SILENT_AFTER_S = 0.8
-"""Time to miss two replies to pings, with the transit."""
+SILENT_TRANSIT_S = 0.2
+"""The same after two missed replies."""
 
 MAX_QUEUED_MESSAGES = 5000
 """Outgoing messages that are queued for a peer that does not read."""
@@ -97,24 +96,34 @@
         self.received_at = float('-inf')
         """Time of the last message of the holder."""
         self._opened_at = 0.0
+        self.ping_interval_s = messages.MIN_PING_INTERVAL_S
+        """Interval of pings that the holder asked for."""
+
+    @property
+    def _late_after_s(self) -> float:
+        return self.ping_interval_s + LATE_TRANSIT_S
+
+    @property
+    def _silent_after_s(self) -> float:
+        return 2 * self.ping_interval_s + SILENT_TRANSIT_S
 
     @property
     def is_alive(self) -> bool:
         """Return whether the holder sent a message recently."""
-        return clock.now() - self.received_at < SILENT_AFTER_S
+        return clock.now() - self.received_at < self._silent_after_s
 
     @property
     def is_late(self) -> bool:
         """Return whether a reply of the holder is overdue."""
-        return clock.now() - self.received_at > LATE_AFTER_S
+        return clock.now() - self.received_at > self._late_after_s
 
     @property
     def is_silent(self) -> bool:
         """Return whether the connection should be replaced."""
         now = clock.now()
         return (
-            now - self.received_at > SILENT_AFTER_S
-            and now - self._opened_at > SILENT_AFTER_S
+            now - self.received_at > self._silent_after_s
+            and now - self._opened_at > self._silent_after_s
         )
 
     def open(self, address: str) -> None:
@@ -123,6 +132,7 @@
         self._generation += 1
         self.address = address
         self._opened_at = clock.now()
+        self.ping_interval_s = messages.MIN_PING_INTERVAL_S
         sock = self._context.socket(zmq.DEALER)
         sock.setsockopt(zmq.LINGER, 0)
         sock.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -40,8 +40,13 @@
 attempts, yields as well."""
 
 ENTRY_LOST_AFTER_S = 1.5
-"""An entry that sent no ping for this long, five intervals of pings, is
-removed."""
+LOST_PINGS = 3
+"""An entry that sent no ping for ENTRY_LOST_AFTER_S, and for so many intervals
+of pings, is removed."""
+
+MAX_PING_INTERVAL_S = 1.0
+"""Longest interval of pings, below the age of the counts of waiting jobs that
+an entry may show."""
 
 MAX_WAITING_COUNTS_AGE_S = 1.5
 """Clients accept counts of waiting jobs that are 2 s old; the rest covers the
@@ -325,10 +330,15 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = clock.now()
+            lost_after_s = max(
+                ENTRY_LOST_AFTER_S,
+                LOST_PINGS
+                * messages.ping_interval_s(len(self._pings_by_identity)),
+            )
             for identity, (received_at, _) in list(
                 self._pings_by_identity.items()
             ):
-                if now - received_at > ENTRY_LOST_AFTER_S:
+                if now - received_at > lost_after_s:
                     del self._pings_by_identity[identity]
                     holder.advice_callers.remove(identity)
             self.term.best_strength = self._best_strength()
@@ -389,7 +399,7 @@
 
     async def _ping(self) -> None:
         while True:
-            await asyncio.sleep(link.PING_INTERVAL_S)
+            await asyncio.sleep(self._connection.ping_interval_s)
             record = self.term.record
             if self._holder is not None or record is None:
                 continue
@@ -435,6 +445,7 @@
                     self._counts_for_pongs(holder),
                     self.term.best_strength,
                     self.term.renewal_age(clock.now()),
+                    messages.ping_interval_s(len(self._pings_by_identity)),
                 ),
             )
         elif holder is None:
@@ -457,6 +468,9 @@
     ) -> None:
         if isinstance(message, messages.Pong):
             self.term.best_strength = message.best_strength
+            self._connection.ping_interval_s = min(
+                MAX_PING_INTERVAL_S, message.ping_interval_s
+            )
             self._holder_renewed_at = clock.now() - message.renewal_age_s
             record = self.term.record
             if record is not None:
--- a/packages/daemon/src/samphirestackd/http_client.py
+++ b/packages/daemon/src/samphirestackd/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import socket
 
@@ -24,6 +25,10 @@
     """The call failed before anything was sent to the server."""
 
 
+class PermissionExpired(NotSent):
+    """The caller was no longer permitted to send once it was connected."""
+
+
 class NoAnswer(Exception):
     """No complete response arrived; the server may have run the call."""
 
@@ -134,12 +139,16 @@
         *,
         timeout_s: float,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param address: ``IP:PORT``.
         :param fresh: open a new connection instead of reusing an idle one.
+        :param may_send: checked when the connection is ready, which takes up
+            to ``CONNECT_TIMEOUT_S``, and longer if this process is paused.
         :raises NotSent: no connection could be opened.
+        :raises PermissionExpired: ``may_send`` returned false.
         :raises NoAnswer: no complete response came within ``timeout_s``.
         """
         lines = [f'{method} {target} HTTP/1.1', f'Host: {address}']
@@ -154,6 +163,9 @@
         connection = None if fresh else self._pop_idle(address)
         if connection is None:
             connection = await self._connect(address, timeout_s)
+        if may_send is not None and not may_send():
+            self._return_idle(address, connection)
+            raise PermissionExpired(f'a call to {address} came too late')
         waiter = connection.send(data)
         done = False
         try:
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -180,6 +180,29 @@
         assert await self._find_entry(1.0, 0.5, False) is None
 
 
+class TestPingPace:
+    """Guards against silence that is detected by a pace nobody asked for."""
+
+    async def test_an_entry_follows_the_interval_of_the_holder(self) -> None:
+        async with running_node() as (fleet_node, _):
+            connection = fleet_node._connection
+            connection.received_at = clock.now() - 1.0
+            assert connection.is_late
+            fleet_node._handle_holder_message(
+                b'', messages.Pong(3, None, 1.0, 0.1, 0.9)
+            )
+            assert connection.ping_interval_s == 0.9
+            assert not connection.is_late
+
+    async def test_an_absurd_interval_is_bounded(self) -> None:
+        async with running_node() as (fleet_node, _):
+            fleet_node._handle_holder_message(
+                b'', messages.Pong(3, None, 1.0, 0.1, 1e9)
+            )
+            interval_s = fleet_node._connection.ping_interval_s
+            assert interval_s == node.MAX_PING_INTERVAL_S
+
+
 class FailingHolder(StubHolder):
     """Holder that ends with an unexpected error."""
 
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import tracking
@@ -107,6 +108,51 @@
         )
 
 
+class TestSilentWorkers:
+    """Guards against work of a worker that was only silent for a while."""
+
+    def test_a_run_goes_on_if_the_worker_answers_before_its_lease_ends(
+        self,
+    ) -> None:
+        world = worlds.World(
+            [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        order, name = start.order, start.worker.worker_id
+        scheduler = world.scheduler
+        for round_number in range(3):
+            now = 1.0 + 5.0 * round_number
+            scheduler.record_lease_deadline(
+                name, scheduler.lease_deadline(now, name)
+            )
+            scheduler.mark_worker_silent(now + 1.0, name)
+            assert world.plan(now + 4.0) == []
+            world.report(now + 4.5, name, [(order.task_id, order.run)])
+            assert world.plan(now + 4.6) == []
+
+    def test_an_end_in_the_silence_counts_when_it_is_heard(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        name = start.worker.worker_id
+        world.scheduler.mark_worker_silent(1.0, name)
+        world.report(5.0, name, ended=[(1, start.order.task_id, 1, DONE)])
+        world.store_changes(5.0)
+        state = world.scheduler.jobs.state_of(job_id)
+        assert state is specs.JobState.COMPLETED
+
+
+class TestCheckInterval:
+    """Guards against checks of all runs that occupy a small holder."""
+
+    def test_it_grows_with_the_fleet(self) -> None:
+        shortest = schedulers.CHECK_INTERVAL_S
+        assert schedulers.check_interval_s(24) == shortest
+        assert schedulers.check_interval_s(270) == shortest
+        assert schedulers.check_interval_s(3000) == 10 * shortest
+
+
 class TestWorkerEntries:
     """Guards against entries of workers that are applied to other workers."""
 
