Apply no list of workers that is older than the known one

The list is read again until it is at least as new as what was known; the test failed first ('left' is called). The configuration was not affected: its versions only grow; its test fails when any version is applied (5 == 7).

--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -266,10 +266,22 @@
 
     # Workers
 
-    async def _read_workers(self) -> int:
-        rows, version = await self._read_table(
-            self._context.registry.workers_table
-        )
+    async def _read_workers(self, min_version: int = 0) -> int:
+        """Read the list of workers; return its version.
+
+        :param min_version: version that was seen before.  An older list would
+            bring back workers that have left since.
+        """
+        while True:
+            rows, version = await self._read_table(
+                self._context.registry.workers_table
+            )
+            if version >= min_version:
+                break
+            logs.warning(
+                'workers.outdated', version=version, known=min_version
+            )
+            await asyncio.sleep(RETRY_AFTER_S)
         self._worker_entries_by_id = {}
         for row in rows:
             with self._logging_bad_row(row):
@@ -333,7 +345,7 @@
                 await asyncio.sleep(RETRY_AFTER_S)
                 continue
             if page is None:
-                version = await self._read_workers()
+                version = await self._read_workers(version)
                 self._apply_worker_entries()
                 continue
             version = page.version
--- /dev/null
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -0,0 +1,71 @@
+"""The configuration that an entry follows."""
+
+import asyncio
+
+from samphirestack.fleet import ports
+from samphirestack.fleet import specs
+from samphirestack.fleet import upkeep
+from samphirestack_testing import fleet_world as worlds
+from samphirestack_testing import waiting
+from samphirestackd.fleet import configuration_feed
+
+TIMEOUT_S = 10.0
+
+
+class Registry:
+    """Registry whose rows hold the version of a configuration."""
+
+    operator_table = 'operator'
+    workers_table = 'workers'
+
+    def wave(self, row: ports.StoredRow) -> upkeep.Wave | None:
+        del row
+
+    def configuration(self, row: ports.StoredRow) -> specs.FleetConfiguration:
+        queues = [worlds.make_queue()]
+        return specs.FleetConfiguration(
+            int(row.value), queues, [], [], {}, 10_000
+        )
+
+
+class ReplayingStore:
+    """Store that answers with given versions, one after the other."""
+
+    def __init__(self, versions: list[int]) -> None:
+        self.versions = versions
+
+    async def read(self, table: str) -> ports.Page:
+        del table
+        version = self.versions.pop(0)
+        row = ports.StoredRow('config', str(version).encode(), version, False)
+        return ports.Page([row], version, False)
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        del table, after, wait_s
+        if not self.versions:
+            await asyncio.Event().wait()
+        return None
+
+
+class TestVersions:
+    """Guards against a withdrawn key that works again.
+
+    A store that has dropped its history can answer with an old version.
+    """
+
+    async def test_an_older_version_is_not_applied(self) -> None:
+        store = ReplayingStore([3, 7, 5])
+        feed = configuration_feed.ConfigurationFeed(store, Registry())  # type: ignore[arg-type]
+        running = asyncio.create_task(feed.run())
+        try:
+            await waiting.until(
+                lambda: not store.versions, TIMEOUT_S, 'all answers'
+            )
+            await asyncio.sleep(0)
+            assert feed.configuration is not None
+            assert feed.configuration.version == 7
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -192,6 +192,56 @@
         assert len(holder.scheduler.jobs.active_by_id) == 1
 
 
+class CompactedStore(FollowedStore):
+    """Store that drops its history and then reads out an old list once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        page = await super().read(table, first, end, part)
+        if table != 'workers':
+            return page
+        self.reads += 1
+        if self.reads == 2:
+            left = ports.StoredRow('left', b'', 1, False)
+            return ports.Page([*page.rows, left], 1, False)
+        return page
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        if table == 'workers' and self.reads < 3:
+            return None
+        return await super().feed(table, after, wait_s)
+
+
+class TestOutdatedLists:
+    """Guards against a worker that has left and is in use again."""
+
+    async def test_an_old_list_brings_no_worker_back(self) -> None:
+        store = CompactedStore()
+        for _ in range(5):
+            await put_rows(store, 'workers', {'w1': b''})
+        workers = Workers(ZeroDivisionError(), 0)
+        running = asyncio.create_task(make_holder(store, workers).run())
+        try:
+            await waiting.until(
+                lambda: (
+                    store.reads >= 3 and workers.reports_by_id.get('w1', 0) > 2
+                ),
+                TIMEOUT_S,
+                'another read and calls to the worker',
+            )
+            assert workers.reports_by_id.keys() == {'w1'}
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
 class TestHoldPace:
     """Guards against a rate of hold calls that grows with the fleet."""
 
