Leave free workers to waiting gangs while patient work has time left

Change: while under 40 % of the processors are free and a gang that can still be in time finds too few, steps that are neither urgent nor gangs wait as long as they have over 4 s of slack. Pure code of the planner, off in emptier fleets.

Ruled out on the model: 24, 3 or no reservations in place of 8 (none better); slack of 1 or 2 s (patient jobs lose more than gangs win), free share of 0.5 (the same).

--- a/packages/core/src/samphirestack/fleet/ordering.py
+++ b/packages/core/src/samphirestack/fleet/ordering.py
@@ -41,15 +41,20 @@
     return StepClass.IN_TIME
 
 
-def sort_key(now: float, step: work.StepRun) -> tuple[int, int, float]:
-    """Return the sort key of a waiting step."""
+def latest_start(step: work.StepRun) -> float:
+    """Return the latest start with which a step meets its objective."""
     job = step.job
-    latest_start = (
+    return (
         job.objective_at(step.occurrence)
         - job.remaining_s_by_step[step.number]
     )
+
+
+def sort_key(now: float, step: work.StepRun) -> tuple[int, int, float]:
+    """Return the sort key of a waiting step."""
+    job = step.job
     urgent = job.queue.priority == URGENT_PRIORITY
     if job.spec.repetitions or job.is_long_running:
-        return (StepClass.IN_TIME, 0 if urgent else 1, latest_start)
+        return (StepClass.IN_TIME, 0 if urgent else 1, latest_start(step))
     step_class = classify(now, step)
-    return (step_class, 0 if urgent else 1, latest_start)
+    return (step_class, 0 if urgent else 1, latest_start(step))
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -65,6 +65,14 @@
 """One caller is kept free of advice requests longer than this, so that urgent
 steps do not wait behind them."""
 
+PATIENT_SLACK_S = 4.0
+"""A step with more slack than this leaves free workers to waiting gangs.  The
+rest covers its request for advice and a repeated run."""
+
+MAX_CROWDED_FREE_SHARE = 0.4
+"""Share of free processors below which steps leave them to waiting gangs.  In
+a fleet that has more, a gang lacks suitable workers rather than free ones."""
+
 MAX_RESERVED_GANGS = 8
 """Number of waiting gangs that may reserve workers.  Each needs a forecast of
 1 ms every FORECAST_INTERVAL_S."""
@@ -139,6 +147,9 @@
         self._exhausted_urgencies: set[bool] = set()
         """Urgency of requests for which no caller was left in this round."""
         self._advice_check_count = 0
+        self._gang_is_waiting = False
+        """Whether a gang that can still be in time found too few workers."""
+        self._crowded_by_service: dict[model.ServiceId, bool] = {}
         self._result: list[actions.Action] = []
         self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
         """Candidates of each service, those with most free processors at the
@@ -154,6 +165,8 @@
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
         for step in steps:
+            if self._gang_is_waiting and self._can_wait_for_gangs(step):
+                continue
             if step.job.queue.advice is None:
                 self._place(step, self._eligible(step))
                 continue
@@ -162,6 +175,35 @@
                 self._request_advice(step)
         return self._result
 
+    def _can_wait_for_gangs(self, step: work.StepRun) -> bool:
+        """Return whether a step should leave free room to waiting gangs.
+
+        This answers loads above the capacity of the fleet, under which
+        patient steps take each worker as it becomes free, so that gangs
+        never find enough at once.
+        """
+        if step.spec.gang or step.job.queue.priority == (
+            ordering.URGENT_PRIORITY
+        ):
+            return False
+        if step.job.spec.repetitions or step.job.is_long_running:
+            return False
+        return ordering.latest_start(
+            step
+        ) > self._now + PATIENT_SLACK_S and self._is_crowded(step)
+
+    def _is_crowded(self, step: work.StepRun) -> bool:
+        service = self._service(step)
+        if service not in self._crowded_by_service:
+            free = capacity = 0
+            for candidate in self._candidates_by_id(step).values():
+                free += candidate.free_cpu
+                capacity += candidate.worker.entry.capacity.millicores
+            self._crowded_by_service[service] = (
+                free < MAX_CROWDED_FREE_SHARE * capacity
+            )
+        return self._crowded_by_service[service]
+
     def _place(
         self, step: work.StepRun, candidates: list[packing.Candidate]
     ) -> None:
@@ -449,6 +491,11 @@
         ]
         chosen = packing.choose_gang(step.spec, free, count)
         if chosen is None:
+            if (
+                ordering.classify(self._now, step)
+                is ordering.StepClass.IN_TIME
+            ):
+                self._gang_is_waiting = True
             if step.job.queue.advice is not None:
                 candidates = self._suitable(step)
             self._reserve_workers(step, candidates)
--- a/tests/unit/bench/test_fleet_model.py
+++ b/tests/unit/bench/test_fleet_model.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from samphirestack.fleet import planner
 from samphirestack_bench import fleet_load
 from samphirestack_bench import fleet_model
 
@@ -84,3 +87,32 @@
         first = [(one.started_at, one.ended_at) for one in play(1.0)]
         second = [(one.started_at, one.ended_at) for one in play(1.0)]
         assert first == second
+
+
+class TestPatience:
+    """Guards against gangs that are late while patient work has time left.
+
+    The load asks for 1.1 times the cores, as after an outage of the store.
+    """
+
+    WORKERS = 176
+    LENGTH_S = 12.0
+    LOAD = 1.4
+    TARGET = 0.83
+    """Worth that the users want to be served on days with trouble."""
+
+    def _play(self) -> list[fleet_model.Outcome]:
+        jobs = fleet_load.arrivals(
+            random.Random(1), self.WORKERS, self.LENGTH_S, self.LOAD, 1.8
+        )
+        return fleet_model.FleetModel(jobs, self.WORKERS, 1).run()
+
+    def test_gangs_are_served_and_nobody_else_is_late(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        patient = self._play()
+        monkeypatch.setattr(planner, 'PATIENT_SLACK_S', float('inf'))
+        impatient = self._play()
+        assert share(patient, 'gang') > share(impatient, 'gang')
+        for kind in fleet_load.KINDS:
+            assert share(patient, kind.name) >= self.TARGET
--- a/tests/unit/fleet/test_planner.py
+++ b/tests/unit/fleet/test_planner.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from samphirestack.fleet import actions
+from samphirestack.fleet import planner
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 
@@ -192,6 +193,67 @@
         assert world.plan_starts(0.3) == []
 
 
+class TestPatientSteps:
+    """Guards against gangs that wait while patient steps take each worker.
+
+    The load asks for more than the fleet has: half of it is in use, and a
+    gang needs more than the other half.
+    """
+
+    GANG = worlds.make_step(
+        4, gang=True, size=model.Resources(6000, 100), estimate_s=3.0
+    )
+
+    def _plan(self, step: specs.StepSpec, **queue: object) -> list[str]:
+        """Return the jobs that start beside a waiting gang."""
+        workers = [worlds.make_worker('a'), worlds.make_worker('b')]
+        world = worlds.World(workers)
+        busy = worlds.make_step(2, size=model.Resources(10_000, 100))
+        world.accept(0.0, worlds.make_job(1, [busy]))
+        assert len(world.start_all(0.0)) == 2
+        world.accept(0.0, worlds.make_job(2, [self.GANG]))
+        job = worlds.make_job(
+            3, [step], queue=worlds.make_queue('other', **queue)
+        )
+        world.accept(0.0, job)
+        return [
+            start.order.task_id.split('.')[0]
+            for start in world.plan_starts(0.1)
+        ]
+
+    def test_a_patient_step_leaves_room_to_a_waiting_gang(self) -> None:
+        patient = worlds.make_step(size=model.Resources(1000, 100))
+        assert not self._plan(patient, latency_target_s=30.0)
+
+    def test_it_starts_once_its_slack_is_used_up(self) -> None:
+        patient = worlds.make_step(
+            size=model.Resources(1000, 100), estimate_s=0.1
+        )
+        job_id = worlds.make_job(3).job_id
+        slack_s = planner.PATIENT_SLACK_S
+        assert self._plan(patient, latency_target_s=slack_s - 0.5) == [job_id]
+
+    def test_urgent_steps_never_wait_for_gangs(self) -> None:
+        urgent = worlds.make_step(
+            size=model.Resources(1000, 100), estimate_s=0.1
+        )
+        job_id = worlds.make_job(3).job_id
+        assert self._plan(urgent, priority=0, latency_target_s=30.0) == [
+            job_id
+        ]
+
+    def test_nothing_waits_for_a_gang_in_an_empty_fleet(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1, [self.GANG]))
+        patient = worlds.make_step(size=model.Resources(1000, 100))
+        queue = worlds.make_queue('other', latency_target_s=30.0)
+        job_id = world.accept(0.0, worlds.make_job(2, [patient], queue=queue))
+        assert [
+            start.order.task_id.split('.')[0]
+            for start in world.plan_starts(0.1)
+        ] == [job_id]
+
+
 class TestAdvice:
     """Guards against starts without a ticket and useless requests."""
 
