Move the pace of calls, pings and checks into one module of decisions

Read through as a newcomer: three functions answered the same load from three modules, one of them in the daemon.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -2,33 +2,11 @@
 
 import msgspec
 
+from samphirestack.fleet import pacing
 from samphirestack.fleet import specs
 from samphirestack import model
 
 
-MIN_PING_INTERVAL_S = 0.3
-MAX_PING_INTERVAL_S = 1.0
-"""Range of the interval of an entry's pings.  The longest is below the age of
-the counts of waiting jobs that an entry may show."""
-
-MAX_PINGS_PER_S = 330.0
-"""Rate of the pings of all entries above which each pings less often."""
-
-
-def ping_interval_s(entry_count: int) -> float:
-    """Return the interval of each entry's pings.
-
-    This answers systems with hundreds of entries, whose pings would occupy
-    most of a small holder.
-    """
-    return bound_ping_interval_s(entry_count / MAX_PINGS_PER_S)
-
-
-def bound_ping_interval_s(interval_s: float) -> float:
-    """Return the nearest allowed interval of pings."""
-    return max(MIN_PING_INTERVAL_S, min(MAX_PING_INTERVAL_S, interval_s))
-
-
 class Ping(msgspec.Struct, tag='ping', frozen=True):
     """Periodic message from an entry to the holder."""
 
@@ -52,7 +30,7 @@
     """Highest strength among the entries known to the holder."""
     renewal_age_s: float
     """Time since the holder last renewed the term in the store."""
-    ping_interval_s: float = MIN_PING_INTERVAL_S
+    ping_interval_s: float = pacing.MIN_PING_INTERVAL_S
     """Interval of the entry's pings from now on."""
 
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import job_tracker
+from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -43,14 +44,6 @@
 STALL_PAUSE_S = 6.0
 """Pause in placing work on a worker on which a run stalled."""
 
-CHECK_INTERVAL_S = 0.045
-"""Interval between checks of all runs.  Nothing they detect needs a faster
-reaction, and with every plan they took a third of its time at 176 workers."""
-
-WORKERS_PER_CHECK_INTERVAL = 300
-"""Number of workers above which the interval grows with them, so that the
-checks don't occupy a small holder."""
-
 READY_PERCENT = 100.0
 """Progress that a long-running task reports once it serves."""
 
@@ -720,7 +713,7 @@
 
         :param advice_callers: capacity for calls to the advice service.
         """
-        if now - self._last_check_at >= check_interval_s(
+        if now - self._last_check_at >= pacing.check_interval_s(
             len(self.workers_by_id)
         ):
             self._last_check_at = now
@@ -910,13 +903,6 @@
         return advanced
 
 
-def check_interval_s(worker_count: int) -> float:
-    """Return the interval between checks of all runs."""
-    return CHECK_INTERVAL_S * max(
-        1.0, worker_count / WORKERS_PER_CHECK_INTERVAL
-    )
-
-
 def _stop_action(
     worker: tracking.TrackedWorker, run: tracking.Run, reason: str
 ) -> actions.Stop:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -10,6 +10,7 @@
 from samphirestack import errors
 from samphirestack.fleet import actions
 from samphirestack.fleet import messages
+from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import scheduler as schedulers
@@ -25,23 +26,6 @@
 from samphirestackd.fleet import writer as writers
 from samphirestackd import logs
 
-MIN_PACE_STRENGTH = 0.5
-"""Strength below which a holder does not call its workers even less often."""
-
-MIN_HOLD_WAIT_S = 0.5
-MAX_HOLD_WAIT_S = 2.0
-"""Range of the time for which a worker delays its answer to a hold call; it
-answers at once when a run ends.  Leases are therefore renewed at least this
-often, so that they do not expire while another entry takes over the term."""
-
-MAX_IDLE_PAUSE_S = 3.0
-"""Longest pause between hold calls to a worker without runs, in which its
-end is not detected."""
-
-IDLE_HOLDS_PER_S = 600.0
-"""Rate of hold calls to all workers above which they wait longer, for a holder
-with one core or more."""
-
 MIN_PLAN_INTERVAL_S = 0.004
 """Shortest interval between plans, which batches concurrent events."""
 
@@ -76,15 +60,6 @@
 """Identity of this process in the pool of advice callers."""
 
 
-class HoldPace(msgspec.Struct, frozen=True):
-    """Pace of the hold calls to each worker."""
-
-    wait_s: float
-    """Time for which a worker may delay its answer."""
-    idle_pause_s: float
-    """Pause between two calls to a worker without runs."""
-
-
 class Holder:
     """Runs the scheduler of the fleet while this process holds the term.
 
@@ -382,7 +357,7 @@
             )
             if unstored:
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(MIN_HOLD_WAIT_S):
+                    async with asyncio.timeout(pacing.MIN_HOLD_WAIT_S):
                         await event.wait()
                 if worker.last_handled_end == worker.last_stored_end:
                     continue
@@ -395,8 +370,8 @@
                 await asyncio.sleep(RETRY_AFTER_S)
             await self._pause_while_idle(worker)
 
-    def _hold_pace(self) -> HoldPace:
-        return hold_pace(
+    def _hold_pace(self) -> pacing.HoldPace:
+        return pacing.hold_pace(
             len(self.scheduler.workers_by_id), self._context.strength
         )
 
@@ -793,23 +768,6 @@
             waiter.set_result(message.tickets_by_worker_id)
 
 
-def hold_pace(worker_count: int, strength: float) -> HoldPace:
-    """Return the pace at which a holder calls its workers.
-
-    This answers fleets of which a holder can't call each worker twice a
-    second.  Runs keep their leases and report their ends at once; workers
-    without runs are called less often.
-
-    :param strength: of the holder; see ``term.strength``.
-    """
-    rate = IDLE_HOLDS_PER_S * min(1.0, max(MIN_PACE_STRENGTH, strength))
-    interval_s = worker_count / rate
-    wait_s = min(MAX_HOLD_WAIT_S, max(MIN_HOLD_WAIT_S, interval_s))
-    return HoldPace(
-        wait_s, min(MAX_IDLE_PAUSE_S, max(0.0, interval_s - wait_s))
-    )
-
-
 async def call_advisor(
     context: node_context.Context,
     step_id: str,
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -14,6 +14,7 @@
 import zmq.asyncio
 
 from samphirestack.fleet import messages
+from samphirestack.fleet import pacing
 from samphirestackd.fleet import clock
 from samphirestackd import logs
 
@@ -96,7 +97,7 @@
         self.received_at = float('-inf')
         """Time of the last message of the holder."""
         self._opened_at = 0.0
-        self.ping_interval_s = messages.MIN_PING_INTERVAL_S
+        self.ping_interval_s = pacing.MIN_PING_INTERVAL_S
         """Interval of pings that the holder asked for."""
 
     @property
@@ -132,7 +133,7 @@
         self._generation += 1
         self.address = address
         self._opened_at = clock.now()
-        self.ping_interval_s = messages.MIN_PING_INTERVAL_S
+        self.ping_interval_s = pacing.MIN_PING_INTERVAL_S
         sock = self._context.socket(zmq.DEALER)
         sock.setsockopt(zmq.LINGER, 0)
         sock.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -11,6 +11,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import messages
+from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import term as terms
@@ -329,7 +330,7 @@
             lost_after_s = max(
                 ENTRY_LOST_AFTER_S,
                 LOST_PINGS
-                * messages.ping_interval_s(len(self._pings_by_identity)),
+                * pacing.ping_interval_s(len(self._pings_by_identity)),
             )
             for identity, (received_at, _) in list(
                 self._pings_by_identity.items()
@@ -441,7 +442,7 @@
                     self._counts_for_pongs(holder),
                     self.term.best_strength,
                     self.term.renewal_age(clock.now()),
-                    messages.ping_interval_s(len(self._pings_by_identity)),
+                    pacing.ping_interval_s(len(self._pings_by_identity)),
                 ),
             )
         elif holder is None:
@@ -464,7 +465,7 @@
     ) -> None:
         if isinstance(message, messages.Pong):
             self.term.best_strength = message.best_strength
-            self._connection.ping_interval_s = messages.bound_ping_interval_s(
+            self._connection.ping_interval_s = pacing.bound_ping_interval_s(
                 message.ping_interval_s
             )
             self._holder_renewed_at = clock.now() - message.renewal_age_s
