--- a/tests/integration/test_platform_entry.py
+++ b/tests/integration/test_platform_entry.py
@@ -7,10 +7,13 @@
 import itertools
 import pathlib
 import signal
+import socket
 
+import msgspec
 import pytest
 import pytest_asyncio
 
+from samphirestack_platform import entry as platform_entry
 from samphirestack_platform_standin import deployment as deployments
 from samphirestack_platform_standin import store as stores
 
@@ -324,3 +327,34 @@
             if run.worker == leaving.worker_id
             and not run.task.startswith(f'{1:016x}')
         ]
+
+
+class TestAddresses:
+    """Guards against an entry that ends without a word on its cause."""
+
+    async def test_an_address_in_use_is_named(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        ports = deployments.PortReservations()
+        entry = deployments.Entry('entry', tmp_path, ports)
+        entry.configure('127.0.0.1:1', '127.0.0.1:1')
+        host, _, port = entry.ready.rpartition(':')
+        with socket.create_server((host, int(port))):
+            await entry.start()
+            assert entry.process is not None
+            async with asyncio.timeout(30.0):
+                status = await entry.process.wait()
+        ports.close()
+        assert status == platform_entry.EXIT_ADDRESS
+        (line,) = entry.log_path.read_text().splitlines()
+        found = msgspec.json.decode(line)
+        assert found['message_type'] == 'entry.cannot_listen'
+        assert found['setting'] == 'listen.ready'
+
+    def test_two_deployments_reserve_different_ports(self) -> None:
+        first = deployments.PortReservations()
+        second = deployments.PortReservations()
+        numbers = [ports.reserve() for ports in (first, second) * 50]
+        assert len(set(numbers)) == len(numbers)
+        first.close()
+        second.close()
