Close the connections of a test's server before its event loop ends

Cause: the server of test_http_client left its handlers waiting; Python closed their writers whenever the garbage collector ran, after the loop had ended, and pytest reported that at whichever test ran then. Change: the server ends its handlers. What the tests check is unchanged.

--- a/tests/unit/fleet/test_http_client.py
+++ b/tests/unit/fleet/test_http_client.py
@@ -25,11 +25,15 @@
 
     def __init__(self) -> None:
         self.calls = 0
+        self._connections: set[asyncio.Task[None]] = set()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 for line in head.lower().split(b'\r\n'):
@@ -37,7 +41,18 @@
                         await reader.readexactly(int(line.split(b':')[1]))
                 self.calls += 1
                 writer.write(RESPONSE)
-        writer.close()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._connections.discard(task)
+            writer.close()
+
+    async def close(self) -> None:
+        """Close all connections before the event loop ends."""
+        connections = list(self._connections)
+        for task in connections:
+            task.cancel()
+        await asyncio.gather(*connections, return_exceptions=True)
 
 
 @contextlib.asynccontextmanager
@@ -49,6 +64,7 @@
         yield server, f'127.0.0.1:{port}'
     finally:
         listener.close()
+        await server.close()
 
 
 class TestIdleConnections:
