Give up a job whose task crashes each worker that starts it

Cause: the end of a run without a reported end was counted nowhere. A lost run only put its task back into the queue, in memory and in the store alike, and the worker's new id hid that its process had crashed: its runs waited for the lease. Class of the fault: an outcome that leaves no trace is retried without limit.

Change: a crash is proved by a newer process under the worker's id or on its machine. Runs that had just started are suspects; each starts again where nothing else has just started, so that one more crash identifies it, and its job ends as failed. A run that survives its start clears its task. Crashes are stored with the progress of the job, so before the next order. Four crashes under one task end its job in any case. A silent worker, one that leaves, and the first loss of half a rack at once count against no task. The runs of a crashed worker start again when its machine runs a new process, not when the lease ends.

Ruled out: counting all runs of a crashed worker, which would give up innocent jobs; the loss by a takeover, since the same was seen without one.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -52,7 +52,33 @@
     percent: int
 
 
-Action = Start | Stop | RequestAdvice | PollWorker | Throttle
+class ReportCrash(msgspec.Struct, frozen=True):
+    """Tell operators about the crash of a worker."""
+
+    worker: specs.WorkerEntry
+    lost_task_ids: tuple[model.TaskId, ...]
+    suspect_ids: tuple[model.TaskId, ...]
+    """Tasks that may have caused it; none if its rack was lost as well."""
+
+
+class ReportGivenUp(msgspec.Struct, frozen=True):
+    """Tell operators that a job ends because a task crashes its workers."""
+
+    job_id: model.JobId
+    task_id: model.TaskId
+    worker_ids: tuple[model.WorkerId, ...]
+    """Workers that crashed under the task."""
+
+
+Action = (
+    Start
+    | Stop
+    | RequestAdvice
+    | PollWorker
+    | Throttle
+    | ReportCrash
+    | ReportGivenUp
+)
 
 
 class Changes(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -0,0 +1,237 @@
+"""Attribution of workers' crashes to the tasks that may have caused them.
+
+A task can crash each worker that starts it.  A crash alone doesn't show which
+run caused it: the others on the worker are innocent.  The runs that had only
+just started are suspects.  Each starts again on probation, where no other
+job's task starts on the worker at about the same time, so that one more crash
+identifies it.  A run that survives its start clears its task.
+
+A crash counts only if it is proved: by a new process with the worker's id or
+on its machine.  A worker that is merely silent may run on.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from samphirestack.fleet import specs
+from samphirestack.fleet import tracking
+from samphirestack.fleet import work
+from samphirestack import model
+
+START_WINDOW_S = 0.3
+"""Time after its start within which a task that crashes workers does so.  It
+covers a worker that is several times slower than usual."""
+
+IDENTIFYING_CRASHES = 2
+"""Crashes of which a task was a suspect after which its job is given up, if
+no other job was a suspect of the last one."""
+
+MAX_CRASHES = 4
+"""Crashes under one task after which its job is given up in any case.  It
+bounds the damage of a task that crashes workers later than START_WINDOW_S."""
+
+PROBATION_WAIT_S = 1.0
+"""Time that a suspect waits for a worker on which nothing else has just
+started, before it takes any other."""
+
+STEADY_AGE_S = 5.0
+"""Age from which a process of a worker counts as steady.  Suspects avoid
+younger ones, since a worker that keeps restarting would incriminate them."""
+
+SIMULTANEOUS_S = 0.25
+MIN_SIMULTANEOUS = 3
+"""At least this many workers of a rack, and half of it, that are lost within
+SIMULTANEOUS_S have a common cause, such as a loss of power."""
+
+PROOF_WINDOW_S = 60.0
+"""Time after the loss of a worker in which its return proves a crash."""
+
+
+class LostRun(msgspec.Struct, frozen=True):
+    """A run that was lost with its worker."""
+
+    task: work.Task
+    number: int
+    may_have_just_started: bool
+
+
+class LostWorker(msgspec.Struct, frozen=True):
+    """A worker that was lost with its runs."""
+
+    entry: specs.WorkerEntry
+    lost_at: float
+    """When it stopped answering."""
+    runs: tuple[LostRun, ...]
+
+
+class CrashTracker:
+    """Tells crashes of workers from other losses."""
+
+    def __init__(self) -> None:
+        self._started_ms_by_machine: dict[str, int] = {}
+        """Start time of the newest process on each machine."""
+        self._unproved_by_machine: dict[str, LostWorker] = {}
+        self._lost_by_machine: dict[str, tuple[float, str]] = {}
+        """Time of the last loss of each machine's worker, and its rack."""
+
+    def record_process(self, entry: specs.WorkerEntry) -> LostWorker | None:
+        """Record a registered process of a worker.
+
+        :return: the lost predecessor whose crash it proves, if any.
+        """
+        machine = entry.machine
+        if not machine:
+            return None
+        newest = self._started_ms_by_machine.get(machine, 0)
+        self._started_ms_by_machine[machine] = max(
+            newest, entry.started_unix_ms
+        )
+        lost = self._unproved_by_machine.get(machine)
+        if lost is None or (
+            entry.started_unix_ms <= lost.entry.started_unix_ms
+        ):
+            return None
+        del self._unproved_by_machine[machine]
+        return lost
+
+    def has_successor(self, worker: tracking.TrackedWorker) -> bool:
+        """Return whether a newer process runs on the worker's machine."""
+        newest = self._started_ms_by_machine.get(worker.entry.machine, 0)
+        return newest > worker.started_unix_ms > 0
+
+    def record_loss(self, lost: LostWorker) -> None:
+        """Record a worker whose crash isn't proved."""
+        if lost.entry.machine:
+            self._unproved_by_machine[lost.entry.machine] = lost
+
+    def mark_alive(self, machine: str) -> None:
+        """Record that a worker taken for lost runs on."""
+        self._unproved_by_machine.pop(machine, None)
+        self._lost_by_machine.pop(machine, None)
+
+    def forget_old_losses(self, now: float) -> None:
+        """Forget losses that were not proved in time."""
+        for machine, lost in list(self._unproved_by_machine.items()):
+            if now - lost.lost_at > PROOF_WINDOW_S:
+                del self._unproved_by_machine[machine]
+
+    def has_common_cause(
+        self, lost: LostWorker, workers: Iterable[tracking.TrackedWorker]
+    ) -> bool:
+        """Return whether a large part of the rack was lost at about once.
+
+        :param workers: all tracked workers.
+        """
+        rack = lost.entry.rack
+        self._lost_by_machine[lost.entry.machine] = (lost.lost_at, rack)
+        machines = set()
+        lost_machines = {
+            machine
+            for machine, (lost_at, lost_rack) in self._lost_by_machine.items()
+            if lost_rack == rack
+            and abs(lost_at - lost.lost_at) <= SIMULTANEOUS_S
+        }
+        for worker in workers:
+            if worker.entry.rack != rack:
+                continue
+            machines.add(worker.entry.machine)
+            silent_since = worker.silent_since
+            if silent_since is not None and (
+                abs(silent_since - lost.lost_at) <= SIMULTANEOUS_S
+            ):
+                lost_machines.add(worker.entry.machine)
+        return len(lost_machines) >= max(
+            MIN_SIMULTANEOUS, len(machines | lost_machines) / 2
+        )
+
+
+def lost_worker(
+    now: float,
+    worker: tracking.TrackedWorker,
+    runs: Iterable[tracking.Run],
+) -> LostWorker:
+    """Return what is lost with a worker.
+
+    :param runs: those of its runs that are lost.
+    """
+    lost_at = now if worker.silent_since is None else worker.silent_since
+    return LostWorker(
+        worker.entry,
+        lost_at,
+        tuple(
+            LostRun(
+                run.task,
+                run.number,
+                run.started_at > worker.last_answer_at - START_WINDOW_S,
+            )
+            for run in runs
+            if run.order_sent
+        ),
+    )
+
+
+def suspects_of(lost: LostWorker, has_common_cause: bool) -> list[LostRun]:
+    """Return the runs that may have caused a crash.
+
+    If none had just started, each of them may have.
+
+    :param has_common_cause: whether much of the rack was lost as well.
+    """
+    suspects = [
+        run
+        for run in lost.runs
+        if run.may_have_just_started
+        or len(run.task.crashes_by_run) >= MAX_CRASHES - 1
+    ]
+    if has_common_cause:
+        # A further crash under the same task is no coincidence.
+        return [run for run in suspects if _was_suspected(run.task)]
+    return suspects or list(lost.runs)
+
+
+def _was_suspected(task: work.Task) -> bool:
+    return (
+        task.suspected_crashes > 0
+        or len(task.crashes_by_run) >= MAX_CRASHES - 1
+    )
+
+
+def is_to_be_given_up(task: work.Task, other_jobs_are_suspects: bool) -> bool:
+    """Return whether the job of a suspect is given up after a crash.
+
+    :param other_jobs_are_suspects: whether a task of another job may have
+        caused the last crash.
+    """
+    if not other_jobs_are_suspects and (
+        task.suspected_crashes >= IDENTIFYING_CRASHES
+    ):
+        return True
+    # Over the life of a long-running task, workers crash for other reasons.
+    return (
+        not task.step.spec.long_running
+        and len(task.crashes_by_run) >= MAX_CRASHES
+    )
+
+
+def is_fit_for_probation(
+    now: float, unix_now: float, worker: tracking.TrackedWorker
+) -> bool:
+    """Return whether a crash of a worker would identify a suspect.
+
+    It would not if another task has just started there, or if the worker
+    restarted recently.
+    """
+    if unix_now - worker.started_unix_ms / 1000 < STEADY_AGE_S:
+        return False
+    return all(
+        now - run.started_at > START_WINDOW_S
+        for run in worker.runs_by_key.values()
+    )
+
+
+def crashed_worker_ids(task: work.Task) -> list[model.WorkerId]:
+    """Return the workers that crashed under a task, in order."""
+    return [
+        crash.worker_id for _, crash in sorted(task.crashes_by_run.items())
+    ]
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -150,6 +150,15 @@
                 task = step.tasks[index]
                 task.failed_runs.update(numbers)
                 task.last_run_number = max([task.last_run_number, *numbers])
+        for key, crashes in progress.crashes_by_task.items():
+            occurrence, number, index = map(int, key.split('.'))
+            step = job.steps_by_key.get((occurrence, number))
+            if step is not None and index < step.spec.count:
+                task = step.tasks[index]
+                task.crashes_by_run.update(crashes)
+                task.last_run_number = max([task.last_run_number, *crashes])
+                if task.suspected_crashes:
+                    step.suspect_indexes.add(index)
         for key in sorted(progress.done_by_step, key=_step_order):
             occurrence, number = map(int, key.split('.'))
             step = job.steps_by_key.get((occurrence, number))
@@ -298,6 +307,47 @@
             failed |= member.failed_runs
         return len(failed)
 
+    def record_crash(
+        self,
+        task: work.Task,
+        run_number: int,
+        crash: records.TaskCrash,
+    ) -> None:
+        """Record the crash of a worker under a run of a task."""
+        if (
+            task.state is work.TaskState.DONE
+            or task.step.job.job_id not in self.active_by_id
+            or run_number in task.crashes_by_run
+        ):
+            return
+        task.crashes_by_run[run_number] = crash
+        if crash.suspected:
+            task.step.suspect_indexes.add(task.index)
+        self._store_crashes(task)
+
+    def clear_suspicion(self, task: work.Task) -> None:
+        """Record that a task does not crash its worker when it starts."""
+        task.step.suspect_indexes.discard(task.index)
+        if not task.suspected_crashes:
+            return
+        if task.step.spec.long_running:
+            # Over its life, workers crash for many other reasons.
+            task.crashes_by_run = {}
+        else:
+            task.crashes_by_run = {
+                run_number: records.TaskCrash(crash.worker_id, False)
+                for run_number, crash in task.crashes_by_run.items()
+            }
+        self._store_crashes(task)
+
+    def _store_crashes(self, task: work.Task) -> None:
+        job = task.step.job
+        job.progress.crashes_by_task[_task_key(task)] = dict(
+            task.crashes_by_run
+        )
+        if job.job_id in self.active_by_id:
+            self._dirty[job.job_id] = None
+
     def is_complete(self, job: work.Job) -> bool:
         """Return whether all tasks of all occurrences succeeded."""
         return job.occurrences_done >= job.occurrence_count
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -14,6 +14,7 @@
 
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
+from samphirestack.fleet import crashes
 from samphirestack.fleet import forecast
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import ordering
@@ -481,7 +482,6 @@
     def _place_gang(
         self, step: work.StepRun, candidates: list[packing.Candidate]
     ) -> None:
-        count = step.spec.count
         if not self._may_start(step):
             return
         free = [
@@ -489,7 +489,7 @@
             for candidate in candidates
             if self._may_place_on(candidate, step)
         ]
-        chosen = packing.choose_gang(step.spec, free, count)
+        chosen = self._choose_gang(step, free)
         if chosen is None:
             if (
                 ordering.classify(self._now, step)
@@ -500,6 +500,9 @@
                 candidates = self._suitable(step)
             self._reserve_workers(step, candidates)
             return
+        for index in step.suspect_indexes:
+            self._close(chosen[index])
+        step.probation_wanted_at = None
         run_number = self._fleet.jobs.next_run_number(step.tasks)
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint),
@@ -508,6 +511,19 @@
         for task, candidate in zip(step.tasks, chosen, strict=True):
             self._start(task, candidate, run_number, checkpoint)
 
+    def _choose_gang(
+        self, step: work.StepRun, free: list[packing.Candidate]
+    ) -> list[packing.Candidate] | None:
+        """Return a worker for each member of a gang, or ``None``."""
+        count = step.spec.count
+        if not step.suspect_indexes:
+            return packing.choose_gang(step.spec, free, count)
+        fit = self._fit_for_probation(free)
+        chosen = packing.choose_gang(step.spec, fit, count)
+        if chosen is None and self._has_waited_for_probation(step):
+            chosen = packing.choose_gang(step.spec, free, count)
+        return chosen
+
     def _place_tasks(
         self, step: work.StepRun, candidates: list[packing.Candidate]
     ) -> None:
@@ -518,7 +534,9 @@
             for candidate in candidates
             if self._may_place_on(candidate, step)
         ]
-        for index in sorted(step.waiting):
+        if step.suspect_indexes:
+            headroom = self._place_suspects(step, candidates, headroom)
+        for index in sorted(step.waiting - step.suspect_indexes):
             if headroom <= 0:
                 return
             task = step.tasks[index]
@@ -547,6 +565,67 @@
             run_number = self._fleet.jobs.next_run_number([task])
             self._start(task, candidate, run_number, task.checkpoint)
 
+    def _place_suspects(
+        self,
+        step: work.StepRun,
+        candidates: list[packing.Candidate],
+        headroom: int,
+    ) -> int:
+        """Start suspects of a step, on one worker at a time.
+
+        Of the workers that are fit for it, that with the fewest runs is
+        taken, since it may crash.
+
+        :return: number of further tasks that the customer may start.
+        """
+        if step.is_on_probation:
+            return headroom
+        spec = step.spec
+        roomy = [candidate for candidate in candidates if candidate.fits(spec)]
+        fit = self._fit_for_probation(roomy)
+        if not fit and self._has_waited_for_probation(step):
+            fit = roomy
+        if not fit:
+            return headroom
+        candidate = min(
+            fit, key=lambda candidate: len(candidate.worker.runs_by_key)
+        )
+        limit = min(headroom, spec.max_per_worker or headroom)
+        count = candidate.count(spec, limit)
+        indexes = sorted(step.waiting & step.suspect_indexes)[:count]
+        for index in indexes:
+            task = step.tasks[index]
+            run_number = self._fleet.jobs.next_run_number([task])
+            self._start(task, candidate, run_number, task.checkpoint)
+        if indexes:
+            self._close(candidate)
+            candidates.remove(candidate)
+            step.probation_wanted_at = None
+        return headroom - len(indexes)
+
+    def _fit_for_probation(
+        self, candidates: list[packing.Candidate]
+    ) -> list[packing.Candidate]:
+        unix_now = self._now + self._fleet.jobs.unix_offset_s
+        return [
+            candidate
+            for candidate in candidates
+            if crashes.is_fit_for_probation(
+                self._now, unix_now, candidate.worker
+            )
+        ]
+
+    def _has_waited_for_probation(self, step: work.StepRun) -> bool:
+        if step.probation_wanted_at is None:
+            step.probation_wanted_at = self._now
+        waited_s = self._now - step.probation_wanted_at
+        return waited_s > crashes.PROBATION_WAIT_S
+
+    def _close(self, candidate: packing.Candidate) -> None:
+        """Start nothing else on a worker in this round."""
+        entry = candidate.worker.entry
+        self._candidates_by_service[entry.service].pop(entry.worker_id, None)
+
     def _may_place_on(
         self, candidate: packing.Candidate, step: work.StepRun
     ) -> bool:
@@ -644,6 +723,7 @@
         and not worker.is_draining
         and not worker.closed_for_upkeep
         and not worker.unknown_runs
+        and not worker.probation_run_count
         and worker.avoid_until <= now
         and quarantined.accepts(now, worker.entry.worker_id)
     )
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -45,6 +45,14 @@
     ended_unix_s: float = 0.0
 
 
+class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
+    """The crash of a worker under a run of a task."""
+
+    worker_id: model.WorkerId
+    suspected: bool
+    """Whether the task may have caused it, as far as is known."""
+
+
 class JobProgress(msgspec.Struct, omit_defaults=True):
     """Progress of a job as the holder of the term stores it."""
 
@@ -52,6 +60,8 @@
     """Indexes of the tasks that succeeded, by ``OCCURRENCE.STEP``."""
     failed_runs_by_task: dict[str, list[int]] = {}
     """Numbers of failed runs, by ``OCCURRENCE.STEP.INDEX``."""
+    crashes_by_task: dict[str, dict[int, TaskCrash]] = {}
+    """Crashes of workers by run number, by ``OCCURRENCE.STEP.INDEX``."""
     placed_by_task: dict[str, tuple[int, str]] = {}
     """Run number and worker of each task that may be on a worker, by
     ``OCCURRENCE.STEP.INDEX``.  It is stored before the order is sent, so a
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -11,6 +11,7 @@
 
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
+from samphirestack.fleet import crashes
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
@@ -73,6 +74,7 @@
         self.jobs = job_tracker.JobTracker(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
+        self._crashes = crashes.CrashTracker()
         self._last_check_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
@@ -220,6 +222,9 @@
         Its cost doesn't depend on the number of workers, all of which renew
         their entries every few heartbeats.
         """
+        lost = self._crashes.record_process(entry)
+        if lost is not None:
+            self._attribute_crash(now, lost)
         worker = self.workers_by_id.get(entry.worker_id)
         if worker is None:
             self.workers_by_id[entry.worker_id] = tracking.TrackedWorker(entry)
@@ -278,7 +283,9 @@
             # A run may have stood still only because its worker did.
             for run in worker.runs_by_key.values():
                 run.last_progress_at = now
+            self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
+        worker.last_answer_at = now
         worker.record_clock(now, report.clock_ms)
         if not worker.has_reported:
             # An earlier holder may have extended the lease up to here.
@@ -294,7 +301,7 @@
         listed = set()
         for running in report.running:
             listed.add((running.task_id, running.run))
-            self._apply_running_row(now, worker, running)
+            self._apply_running_row(now, sent_at, worker, running)
         for key in list(worker.unknown_runs):
             if key not in listed:
                 del worker.unknown_runs[key]
@@ -338,6 +345,19 @@
             if (report)
             else set()
         )
+        if not _has_left(worker):
+            self._attribute_crash(
+                now,
+                crashes.lost_worker(
+                    now,
+                    worker,
+                    [
+                        run
+                        for key, run in worker.runs_by_key.items()
+                        if key not in listed
+                    ],
+                ),
+            )
         for key, run in list(worker.runs_by_key.items()):
             if key in listed:
                 continue
@@ -352,8 +372,48 @@
             else:
                 self._remove_lost_run(worker, run)
 
+    def _attribute_crash(self, now: float, lost: crashes.LostWorker) -> None:
+        """Record a proved crash and give up the job that causes crashes."""
+        if not lost.runs:
+            return
+        suspects = crashes.suspects_of(
+            lost,
+            self._crashes.has_common_cause(lost, self.workers_by_id.values()),
+        )
+        for run in lost.runs:
+            self.jobs.record_crash(
+                run.task,
+                run.number,
+                records.TaskCrash(lost.entry.worker_id, run in suspects),
+            )
+        self._pending_actions.append(
+            actions.ReportCrash(
+                lost.entry,
+                tuple(run.task.id for run in lost.runs),
+                tuple(run.task.id for run in suspects),
+            )
+        )
+        job_ids = {run.task.step.job.job_id for run in suspects}
+        for run in suspects:
+            job = run.task.step.job
+            if job.job_id in self.jobs.active_by_id and (
+                crashes.is_to_be_given_up(run.task, len(job_ids) > 1)
+            ):
+                self._pending_actions.append(
+                    actions.ReportGivenUp(
+                        job.job_id,
+                        run.task.id,
+                        tuple(crashes.crashed_worker_ids(run.task)),
+                    )
+                )
+                self._end_job(job, specs.JobState.FAILED, now)
+
     def _apply_running_row(
-        self, now: float, worker: tracking.TrackedWorker, row: specs.RunningRow
+        self,
+        now: float,
+        sent_at: float,
+        worker: tracking.TrackedWorker,
+        row: specs.RunningRow,
     ) -> None:
         key = (row.task_id, row.run)
         run = worker.runs_by_key.get(key)
@@ -365,6 +425,12 @@
             if run.state is not tracking.RunState.CONFIRMED:
                 run.state = tracking.RunState.CONFIRMED
             run.lists_valid_from = now
+        run.started_at = min(run.started_at, now)
+        if run.on_probation and (
+            sent_at - run.started_at > crashes.START_WINDOW_S
+        ):
+            worker.end_probation(run)
+            self.jobs.clear_suspicion(run.task)
         if row.percent != run.percent:
             run.percent = row.percent
             run.last_progress_at = now
@@ -431,6 +497,8 @@
     ) -> None:
         run = worker.runs_by_key.get((row.task_id, row.run))
         if run is not None:
+            if run.on_probation:
+                self.jobs.clear_suspicion(run.task)
             self._remove_run(worker, run)
         task = run.task if run else self.jobs.find_task(row.task_id)
         if task is None or task.step.job.state in specs.ENDED_STATES:
@@ -505,6 +573,7 @@
         self, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
         job = run.task.step.job
+        run.on_probation = run.task.index in run.task.step.suspect_indexes
         worker.add_run(run)
         self.usage.add(job.customer_id, run.task.step.spec.size)
         self._runs_by_job.setdefault(job.job_id, {})[
@@ -578,7 +647,10 @@
         if run.state is not tracking.RunState.ORDERED:
             return
         wanted = run.stop_requested_at == float('-inf')
+        run.started_at = now
+        run.order_sent = True
         if outcome is specs.StartOutcome.STARTED:
+            worker.last_answer_at = now
             run.state = tracking.RunState.CONFIRMED
             run.lists_valid_from = now
             run.last_progress_at = now
@@ -758,15 +830,41 @@
         run = worker.runs_by_key.get((task_id, run_number))
         return run is not None and run.stop_requested_at == float('-inf')
 
+    def mark_start_sent(
+        self,
+        worker_id: model.WorkerId,
+        task_id: model.TaskId,
+        run_number: specs.RunNumber,
+    ) -> None:
+        """Record that a start order is about to be sent."""
+        worker = self.workers_by_id.get(worker_id)
+        run = worker.runs_by_key.get((task_id, run_number)) if worker else None
+        if run is not None:
+            run.order_sent = True
+
     def _check_workers(self, now: float) -> None:
+        self._crashes.forget_old_losses(now)
         for worker_id, worker in list(self.workers_by_id.items()):
             silent = worker.silent_since is not None
+            if (
+                silent
+                and worker.runs_by_key
+                and not _has_left(worker)
+                and self._crashes.has_successor(worker)
+            ):
+                self._remove_crashed_runs(now, worker)
             unavailable = silent or not worker.registered
             if worker.has_reported:
                 expired = worker.lease_expired(now)
             else:
                 expired = now >= self._inherited_leases_expire_at
             if unavailable and (expired or not worker.runs_by_key):
+                if worker.runs_by_key and not _has_left(worker):
+                    self._crashes.record_loss(
+                        crashes.lost_worker(
+                            now, worker, worker.runs_by_key.values()
+                        )
+                    )
                 for run in list(worker.runs_by_key.values()):
                     self._remove_lost_run(worker, run)
                 if not worker.registered:
@@ -775,6 +873,19 @@
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
 
+    def _remove_crashed_runs(
+        self, now: float, worker: tracking.TrackedWorker
+    ) -> None:
+        """Remove the runs of a worker whose machine runs a newer process.
+
+        An order that is still on its way names the old process, which the
+        new one refuses.
+        """
+        runs = list(worker.runs_by_key.values())
+        self._attribute_crash(now, crashes.lost_worker(now, worker, runs))
+        for run in runs:
+            self._remove_lost_run(worker, run)
+
     def _check_run(
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
@@ -791,6 +902,15 @@
             return
         if run.state is tracking.RunState.ORDERED:
             return
+        if (
+            run.on_probation
+            and not run.probation_is_checked
+            and now - run.started_at > crashes.START_WINDOW_S
+        ):
+            run.probation_is_checked = True
+            self._pending_actions.append(
+                actions.PollWorker(worker.entry.worker_id)
+            )
         spec = run.task.step.spec
         if not run.is_primary or not (
             worker.is_draining or worker.closed_for_upkeep
@@ -903,6 +1023,11 @@
         return advanced
 
 
+def _has_left(worker: tracking.TrackedWorker) -> bool:
+    """Return whether a worker that ends does so as announced."""
+    return worker.is_draining or worker.closed_for_upkeep
+
+
 def _stop_action(
     worker: tracking.TrackedWorker, run: tracking.Run, reason: str
 ) -> actions.Stop:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -36,8 +36,12 @@
         'lists_valid_from',
         'load',
         'number',
+        'on_probation',
+        'order_sent',
         'ordered_at',
         'percent',
+        'probation_is_checked',
+        'started_at',
         'state',
         'stop_requested_at',
         'task',
@@ -61,6 +65,15 @@
         self.lists_valid_from = now
         """Only lists requested after this moment can prove that the run is
         over by not containing it; infinite while a stop is unanswered."""
+        self.started_at = float('inf')
+        """Latest moment at which the run may have started, as far as is
+        known."""
+        self.order_sent = state is not RunState.ORDERED
+        """Whether the worker may have received the start order."""
+        self.on_probation = False
+        """Whether its task may crash the worker, which takes no other starts
+        meanwhile."""
+        self.probation_is_checked = False
         self.percent = 0.0
         self.last_progress_at = now
         self.load = 0.0
@@ -98,6 +111,9 @@
         self.clock_ms = 0.0
         self.clock_read_at = float('-inf')
         """When the worker's clock was read, on the scheduler's clock."""
+        self.last_answer_at = float('-inf')
+        """When the worker last answered a call."""
+        self.probation_run_count = 0
         self.late_orders_end_at = float('inf')
         """Since its restart, when no run of an order to the process before
         it can be active any more."""
@@ -168,9 +184,15 @@
         passed_ms = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT) * 1000
         return self.clock_ms + passed_ms > self.lease_deadline_ms
 
+    def end_probation(self, run: Run) -> None:
+        """Let other tasks start on the worker again."""
+        self.probation_run_count -= run.on_probation
+        run.on_probation = False
+
     def add_run(self, run: Run) -> None:
         """Add a run and deduct its resources."""
         self.runs_by_key[run.task.id, run.number] = run
+        self.probation_run_count += run.on_probation
         spec = run.task.step.spec
         if spec.filler:
             self.requested_filler_cpu += spec.size.millicores
@@ -187,6 +209,7 @@
         """Remove a run and return its resources; ignore unknown runs."""
         if self.runs_by_key.pop((run.task.id, run.number), None) is None:
             return
+        self.end_probation(run)
         spec = run.task.step.spec
         if spec.filler:
             self.requested_filler_cpu -= spec.size.millicores
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         'checkpoint',
+        'crashes_by_run',
         'failed_runs',
         'failed_worker_ids',
         'id',
@@ -49,6 +50,13 @@
         self.percent = 0.0
         self.failed_runs: set[int] = set()
         self.failed_worker_ids: set[model.WorkerId] = set()
+        self.crashes_by_run: dict[int, records.TaskCrash] = {}
+        """Crashes of workers under runs of the task, by run number."""
+
+    @property
+    def suspected_crashes(self) -> int:
+        """Return how many crashes of workers the task may have caused."""
+        return sum(crash.suspected for crash in self.crashes_by_run.values())
 
 
 class Tickets:
@@ -97,10 +105,12 @@
         'number',
         'occurrence',
         'pending_dependencies',
+        'probation_wanted_at',
         'ready_at',
         'reservation',
         'run_counts_by_worker',
         'spec',
+        'suspect_indexes',
         'tasks',
         'tickets',
         'waiting',
@@ -126,6 +136,10 @@
         self.reservation = GangReservation()
         self.blocked_until = 0.0
         """The step is not considered before this moment, after a failure."""
+        self.suspect_indexes: set[int] = set()
+        """Indexes of tasks that may crash their workers."""
+        self.probation_wanted_at: float | None = None
+        """Since when a suspect waits for a worker."""
 
     @property
     def id(self) -> str:
@@ -137,6 +151,14 @@
         """Return whether all tasks succeeded."""
         return self.done_count == self.spec.count
 
+    @property
+    def is_on_probation(self) -> bool:
+        """Return whether a suspect of the step is, or may be, on a worker."""
+        return any(
+            self.tasks[index].state is TaskState.PLACED
+            for index in self.suspect_indexes
+        )
+
     @property
     def due_at(self) -> float:
         """Return when the occurrence may start."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -605,9 +605,36 @@
             self._spawn(self._get_advice(action, number, caller))
         elif isinstance(action, actions.Throttle):
             self._spawn(self._throttle(action))
+        elif isinstance(action, actions.ReportCrash):
+            self._report_crash(action)
+        elif isinstance(action, actions.ReportGivenUp):
+            self._report_given_up(action)
         else:
             self._spawn(self._renew_lease(action.worker_id, 0.0))
 
+    def _report_crash(self, action: actions.ReportCrash) -> None:
+        self._context.metrics.worker_crashes.inc(
+            {'suspects': 'some' if action.suspect_ids else 'none'}
+        )
+        self._context.log.write(
+            'worker.crashed',
+            worker=action.worker.worker_id,
+            machine=action.worker.machine,
+            lost=len(action.lost_task_ids),
+            suspects=list(action.suspect_ids),
+        )
+
+    def _report_given_up(self, action: actions.ReportGivenUp) -> None:
+        self._context.metrics.jobs_given_up.inc({})
+        self._context.log.write(
+            'job.given_up',
+            job_id=action.job_id,
+            task_id=action.task_id,
+            crashes=len(action.worker_ids),
+            workers=list(action.worker_ids),
+            reason='the workers that start the task crash',
+        )
+
     def _spawn(self, call) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(call)
         self._calls.add(task)
@@ -626,6 +653,9 @@
             self._work_events[worker_id].set()
         outcome = specs.StartOutcome.LATE
         if deadline_ms is not None:
+            self.scheduler.mark_start_sent(
+                worker_id, action.order.task_id, action.order.run
+            )
             self.scheduler.record_lease_deadline(worker_id, deadline_ms)
             outcome = await self._context.workers.start(
                 action.worker,
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -29,6 +29,14 @@
             'samphirestack_fleet_jobs_ended_total',
             'Ended jobs by queue and state.',
         )
+        self.worker_crashes = self._counter(
+            'samphirestack_fleet_worker_crashes_total',
+            'Crashes of workers with runs, by whether a task is suspected.',
+        )
+        self.jobs_given_up = self._counter(
+            'samphirestack_fleet_jobs_given_up_total',
+            'Jobs that ended as failed because a task crashes its workers.',
+        )
         self.set_aside = self._counter(
             'samphirestack_fleet_set_aside_total',
             'Rows, jobs and reports that raised an error, by source.',
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -167,6 +167,7 @@
         self.scheduler = schedulers.FleetScheduler(
             0.0, term, configuration or make_configuration(), LEASE_S
         )
+        self.scheduler.jobs.unix_offset_s = UNIX_AT_ZERO_S
         self.workers = list(workers)
         self.scheduler.set_workers(0.0, self.workers)
         if reported:
