Give up no job only because its tasks ran beside many crashes

Cause: four crashes under one task ended its job, also if it had survived its start each time and was only beside the tasks that caused them.

Change: the bounds count suspicion. Two crashes end a job if no other job was a suspect of the last one, three suspected ones in a row without a start that the task survived end it in any case. A task with three crashes of any kind stays on probation until its run ends, so that one that crashes its workers late is identified and one that does not is left alone; five remain as the last bound. A young worker is no longer excluded from probation but comes last: with most of the fleet just restarted, suspects waited and then started in company.

Evidence: test_a_task_at_work_beside_many_crashes_is_not_given_up failed before (FAILED instead of RUNNING).

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -27,17 +27,24 @@
 """Crashes of which a task was a suspect after which its job is given up, if
 no other job was a suspect of the last one."""
 
-MAX_CRASHES = 4
-"""Crashes under one task after which its job is given up in any case.  It
-bounds the damage of a task that crashes workers later than START_WINDOW_S."""
+MAX_SUSPECTED_CRASHES = 3
+"""Crashes of which a task was a suspect after which its job is given up,
+although others were suspects as well."""
+
+REPEATED_CRASHES = 3
+"""Crashes under one task from which on it stays on probation until its run
+ends: it may crash workers later than START_WINDOW_S."""
+
+MAX_CRASHES = 5
+"""Crashes under one task after which its job is given up in any case."""
 
 PROBATION_WAIT_S = 1.0
 """Time that a suspect waits for a worker on which nothing else has just
 started, before it takes any other."""
 
 STEADY_AGE_S = 5.0
-"""Age from which a process of a worker counts as steady.  Suspects avoid
-younger ones, since a worker that keeps restarting would incriminate them."""
+"""Age from which a process of a worker counts as steady.  Suspects prefer
+it, since a worker that keeps restarting would incriminate them."""
 
 SIMULTANEOUS_S = 0.25
 MIN_SIMULTANEOUS = 3
@@ -181,19 +188,24 @@
     suspects = [
         run
         for run in lost.runs
-        if run.may_have_just_started
-        or len(run.task.crashes_by_run) >= MAX_CRASHES - 1
+        if run.may_have_just_started or had_repeated_crashes(run.task)
     ]
     if has_common_cause:
         # A further crash under the same task is no coincidence.
-        return [run for run in suspects if _was_suspected(run.task)]
+        return [run for run in suspects if is_suspect(run.task)]
     return suspects or list(lost.runs)
 
 
-def _was_suspected(task: work.Task) -> bool:
+def is_suspect(task: work.Task) -> bool:
+    """Return whether a task may crash the next worker that starts it."""
+    return task.suspected_crashes > 0 or had_repeated_crashes(task)
+
+
+def had_repeated_crashes(task: work.Task) -> bool:
+    """Return whether even a run at work does not clear a task."""
     return (
-        task.suspected_crashes > 0
-        or len(task.crashes_by_run) >= MAX_CRASHES - 1
+        not task.step.spec.long_running
+        and len(task.crashes_by_run) >= REPEATED_CRASHES
     )
 
 
@@ -203,9 +215,12 @@
     :param other_jobs_are_suspects: whether a task of another job may have
         caused the last crash.
     """
-    if not other_jobs_are_suspects and (
-        task.suspected_crashes >= IDENTIFYING_CRASHES
-    ):
+    limit = (
+        MAX_SUSPECTED_CRASHES
+        if other_jobs_are_suspects
+        else IDENTIFYING_CRASHES
+    )
+    if task.suspected_crashes >= limit:
         return True
     # Over the life of a long-running task, workers crash for other reasons.
     return (
@@ -214,16 +229,16 @@
     )
 
 
-def is_fit_for_probation(
-    now: float, unix_now: float, worker: tracking.TrackedWorker
-) -> bool:
+def is_steady(unix_now: float, worker: tracking.TrackedWorker) -> bool:
+    """Return whether a worker has not restarted recently."""
+    return unix_now - worker.started_unix_ms / 1000 >= STEADY_AGE_S
+
+
+def is_fit_for_probation(now: float, worker: tracking.TrackedWorker) -> bool:
     """Return whether a crash of a worker would identify a suspect.
 
-    It would not if another task has just started there, or if the worker
-    restarted recently.
+    It would not if another task has just started there.
     """
-    if unix_now - worker.started_unix_ms / 1000 < STEADY_AGE_S:
-        return False
     return all(
         now - run.started_at > START_WINDOW_S
         for run in worker.runs_by_key.values()
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from samphirestack.fleet import archive as archives
+from samphirestack.fleet import crashes
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
@@ -150,14 +151,16 @@
                 task = step.tasks[index]
                 task.failed_runs.update(numbers)
                 task.last_run_number = max([task.last_run_number, *numbers])
-        for key, crashes in progress.crashes_by_task.items():
+        for key, crashes_by_run in progress.crashes_by_task.items():
             occurrence, number, index = map(int, key.split('.'))
             step = job.steps_by_key.get((occurrence, number))
             if step is not None and index < step.spec.count:
                 task = step.tasks[index]
-                task.crashes_by_run.update(crashes)
-                task.last_run_number = max([task.last_run_number, *crashes])
-                if task.suspected_crashes:
+                task.crashes_by_run.update(crashes_by_run)
+                task.last_run_number = max(
+                    [task.last_run_number, *crashes_by_run]
+                )
+                if crashes.is_suspect(task):
                     step.suspect_indexes.add(index)
         for key in sorted(progress.done_by_step, key=_step_order):
             occurrence, number = map(int, key.split('.'))
@@ -320,18 +323,22 @@
             or run_number in task.crashes_by_run
         ):
             return
+        if task.step.spec.long_running and not crash.suspected:
+            # Over its life, workers crash for many other reasons.
+            return
         task.crashes_by_run[run_number] = crash
-        if crash.suspected:
+        if crashes.is_suspect(task):
             task.step.suspect_indexes.add(task.index)
         self._store_crashes(task)
 
     def clear_suspicion(self, task: work.Task) -> None:
-        """Record that a task does not crash its worker when it starts."""
+        """Record that a task did not crash its worker when it started."""
+        if crashes.had_repeated_crashes(task):
+            return
         task.step.suspect_indexes.discard(task.index)
         if not task.suspected_crashes:
             return
         if task.step.spec.long_running:
-            # Over its life, workers crash for many other reasons.
             task.crashes_by_run = {}
         else:
             task.crashes_by_run = {
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -519,7 +519,10 @@
         if not step.suspect_indexes:
             return packing.choose_gang(step.spec, free, count)
         fit = self._fit_for_probation(free)
-        chosen = packing.choose_gang(step.spec, fit, count)
+        steady = [candidate for candidate in fit if self._is_steady(candidate)]
+        chosen = packing.choose_gang(step.spec, steady, count)
+        if chosen is None:
+            chosen = packing.choose_gang(step.spec, fit, count)
         if chosen is None and self._has_waited_for_probation(step):
             chosen = packing.choose_gang(step.spec, free, count)
         return chosen
@@ -573,7 +576,7 @@
     ) -> int:
         """Start suspects of a step, on one worker at a time.
 
-        Of the workers that are fit for it, that with the fewest runs is
+        Of the workers that are fit for it, a steady one with few runs is
         taken, since it may crash.
 
         :return: number of further tasks that the customer may start.
@@ -588,7 +591,11 @@
         if not fit:
             return headroom
         candidate = min(
-            fit, key=lambda candidate: len(candidate.worker.runs_by_key)
+            fit,
+            key=lambda candidate: (
+                not self._is_steady(candidate),
+                len(candidate.worker.runs_by_key),
+            ),
         )
         limit = min(headroom, spec.max_per_worker or headroom)
         count = candidate.count(spec, limit)
@@ -606,15 +613,16 @@
     def _fit_for_probation(
         self, candidates: list[packing.Candidate]
     ) -> list[packing.Candidate]:
-        unix_now = self._now + self._fleet.jobs.unix_offset_s
         return [
             candidate
             for candidate in candidates
-            if crashes.is_fit_for_probation(
-                self._now, unix_now, candidate.worker
-            )
+            if crashes.is_fit_for_probation(self._now, candidate.worker)
         ]
 
+    def _is_steady(self, candidate: packing.Candidate) -> bool:
+        unix_now = self._now + self._fleet.jobs.unix_offset_s
+        return crashes.is_steady(unix_now, candidate.worker)
+
     def _has_waited_for_probation(self, step: work.StepRun) -> bool:
         if step.probation_wanted_at is None:
             step.probation_wanted_at = self._now
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -426,8 +426,10 @@
                 run.state = tracking.RunState.CONFIRMED
             run.lists_valid_from = now
         run.started_at = min(run.started_at, now)
-        if run.on_probation and (
-            sent_at - run.started_at > crashes.START_WINDOW_S
+        if (
+            run.on_probation
+            and sent_at - run.started_at > crashes.START_WINDOW_S
+            and not crashes.had_repeated_crashes(run.task)
         ):
             worker.end_probation(run)
             self.jobs.clear_suspicion(run.task)
