Close the connections of the echo server before its event loop ends

Cause: the echo server of TestProxy closed its listener but not its connections. The handlers were cancelled with the event loop and never closed their writers; protocol and writer refer to each other, so they stayed until the garbage collector ran in some later test: 'RuntimeError: Event loop is closed' in StreamWriter.__del__. Change: the handlers close their writers, and the fixture ends them. What the tests check is unchanged. Measured: with a garbage collection after each test, tests/unit left 7 StreamWriters, all of this fixture (2 in test_silence_leaves_new_connections_alone, 2 in test_cut_hits_one_source, 3 in test_truncation_and_delay); test_standins.py leaves none after. Ruled out as sources of these 7: test_upstream_http, test_edge, test_leadership and the client of the daemon, which left none in the same run.

--- a/tests/unit/testing/test_standins.py
+++ b/tests/unit/testing/test_standins.py
@@ -183,16 +183,31 @@
 
     @pytest.fixture(name='echo')
     async def _echo(self) -> AsyncIterator[str]:
+        handlers: set[asyncio.Task[None]] = set()
+
         async def handle(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            while data := await reader.read(1000):
-                writer.write(data)
+            task = asyncio.current_task()
+            assert task is not None
+            handlers.add(task)
+            try:
+                while data := await reader.read(1000):
+                    writer.write(data)
+            except ConnectionError:
+                pass
+            finally:
+                handlers.discard(task)
+                writer.close()
 
         server = await asyncio.start_server(handle, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
         yield f'{host}:{port}'
         server.close()
+        running = list(handlers)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
 
     @staticmethod
     async def _open(
