Break off connections without a server when a fault proxy closes

Cause: Proxy.close aborted the connections that it had counted. A connection whose upstream was still being connected was not counted, so it stayed open, and the handlers were not waited for; they could outlive the event loop. Change: close cancels the handlers and waits for them, and each handler aborts the client's transport at its end. Measured: the new test failed before, FAILED test_standins.py::TestProxy::test_close_breaks_off_a_connection_without_a_server TimeoutError (then 'Event loop is closed' in StreamWriter.__del__) and TestProxy passed three times of three after, with no leftovers at a garbage collection after each test. Ruled out: it is not the cause of the 7 leftovers of tests/unit.

--- a/packages/testing/src/samphirestack_testing/faultproxy.py
+++ b/packages/testing/src/samphirestack_testing/faultproxy.py
@@ -104,6 +104,7 @@
         self._default = Faults()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
+        self._handlers: set[asyncio.Task[None]] = set()
         self._accepted = 0
 
     async def start(self) -> str:
@@ -121,6 +122,10 @@
             self._server.close()
         for connection in list(self._connections):
             connection.abort()
+        handlers = list(self._handlers)
+        for task in handlers:
+            task.cancel()
+        await asyncio.gather(*handlers, return_exceptions=True)
 
     @property
     def open_connections(self) -> int:
@@ -148,14 +153,24 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._default.cut:
+        task = asyncio.current_task()
+        assert task is not None
+        self._handlers.add(task)
+        try:
+            await self._serve(reader, writer)
+        finally:
             writer.transport.abort()
+            self._handlers.discard(task)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._default.cut:
             return
         host, _, port = self.target.rpartition(':')
         try:
             upstream = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
             return
         self._accepted += 1
         connection = _Connection(self._accepted, writer, upstream[1])
--- a/tests/unit/testing/test_standins.py
+++ b/tests/unit/testing/test_standins.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
+import socket
 
 import aiohttp
 import msgspec
@@ -270,3 +272,28 @@
         assert not first.done()
         assert await first == b'x'
         await proxy.close()
+
+    async def test_close_breaks_off_a_connection_without_a_server(
+        self,
+    ) -> None:
+        """Guards against connections that outlive the proxy."""
+        with contextlib.ExitStack() as stack:
+            # The kernel leaves connects to a full backlog unanswered.
+            full = stack.enter_context(
+                socket.create_server(('127.0.0.1', 0), backlog=0)
+            )
+            host, port = full.getsockname()
+            for _ in range(3):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+            proxy = faultproxy.Proxy(f'{host}:{port}')
+            await proxy.start()
+            tasks = len(asyncio.all_tasks())
+            streams = await self._open(proxy)
+            await waiting.until(
+                lambda: len(asyncio.all_tasks()) > tasks, DEADLINE_S, 'handler'
+            )
+            await proxy.close()
+            assert await self._ask(streams, b'a') == b''
+            streams[1].close()
