Close the stand-ins' listeners at the end of their tests

Cause: nine tests of test_standins served an application and never closed the listener, so its socket stayed open until the garbage collector ran. Change: a fixture serves the application and closes it after the test. What the tests check is unchanged. Measured: with a garbage collection after each test, test_standins.py gave 9 'ResourceWarning: unclosed socket' before, and none after (14 passed).

--- a/tests/unit/testing/test_standins.py
+++ b/tests/unit/testing/test_standins.py
@@ -2,10 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import socket
 
 import aiohttp
+from aiohttp import web
 import msgspec
 import pytest
 
@@ -21,6 +24,7 @@
 from samphirestack_testing import waiting
 
 Mode = upstreams.Mode
+Serve = Callable[[web.Application], Awaitable[str]]
 TRANSACT = '/table/transact'
 DEADLINE_S = 10.0
 UPSTREAM = model.Vm(
@@ -40,6 +44,19 @@
         yield session
 
 
+@pytest.fixture(name='serve')
+async def _serve() -> AsyncIterator[Serve]:
+    """Serves applications until the end of the test."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def serve(app: web.Application) -> str:
+            listener = await serving.listen(app)
+            stack.push_async_callback(listener.close)
+            return 'http://' + listener.address
+
+        yield serve
+
+
 def _put(key: str, expect: int | None, value: object) -> dict[str, object]:
     op = {'table': 't', 'key': key, 'expect': expect, 'value': value}
     return {'ops': [op]}
@@ -54,10 +71,13 @@
         return platform.Platform(listed, ledger.Writer(''), 0.0)
 
     async def test_transactions_are_conditional(
-        self, stand_in: platform.Platform, http: aiohttp.ClientSession
+        self,
+        stand_in: platform.Platform,
+        http: aiohttp.ClientSession,
+        serve: Serve,
     ) -> None:
         """Guards against lost updates and reused versions."""
-        base = 'http://' + (await serving.listen(stand_in.app())).address
+        base = await serve(stand_in.app())
         versions = []
         for expect, value in ((0, 'a'), (None, None), (0, 'b')):
             body = _put('k/1', expect, value)
@@ -72,19 +92,25 @@
             assert (await answer.json())['value'] == 'b'
 
     async def test_lost_answer_takes_effect(
-        self, stand_in: platform.Platform, http: aiohttp.ClientSession
+        self,
+        stand_in: platform.Platform,
+        http: aiohttp.ClientSession,
+        serve: Serve,
     ) -> None:
         """Guards against a fault that loses the write itself."""
-        base = 'http://' + (await serving.listen(stand_in.app())).address
+        base = await serve(stand_in.app())
         stand_in.control(0.0, platform.Control(lose_answers=1))
         with pytest.raises(aiohttp.ClientError):
             await http.post(base + TRANSACT, json=_put('k', 0, 1))
         assert stand_in.rows.get('t', 'k') is not None
 
     async def test_outage_has_no_effect_on_rows(
-        self, stand_in: platform.Platform, http: aiohttp.ClientSession
+        self,
+        stand_in: platform.Platform,
+        http: aiohttp.ClientSession,
+        serve: Serve,
     ) -> None:
-        base = 'http://' + (await serving.listen(stand_in.app())).address
+        base = await serve(stand_in.app())
         stand_in.control(0.0, platform.Control(down=True))
         body = _put('k', 0, 1)
         async with http.post(base + TRANSACT, json=body) as answer:
@@ -102,7 +128,7 @@
     """Agents are reachable over HTTP."""
 
     async def test_long_poll_ends_with_the_task(
-        self, http: aiohttp.ClientSession
+        self, http: aiohttp.ClientSession, serve: Serve
     ) -> None:
         """Guards against events that wait for the next poll."""
         vm = model.Vm(
@@ -116,7 +142,7 @@
             agent.Agent(vm, ledger.Writer(''), {}, 0.0)
         )
         runner = asyncio.create_task(server.run())
-        base = 'http://' + (await serving.listen(server.app())).address
+        base = await serve(server.app())
         lease = {'owner': 'e', 'epoch': 1, 'ttl_s': 10.0}
         task = {
             'task_id': 'j/0',
@@ -152,11 +178,15 @@
         ],
     )
     async def test_break_off(
-        self, http: aiohttp.ClientSession, mode: Mode, started: bool
+        self,
+        http: aiohttp.ClientSession,
+        serve: Serve,
+        mode: Mode,
+        started: bool,
     ) -> None:
         writer = ledger.Writer('')
         upstream = upstreams.Upstream(UPSTREAM, writer)
-        base = 'http://' + (await serving.listen(upstream.app())).address
+        base = await serve(upstream.app())
         upstream.set_faults(0.0, upstreams.Faults(mode))
         with pytest.raises(aiohttp.ClientError):
             async with http.post(base + '/work', json={}) as answer:
@@ -164,11 +194,11 @@
         assert bool(writer.lines) is started
 
     async def test_full_upstream_refuses(
-        self, http: aiohttp.ClientSession
+        self, http: aiohttp.ClientSession, serve: Serve
     ) -> None:
         """Guards against more work than slots."""
         upstream = upstreams.Upstream(UPSTREAM, ledger.Writer(''))
-        base = 'http://' + (await serving.listen(upstream.app())).address
+        base = await serve(upstream.app())
         headers = {upstreams.REQUEST_ID_HEADER: 'r1'}
         first = asyncio.create_task(
             http.post(base + '/work', json={'work_s': 0.5}, headers=headers)
