Close the listener of the contract tests

Cause: the tests of the upstream client served a stand-in and never closed its listener, so its socket stayed open until the garbage collector ran. Change: a fixture serves the stand-in and closes it after the test. What the tests check is unchanged. Measured: with a garbage collection after each test, test_contracts.py gave 4 'ResourceWarning: unclosed socket' before, and none after (5 passed).

--- a/tests/integration/test_contracts.py
+++ b/tests/integration/test_contracts.py
@@ -43,6 +43,14 @@
         )
         return upstreams.Upstream(vm, ledger.Writer(''))
 
+    @pytest.fixture(name='address')
+    async def _address(
+        self, upstream: upstreams.Upstream
+    ) -> AsyncIterator[str]:
+        listener = await serving.listen(upstream.app())
+        yield listener.address
+        await listener.close()
+
     @staticmethod
     async def _work(
         client: upstream_http.HttpUpstreamClient,
@@ -60,9 +68,9 @@
         self,
         client: upstream_http.HttpUpstreamClient,
         upstream: upstreams.Upstream,
+        address: str,
     ) -> None:
         """Guards against refusals that the client does not trust."""
-        address = (await serving.listen(upstream.app())).address
         body = b'{"work_s": 0.5}'
         first = asyncio.create_task(self._work(client, address, 'r1', body))
         await waiting.until(lambda: upstream.active, DEADLINE_S, 'active')
@@ -85,10 +93,10 @@
         self,
         client: upstream_http.HttpUpstreamClient,
         upstream: upstreams.Upstream,
+        address: str,
         mode: Mode,
     ) -> None:
         """Guards against a broken call that counts as not run."""
-        address = (await serving.listen(upstream.app())).address
         upstream.set_faults(0.0, upstreams.Faults(mode))
         with pytest.raises(errors.UpstreamFailed) as caught:
             await self._work(client, address, 'r1')
