Keep suspects within the limit of their step per worker

Cause: the placement of suspects limited only the tasks that it starts now, and ignored the runs of the step that the worker has already.

Change: count the runs that are there, as for other tasks.

Evidence: test_a_suspect_keeps_to_the_limit_per_worker fails before (a start on w1, which runs the other task) and passes after; the other tests of test_crashes.py pass.

--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -584,7 +584,11 @@
         if step.is_on_probation:
             return headroom
         spec = step.spec
-        roomy = [candidate for candidate in candidates if candidate.fits(spec)]
+        roomy = [
+            candidate
+            for candidate in candidates
+            if candidate.fits(spec) and _limit_per_worker(candidate, step) > 0
+        ]
         fit = self._fit_for_probation(roomy)
         if not fit and self._has_waited_for_probation(step):
             fit = roomy
@@ -597,7 +601,7 @@
                 len(candidate.worker.runs_by_key),
             ),
         )
-        limit = min(headroom, spec.max_per_worker or headroom)
+        limit = min(headroom, _limit_per_worker(candidate, step))
         count = candidate.count(spec, limit)
         indexes = sorted(step.waiting & step.suspect_indexes)[:count]
         for index in indexes:
@@ -719,6 +723,16 @@
     ) and spec.size.fits_in(entry.capacity)
 
 
+def _limit_per_worker(candidate: packing.Candidate, step: work.StepRun) -> int:
+    """Return how many more tasks of a step one worker may run."""
+    spec = step.spec
+    if not spec.max_per_worker:
+        return spec.count
+    return spec.max_per_worker - step.run_counts_by_worker.get(
+        candidate.worker.entry.worker_id, 0
+    )
+
+
 def _is_usable(
     now: float,
     worker: tracking.TrackedWorker,
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -479,3 +479,19 @@
             now += 0.1
         assert started_at is not None
         assert started_at - 2.0 < crashes.PROBATION_WAIT_S + 0.3
+
+
+class TestPlacementOfSuspects:
+    """Guards against suspects that start where their step doesn't allow."""
+
+    def test_a_suspect_keeps_to_the_limit_per_worker(self) -> None:
+        fleet = Fleet(2)
+        step = worlds.make_step(2, max_per_worker=1)
+        fleet.world.accept(0.0, worlds.make_job(1, [step]))
+        starts = fleet.world.start_all(1.0)
+        assert {start.worker.worker_id for start in starts} == {'w0', 'w1'}
+        fleet.crash(1.0 + MOMENT_S, 'w0')
+        fleet.silence(1.1, 'm0-1')
+        for now in (2.0, 4.0, 6.0):
+            fleet.report(now, 'w1', fleet.run_ids('w1'))
+            assert fleet.world.start_all(now) == []
