Clear a task of a crash that is proved after its next start

Cause: only a run that starts on probation clears its task. If the lease of the crashed worker ends before its machine is back, the task is started again first and becomes a suspect afterwards. Its run, however long, never clears it: a second, unrelated crash ends its job as failed, and the other suspects of its step wait until it ends, which a long-running task never does.

Change: a run that is placed when its task becomes a suspect goes on probation.

Evidence: before, test_a_task_placed_before_the_proof_is_cleared ends as failed after a crash 90 s later, and test_other_suspects_of_its_step_do_not_starve starts 0 of 1 tasks in 20 s; both pass after. tests/unit/fleet passes.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -386,6 +386,8 @@
                 run.number,
                 records.TaskCrash(lost.entry.worker_id, run in suspects),
             )
+            if run in suspects:
+                self._observe_current_run(run.task)
         self._pending_actions.append(
             actions.ReportCrash(
                 lost.entry,
@@ -408,6 +410,15 @@
                 )
                 self._end_job(job, specs.JobState.FAILED, now)
 
+    def _observe_current_run(self, task: work.Task) -> None:
+        """Put a run that was placed before the proof of a crash on probation.
+
+        Otherwise nothing would clear the task.
+        """
+        for worker, run in self._runs_of_job(task.step.job):
+            if run.task is task and run.number == task.placed_run_number:
+                worker.begin_probation(run)
+
     def _apply_running_row(
         self,
         now: float,
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -184,6 +184,11 @@
         passed_ms = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT) * 1000
         return self.clock_ms + passed_ms > self.lease_deadline_ms
 
+    def begin_probation(self, run: Run) -> None:
+        """Let no other tasks start on the worker until the run settles."""
+        self.probation_run_count += not run.on_probation
+        run.on_probation = True
+
     def end_probation(self, run: Run) -> None:
         """Let other tasks start on the worker again."""
         self.probation_run_count -= run.on_probation
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -495,3 +495,47 @@
         for now in (2.0, 4.0, 6.0):
             fleet.report(now, 'w1', fleet.run_ids('w1'))
             assert fleet.world.start_all(now) == []
+
+
+class TestLateProof:
+    """Guards against suspicion that a task can't clear itself of."""
+
+    def test_a_task_placed_before_the_proof_is_cleared(self) -> None:
+        fleet = Fleet(2)
+        step = worlds.make_step(long_running=True)
+        job_id = fleet.world.accept(0.0, worlds.make_job(1, [step]))
+        (first,) = fleet.world.start_all(1.0)
+        fleet.silence(1.0 + MOMENT_S, first.worker.worker_id)
+        fleet.scheduler.mark_worker_unregistered(first.worker.worker_id)
+        (second,) = fleet.world.start_all(9.0)
+        worker_id = second.worker.worker_id
+        fleet.report(9.5, worker_id, fleet.run_ids(worker_id))
+        fleet.bring_back(10.0, first.worker.worker_id)
+        for now in (10.5, 11.0, 100.0):
+            fleet.world.plan(now)
+            fleet.report(now, worker_id, fleet.run_ids(worker_id))
+        fleet.crash(100.1, worker_id)
+        fleet.world.plan(101.0)
+        assert fleet.state(job_id) is specs.JobState.RUNNING
+
+    def test_other_suspects_of_its_step_do_not_starve(self) -> None:
+        fleet = Fleet(1)
+        step = worlds.make_step(
+            2, size=model.Resources(8000, 1000), long_running=True
+        )
+        fleet.world.accept(0.0, worlds.make_job(1, [step]))
+        assert len(fleet.world.start_all(1.0)) == 2
+        fleet.silence(1.0 + MOMENT_S, 'w0')
+        fleet.scheduler.mark_worker_unregistered(model.WorkerId('w0'))
+        small = worlds.make_worker('w1', cpu=8000, machine='m1')
+        fleet.entries_by_id['w1'] = small
+        fleet.scheduler.update_worker(8.9, small)
+        fleet.report(8.9, 'w1')
+        assert len(fleet.world.start_all(9.0)) == 1
+        fleet.report(9.5, 'w1', fleet.run_ids('w1'))
+        fleet.bring_back(10.0, 'w0')
+        count = 0
+        for now in (10.5, 11.0, 12.0, 13.0, 30.0):
+            count += len(fleet.world.start_all(now))
+            fleet.report(now, 'w1', fleet.run_ids('w1'))
+        assert count == 1
