Start the suspects of a step at once after one of them survived

Cause: a step has suspects on one worker at a time, each for 0.4 s and longer if no fit worker is free. After unrelated crashes of many workers, the tasks of a wide step start again one worker after another, the last of them after more than the 6 s that callers wait for a long-running task.

Change: once a suspect of the step survived its start since the last crash, the others start on as many workers as are fit, each still alone. A step whose tasks all crash their workers takes down one worker, as before.

Evidence: simulated steps with one task per worker: 10 of 24 workers crash: the last suspect starts after 4.5 s before, 0.6 s after; 30 of 60: 12.5 s before, 0.6 s after. test_suspects_start_soon_after_many_crashes fails before (4.6 s) and passes after; tests/unit/fleet passes.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -329,6 +329,7 @@
         task.crashes_by_run[run_number] = crash
         if crashes.is_suspect(task):
             task.step.suspect_indexes.add(task.index)
+            task.step.has_cleared_suspect = False
         self._store_crashes(task)
 
     def clear_suspicion(self, task: work.Task) -> None:
@@ -338,6 +339,7 @@
         task.step.suspect_indexes.discard(task.index)
         if not task.suspected_crashes:
             return
+        task.step.has_cleared_suspect = True
         if task.step.spec.long_running:
             task.crashes_by_run = {}
         else:
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -574,14 +574,15 @@
         candidates: list[packing.Candidate],
         headroom: int,
     ) -> int:
-        """Start suspects of a step, on one worker at a time.
+        """Start suspects of a step.
 
+        The first start on one worker, since all of them may crash theirs.
         Of the workers that are fit for it, a steady one with few runs is
         taken, since it may crash.
 
         :return: number of further tasks that the customer may start.
         """
-        if step.is_on_probation:
+        if step.is_on_probation and not step.has_cleared_suspect:
             return headroom
         spec = step.spec
         roomy = [
@@ -592,27 +593,29 @@
         fit = self._fit_for_probation(roomy)
         if not fit and self._has_waited_for_probation(step):
             fit = roomy
-        if not fit:
-            return headroom
-        candidate = min(
-            fit,
+        fit.sort(
             key=lambda candidate: (
                 not self._is_steady(candidate),
                 len(candidate.worker.runs_by_key),
-            ),
+            )
         )
-        limit = min(headroom, _limit_per_worker(candidate, step))
-        count = candidate.count(spec, limit)
-        indexes = sorted(step.waiting & step.suspect_indexes)[:count]
-        for index in indexes:
-            task = step.tasks[index]
-            run_number = self._fleet.jobs.next_run_number([task])
-            self._start(task, candidate, run_number, task.checkpoint)
-        if indexes:
+        if not step.has_cleared_suspect:
+            del fit[1:]
+        indexes = sorted(step.waiting & step.suspect_indexes, reverse=True)
+        for candidate in fit:
+            limit = min(headroom, _limit_per_worker(candidate, step))
+            count = min(len(indexes), candidate.count(spec, limit))
+            if not count:
+                break
+            for _ in range(count):
+                task = step.tasks[indexes.pop()]
+                run_number = self._fleet.jobs.next_run_number([task])
+                self._start(task, candidate, run_number, task.checkpoint)
+            headroom -= count
             self._close(candidate)
             candidates.remove(candidate)
             step.probation_wanted_at = None
-        return headroom - len(indexes)
+        return headroom
 
     def _fit_for_probation(
         self, candidates: list[packing.Candidate]
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -101,6 +101,7 @@
     __slots__ = (
         'blocked_until',
         'done_count',
+        'has_cleared_suspect',
         'job',
         'number',
         'occurrence',
@@ -138,6 +139,8 @@
         """The step is not considered before this moment, after a failure."""
         self.suspect_indexes: set[int] = set()
         """Indexes of tasks that may crash their workers."""
+        self.has_cleared_suspect = False
+        """Whether a suspect survived its start since the last crash."""
         self.probation_wanted_at: float | None = None
         """Since when a suspect waits for a worker."""
 
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -539,3 +539,24 @@
             count += len(fleet.world.start_all(now))
             fleet.report(now, 'w1', fleet.run_ids('w1'))
         assert count == 1
+
+
+class TestManySuspectsOfAStep:
+    """Guards against a wide step whose suspects start one after another."""
+
+    def test_suspects_start_soon_after_many_crashes(self) -> None:
+        fleet = Fleet(24)
+        step = worlds.make_step(24, max_per_worker=1, long_running=True)
+        fleet.world.accept(0.0, worlds.make_job(1, [step]))
+        assert len(fleet.world.start_all(1.0)) == 24
+        crashed = [f'w{number}' for number in range(10)]
+        fleet.crash(1.0 + MOMENT_S, *crashed)
+        now = 4.0
+        count = 0
+        while count < 10 and now < 60.0:
+            count += len(fleet.world.start_all(now))
+            for worker_id in fleet.entries_by_id:
+                fleet.report(now, worker_id, fleet.run_ids(worker_id))
+            now += 0.1
+        assert count == 10
+        assert now < 7.0
