Determine once per plan which workers are fit for suspects

Cause: each waiting step with suspects checked the runs of each worker in each plan. After a crash of many workers, hundreds of such steps wait.

Change: a plan keeps the result for each worker, and a start in the same plan revokes it.

Evidence: one plan with 1,500 workers of four new runs each and 300 waiting suspects: 1.05 s before, 0.21 s after (0.24 s for 300 waiting steps without suspects); after 700 of them crashed at once: 2.6 s before, 1.1 s after. tests/unit/fleet passes.

--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -21,6 +21,7 @@
         'free_filler_cpu',
         'free_gpu',
         'free_memory',
+        'is_fit_for_probation',
         'reserved_until',
         'worker',
     )
@@ -34,6 +35,8 @@
         """Processors free for fillers; other tasks may displace them."""
         self.expected_ends: list[tuple[float, specs.StepSpec]] | None = None
         """Expected ends of its runs in order; computed on first use."""
+        self.is_fit_for_probation: bool | None = None
+        """Whether a suspect may start; computed on first use."""
         self.reserved_until = 0.0
         """End of a reservation for a waiting gang: only tasks that are
         expected to end before may start."""
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -585,14 +585,9 @@
         if step.is_on_probation and not step.has_cleared_suspect:
             return headroom
         spec = step.spec
-        roomy = [
-            candidate
-            for candidate in candidates
-            if candidate.fits(spec) and _limit_per_worker(candidate, step) > 0
-        ]
-        fit = self._fit_for_probation(roomy)
+        fit = _with_room(self._fit_for_probation(candidates), step)
         if not fit and self._has_waited_for_probation(step):
-            fit = roomy
+            fit = _with_room(candidates, step)
         fit.sort(
             key=lambda candidate: (
                 not self._is_steady(candidate),
@@ -620,11 +615,15 @@
     def _fit_for_probation(
         self, candidates: list[packing.Candidate]
     ) -> list[packing.Candidate]:
-        return [
-            candidate
-            for candidate in candidates
-            if crashes.is_fit_for_probation(self._now, candidate.worker)
-        ]
+        fit = []
+        for candidate in candidates:
+            if candidate.is_fit_for_probation is None:
+                candidate.is_fit_for_probation = crashes.is_fit_for_probation(
+                    self._now, candidate.worker
+                )
+            if candidate.is_fit_for_probation:
+                fit.append(candidate)
+        return fit
 
     def _is_steady(self, candidate: packing.Candidate) -> bool:
         unix_now = self._now + self._fleet.jobs.unix_offset_s
@@ -659,6 +658,7 @@
         worker = candidate.worker
         worker_id = worker.entry.worker_id
         candidate.allocate(step.spec)
+        candidate.is_fit_for_probation = False
         number = self._fleet.record_placement(
             self._now, task, run_number, worker_id
         )
@@ -726,6 +726,17 @@
     ) and spec.size.fits_in(entry.capacity)
 
 
+def _with_room(
+    candidates: list[packing.Candidate], step: work.StepRun
+) -> list[packing.Candidate]:
+    """Return the workers on which a task of a step may start."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.fits(step.spec) and _limit_per_worker(candidate, step) > 0
+    ]
+
+
 def _limit_per_worker(candidate: packing.Candidate, step: work.StepRun) -> int:
     """Return how many more tasks of a step one worker may run."""
     spec = step.spec
