Request no advice for suspects that may not start yet

Cause: a step with a suspect on probation still counts as waiting, so advice for its other suspects was requested each 30 ms, and each call occupies a caller that other steps need.

Change: request it once they may start, or if other tasks of the step wait.

Calls while a suspect waits up to 1 s for a fit worker are not changed.

--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -172,7 +172,9 @@
                 self._place(step, self._eligible(step))
                 continue
             self._place(step, self._with_valid_ticket(step))
-            if step.waiting:
+            if step.waiting - step.suspect_indexes or (
+                step.waiting and not step.suspects_must_wait
+            ):
                 self._request_advice(step)
         return self._result
 
@@ -582,7 +584,7 @@
 
         :return: number of further tasks that the customer may start.
         """
-        if step.is_on_probation and not step.has_cleared_suspect:
+        if step.suspects_must_wait:
             return headroom
         spec = step.spec
         fit = _with_room(self._fit_for_probation(candidates), step)
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -155,9 +155,9 @@
         return self.done_count == self.spec.count
 
     @property
-    def is_on_probation(self) -> bool:
-        """Return whether a suspect of the step is, or may be, on a worker."""
-        return any(
+    def suspects_must_wait(self) -> bool:
+        """Return whether waiting suspects must see whether one survives."""
+        return not self.has_cleared_suspect and any(
             self.tasks[index].state is TaskState.PLACED
             for index in self.suspect_indexes
         )
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -6,6 +6,7 @@
 
 from samphirestack.fleet import actions
 from samphirestack.fleet import crashes
+from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -560,3 +561,36 @@
             now += 0.1
         assert count == 10
         assert now < 7.0
+
+
+class TestAdviceForSuspects:
+    """Guards against advice for suspects that may not start yet."""
+
+    def test_none_is_requested_during_a_probation(self) -> None:
+        queue = worlds.make_queue(
+            'a', advice=specs.AdvicePolicy(0.02, 0.001, 2.0)
+        )
+        fleet = Fleet(4)
+        fleet.scheduler.configure(worlds.make_configuration([queue]))
+        step = worlds.make_step(2, size=model.Resources(9000, 10))
+        job_id = fleet.world.accept(0.0, worlds.make_job(1, [step], queue))
+        for index in range(2):
+            task = fleet.scheduler.jobs.find_task(
+                model.TaskId(f'{job_id}.0.0.{index}')
+            )
+            assert task is not None
+            fleet.scheduler.jobs.record_crash(
+                task, 1, records.TaskCrash(model.WorkerId('x'), True)
+            )
+        (request,) = fleet.world.plan(1.0)
+        assert isinstance(request, actions.RequestAdvice)
+        fleet.scheduler.handle_advice_result(
+            1.05,
+            1.0,
+            request.step_id,
+            request.worker_ids,
+            ports.Advice(dict.fromkeys(request.worker_ids, 'ticket')),
+        )
+        (start,) = fleet.step(1.1)
+        assert isinstance(start, actions.Start)
+        assert fleet.world.plan(1.2) == []
