Let a task with repeated crashes hold up no other suspect of its step

Cause: a task with three crashes stays on probation until its run ends, and the other suspects of its step waited for it: those of a long step starved. Besides, a run on probation that was stopped counted as one that survived its start.

Change: a run that survived its start lets the other suspects start, although it stays on probation itself. Only a run that ends as done or failed by itself clears its task.

Evidence: test_a_task_with_repeated_crashes_holds_up_no_other_suspect failed before (0 starts instead of 1) and passes after; tests/unit/fleet/test_crashes.py passes.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -334,12 +334,12 @@
 
     def clear_suspicion(self, task: work.Task) -> None:
         """Record that a task did not crash its worker when it started."""
+        task.step.has_cleared_suspect = True
         if crashes.had_repeated_crashes(task):
             return
         task.step.suspect_indexes.discard(task.index)
         if not task.suspected_crashes:
             return
-        task.step.has_cleared_suspect = True
         if task.step.spec.long_running:
             task.crashes_by_run = {}
         else:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -440,10 +440,10 @@
         if (
             run.on_probation
             and sent_at - run.started_at > crashes.START_WINDOW_S
-            and not crashes.had_repeated_crashes(run.task)
         ):
-            worker.end_probation(run)
             self.jobs.clear_suspicion(run.task)
+            if not crashes.had_repeated_crashes(run.task):
+                worker.end_probation(run)
         if row.percent != run.percent:
             run.percent = row.percent
             run.last_progress_at = now
@@ -510,7 +510,11 @@
     ) -> None:
         run = worker.runs_by_key.get((row.task_id, row.run))
         if run is not None:
-            if run.on_probation:
+            ended_itself = row.reason in (
+                specs.EndReason.DONE,
+                specs.EndReason.FAILED,
+            )
+            if run.on_probation and ended_itself:
                 self.jobs.clear_suspicion(run.task)
             self._remove_run(worker, run)
         task = run.task if run else self.jobs.find_task(row.task_id)
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -451,6 +451,32 @@
         assert len({start.worker.worker_id for start in starts}) == 1
         assert fleet.world.start_all(2.1) == []
 
+    def test_a_task_with_repeated_crashes_holds_up_no_other_suspect(
+        self,
+    ) -> None:
+        fleet = Fleet(2)
+        step = worlds.make_step(2, size=model.Resources(9000, 1000))
+        job_id = fleet.world.accept(0.0, worlds.make_job(1, [step]))
+        (one, _) = (
+            fleet.scheduler.jobs.active_by_id[job_id].steps_by_key[0, 0].tasks
+        )
+        for run_number in range(1, 4):
+            fleet.scheduler.jobs.record_crash(
+                one, run_number, records.TaskCrash(model.WorkerId('x'), False)
+            )
+        starts = fleet.world.start_all(1.0)
+        assert len(starts) == 2
+        other = next(
+            start.worker.worker_id
+            for start in starts
+            if start.order.task_id != one.id
+        )
+        fleet.crash(1.0 + MOMENT_S, other)
+        assert fleet.world.start_all(1.2) == []
+        for worker_id in fleet.entries_by_id:
+            fleet.report(2.0, worker_id, fleet.run_ids(worker_id))
+        assert len(fleet.world.start_all(2.1)) == 1
+
     @pytest.mark.parametrize('gang', [False, True])
     def test_a_suspect_takes_any_worker_after_a_while(
         self, gang: bool
