Withdraw a planned start once its worker's capacity has shrunk

Cause: a start is planned against the free resources of its worker and sent once its placement is stored, after an outage of the store even many seconds later. A shrunk capacity made the free resources negative, which kept new starts away but not those that waited for the store or for a connection.

Change: should_send_start() declines a start on a worker whose runs exceed its capacity. The holder asks it when the placement is stored and again directly before the order is sent. The task is queued again.

Ruled out: the arithmetic of the free resources over several changes, and starts that are planned after the change; both were right.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -840,9 +840,12 @@
         task_id: model.TaskId,
         run_number: specs.RunNumber,
     ) -> bool:
-        """Return whether a planned start should still be sent."""
+        """Return whether a planned start should still be sent.
+
+        The worker's capacity may have shrunk since it was planned.
+        """
         worker = self.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or worker.is_overcommitted:
             return False
         run = worker.runs_by_key.get((task_id, run_number))
         return run is not None and run.stop_requested_at == float('-inf')
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -154,6 +154,11 @@
         """Return whether the worker announced that it takes no new work."""
         return self.entry.state is specs.WorkerState.DRAINING
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Return whether its runs exceed a capacity that shrank."""
+        return min(self.free_cpu, self.free_memory, self.free_gpu) < 0
+
     def record_clock(self, now: float, clock_ms: float) -> None:
         """Record a reading of the worker's clock."""
         self.clock_ms = clock_ms
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -511,7 +511,6 @@
         """Send the starts whose placement is stored now."""
         job_ids = set(changes.job_ids)
         unstored = []
-        may_start_work = self._term.may_start_work(clock.now())
         for start in self._unstored_starts:
             id_parts = specs.split_task_id(start.order.task_id)
             stored = (
@@ -521,9 +520,7 @@
             )
             if not stored:
                 unstored.append(start)
-            elif may_start_work and self.scheduler.should_send_start(
-                start.worker.worker_id, start.order.task_id, start.order.run
-            ):
+            elif self._may_send_start(start):
                 self._spawn(self._start(start))
             else:
                 self.scheduler.handle_start_result(
@@ -535,6 +532,13 @@
                 )
         self._unstored_starts = unstored
 
+    def _may_send_start(self, start: actions.Start) -> bool:
+        return self._term.may_start_work(
+            clock.now()
+        ) and self.scheduler.should_send_start(
+            start.worker.worker_id, start.order.task_id, start.order.run
+        )
+
     def _on_changes_stored(self, changes: actions.Changes) -> None:
         self._send_starts(changes)
         for worker_id in self.scheduler.mark_stored(clock.now(), changes):
@@ -662,7 +666,7 @@
                 action.order,
                 self.scheduler.term,
                 deadline_ms,
-                lambda: self._term.may_start_work(clock.now()),
+                lambda: self._may_send_start(action),
             )
         now = clock.now()
         self.scheduler.handle_start_result(
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from samphirestack.fleet import actions
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -91,6 +93,12 @@
     )
 
 
+def with_capacity(
+    entry: specs.WorkerEntry, capacity: model.Resources
+) -> specs.WorkerEntry:
+    return msgspec.structs.replace(entry, capacity=capacity)
+
+
 def make_configuration(
     queues: Iterable[specs.Queue] = (),
     customers: Iterable[specs.Customer] = (),
@@ -223,6 +231,17 @@
             outcome,
         )
 
+    def send_start(self, now: float, start: actions.Start) -> bool:
+        """Send a planned start, if it still may be, and accept it."""
+        sent = self.scheduler.should_send_start(
+            start.worker.worker_id, start.order.task_id, start.order.run
+        )
+        outcome = (
+            specs.StartOutcome.STARTED if sent else specs.StartOutcome.NOT_SENT
+        )
+        self.answer_start(now, start, outcome)
+        return sent
+
     def store_changes(self, now: float = 0.0) -> actions.Changes:
         changes = self.scheduler.collect_changes()
         self.scheduler.mark_stored(now, changes)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -1,9 +1,11 @@
 """The holder of the term beside rows and reports that raise errors."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from samphirestack import errors
+from samphirestack.fleet import actions
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
@@ -240,3 +242,69 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class SlowToConnect(Workers):
+    """Workers that can be sent an order only after some time.
+
+    :param on_connected: called before an order may be sent.
+    """
+
+    def __init__(self, on_connected: Callable[[], None]) -> None:
+        super().__init__(ZeroDivisionError(), 0)
+        self.on_connected = on_connected
+        self.started: list[str] = []
+
+    async def start(
+        self,
+        worker: specs.WorkerEntry,
+        order: ports.TaskOrder,
+        term: int,
+        deadline_ms: int,
+        may_send: Callable[[], bool],
+    ) -> specs.StartOutcome:
+        del worker, term, deadline_ms
+        await asyncio.sleep(0)
+        self.on_connected()
+        if not may_send():
+            return specs.StartOutcome.NOT_SENT
+        self.started.append(order.task_id)
+        return specs.StartOutcome.STARTED
+
+
+class TestShrinkingWorkers:
+    """Guards against orders that wait while the capacity shrinks."""
+
+    def _plan(self, holder: holders.Holder) -> actions.Start:
+        """Return the start of a job on the only worker."""
+        now = clock.now()
+        scheduler = holder.scheduler
+        scheduler.set_workers(now, [worlds.make_worker('w0')])
+        scheduler.apply_report(
+            now, now, model.WorkerId('w0'), worlds.make_report(1000.0)
+        )
+        scheduler.accept_job(now, clock.unix_now(), worlds.make_job(1))
+        (start,) = scheduler.plan(now, worlds.UnlimitedAdviceCallers())
+        assert isinstance(start, actions.Start)
+        return start
+
+    async def test_an_order_that_waits_is_withdrawn(self) -> None:
+        workers = SlowToConnect(
+            lambda: holder.scheduler.set_workers(
+                clock.now(), [worlds.make_worker('w0', cpu=500)]
+            )
+        )
+        holder = make_holder(FollowedStore(), workers)
+        await holder._start(self._plan(holder))
+        assert not workers.started
+
+    async def test_an_order_that_still_fits_is_sent(self) -> None:
+        workers = SlowToConnect(
+            lambda: holder.scheduler.set_workers(
+                clock.now(), [worlds.make_worker('w0', cpu=1000)]
+            )
+        )
+        holder = make_holder(FollowedStore(), workers)
+        start = self._plan(holder)
+        await holder._start(start)
+        assert workers.started == [start.order.task_id]
--- /dev/null
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -0,0 +1,77 @@
+"""Workers whose capacity shrinks and grows while they run."""
+
+from samphirestack import model
+from samphirestack_testing import fleet_world as worlds
+
+
+def resize(
+    world: worlds.World,
+    now: float,
+    name: str,
+    cpu: int,
+    memory: int = 32_000,
+    started: int = 1,
+) -> None:
+    """Apply a renewed entry of a worker with another capacity."""
+    world.scheduler.update_worker(
+        now, worlds.make_worker(name, cpu, memory, started=started)
+    )
+
+
+class TestUnsentStarts:
+    """Guards against starts that were planned before the capacity shrank.
+
+    A placement is stored before its start is sent, which takes as long as an
+    outage of the store.
+    """
+
+    def test_a_start_is_not_sent_once_its_worker_is_too_small(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(2)]))
+        starts = world.plan_starts(0.1)
+        resize(world, 0.2, 'a', 1000)
+        assert [world.send_start(0.3, start) for start in starts] == [
+            False,
+            True,
+        ]
+
+    def test_a_lack_of_memory_or_accelerators_counts_as_well(self) -> None:
+        size = model.Resources(0, 1000, 1)
+        for capacity in (
+            model.Resources(1000, 999, 1),
+            model.Resources(1000, 1000, 0),
+        ):
+            entry = worlds.make_worker('a')
+            world = worlds.World(
+                [worlds.with_capacity(entry, model.Resources(1000, 1000, 1))]
+            )
+            step = worlds.make_step(1, size=size)
+            world.accept(0.0, worlds.make_job(1, [step]))
+            (start,) = world.plan_starts(0.1)
+            world.scheduler.update_worker(
+                0.2, worlds.with_capacity(entry, capacity)
+            )
+            assert not world.send_start(0.3, start)
+
+    def test_its_task_starts_on_another_worker(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 1000)])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.plan_starts(0.1)
+        resize(world, 0.2, 'a', 500)
+        assert not world.send_start(0.3, start)
+        world.scheduler.update_worker(0.4, worlds.make_worker('b', 1000))
+        world.report(0.4, 'b')
+        assert [
+            start.worker.worker_id for start in world.plan_starts(1.0)
+        ] == ['b']
+
+    def test_no_member_of_a_gang_starts_alone(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        gang = worlds.make_step(2, gang=True)
+        world.accept(0.0, worlds.make_job(1, [gang]))
+        starts = world.plan_starts(0.1)
+        resize(world, 0.2, 'a', 1000)
+        assert [world.send_start(0.3, start) for start in starts] == [
+            False,
+            False,
+        ]
