Use no restarted worker before the entry of its new process

Cause: a worker may restart with its id and another capacity. Its lists of runs show the restart up to a heartbeat before its entry does. The runs of the old process were removed at once, so that new ones were placed, and waiting ones sent, on the old capacity; a new process has no allowance for that.

Change: a worker whose entry names an earlier process than its lists is not used and is sent no planned start. An entry without a start time is used as before.

Two older tests expected starts on the entry of the earlier process. They now apply the new entry first and keep their assertions: a restart ends the runs, and a ticket from before a restart is not used.

Ruled out: an old entry that arrives after the list; the feed is in order, and such an entry leaves the worker unused.

--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -758,6 +758,7 @@
         worker.has_reported
         and worker.registered
         and worker.silent_since is None
+        and not worker.entry_is_outdated
         and not worker.is_draining
         and not worker.closed_for_upkeep
         and not worker.unknown_runs
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -842,10 +842,12 @@
     ) -> bool:
         """Return whether a planned start should still be sent.
 
-        The worker's capacity may have shrunk since it was planned.
+        The worker's capacity may have changed since it was planned.
         """
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or worker.is_overcommitted:
+        if worker is None:
+            return False
+        if worker.is_overcommitted or worker.entry_is_outdated:
             return False
         run = worker.runs_by_key.get((task_id, run_number))
         return run is not None and run.stop_requested_at == float('-inf')
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -154,6 +154,14 @@
         """Return whether the worker announced that it takes no new work."""
         return self.entry.state is specs.WorkerState.DRAINING
 
+    @property
+    def entry_is_outdated(self) -> bool:
+        """Return whether the entry is of an earlier process of the worker.
+
+        The capacity of the present process may differ.
+        """
+        return 0 < self.entry.started_unix_ms < self.started_unix_ms
+
     @property
     def is_overcommitted(self) -> bool:
         """Return whether its runs exceed a capacity that shrank."""
--- a/tests/unit/fleet/test_planner.py
+++ b/tests/unit/fleet/test_planner.py
@@ -296,6 +296,7 @@
         (ask,) = plan_requests(world, 0.1)
         advise(world, 0.4, ask, ['w0'])
         world.report(0.5, 'w0', started=2)
+        world.scheduler.update_worker(0.5, worlds.make_worker('w0', started=2))
         assert world.plan_starts(0.6) == []
 
     def test_no_advice_is_requested_without_a_caller(self) -> None:
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -73,6 +73,7 @@
         world.accept(0.0, worlds.make_job(1))
         world.start_all(0.1)
         world.report(1.0, 'a', started=2)
+        world.scheduler.update_worker(1.0, worlds.make_worker('a', started=2))
         assert len(world.plan_starts(1.1)) == 1
 
     def test_an_unanswered_start_is_stopped_before_a_retry(self) -> None:
--- a/tests/unit/fleet/test_shrinking_workers.py
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -1,5 +1,6 @@
 """Workers whose capacity shrinks and grows while they run."""
 
+from samphirestack.fleet import specs
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
@@ -75,3 +76,58 @@
             False,
             False,
         ]
+
+
+class TestRestarts:
+    """Guards against starts on a capacity of an earlier process.
+
+    A worker may restart with its id and another capacity.  Its lists of runs
+    show the restart before its entry does.
+    """
+
+    def test_a_restarted_worker_is_not_used_before_its_new_entry(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.report(0.1, 'a', started=2)
+        world.accept(0.2, worlds.make_job(1, [worlds.make_step(2)]))
+        assert world.plan_starts(0.3) == []
+        resize(world, 0.4, 'a', 2000, started=1)
+        assert world.plan_starts(0.5) == []
+        resize(world, 0.6, 'a', 1000, started=2)
+        assert len(world.plan_starts(0.7)) == 1
+
+    def test_a_planned_start_is_not_sent_to_a_restarted_worker(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.plan_starts(0.1)
+        world.report(0.2, 'a', started=2)
+        assert not world.send_start(0.3, start)
+
+    def test_a_smaller_capacity_counts_from_the_new_entry(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(2)]))
+        assert len(world.start_all(0.1)) == 2
+        resize(world, 1.0, 'a', 1000, started=2)
+        world.report(1.1, 'a', started=2)
+        assert len(world.start_all(1.2)) == 1
+
+    def test_an_order_to_the_earlier_process_counts_as_well(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.plan_starts(0.1)
+        world.answer_start(0.9, start, specs.StartOutcome.UNKNOWN)
+        resize(world, 1.0, 'a', 1000, started=2)
+        world.accept(1.0, worlds.make_job(2))
+        assert world.plan_starts(1.1) == []
+
+    def test_a_new_id_on_the_machine_has_its_own_capacity(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000, machine='m')])
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(2)]))
+        assert len(world.start_all(0.1)) == 2
+        replaced = worlds.make_worker('b', 1000, machine='m')
+        world.scheduler.set_workers(1.0, [replaced])
+        world.report(1.1, 'b')
+        world.accept(1.1, worlds.make_job(2, [worlds.make_step(2)]))
+        starts = world.start_all(1.2)
+        assert [start.worker.worker_id for start in starts] == ['b']
