Start no work on workers whose entries are outdated

Cause: only a worker's entry shows its capacity. While the feed of entries failed and other calls to the store went on, starts went on by the last known capacities without any bound. A new holder that took seconds to load all jobs planned by the entries that it had read first.

Change: the holder records which moment the known entries reflect. Once this is more than 2.5 s ago, no start is planned or sent on workers that don't enforce their capacity; those that do are used as before. After an outage of the feed of that length, workers get one heartbeat to write what they could not. A read after a failure doesn't wait for changes, so that one lost answer delays no start.

Ruled out: a bound for each worker's own entry. An entry need not change between heartbeats, so that its age doesn't show whether it is current.

--- a/packages/bench/src/samphirestack_bench/fleet_model.py
+++ b/packages/bench/src/samphirestack_bench/fleet_model.py
@@ -257,7 +257,7 @@
             worker = self.workers_by_id[start.worker.worker_id]
             task_id, run = start.order.task_id, start.order.run
             if not self.scheduler.should_send_start(
-                start.worker.worker_id, task_id, run
+                self._now, start.worker.worker_id, task_id, run
             ):
                 outcome = specs.StartOutcome.NOT_SENT
             else:
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -20,6 +20,7 @@
 from samphirestack.fleet import ordering
 from samphirestack.fleet import packing
 from samphirestack.fleet import ports
+from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
@@ -106,6 +107,7 @@
     jobs: job_tracker.JobTracker
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
+    registry_freshness: registry_freshness.RegistryFreshness
 
     def record_placement(
         self,
@@ -158,8 +160,12 @@
         self._candidates_by_service: dict[
             model.ServiceId, dict[model.WorkerId, packing.Candidate]
         ] = {}
+        capacities_known = fleet.registry_freshness.permits_starts(now)
         for worker_id, worker in fleet.workers_by_id.items():
-            if _is_usable(now, worker, fleet.quarantine):
+            if _is_usable(now, worker, fleet.quarantine) and (
+                capacities_known
+                or fleet.configuration.enforces_capacity(worker.entry.service)
+            ):
                 self._candidates_by_service.setdefault(
                     worker.entry.service, {}
                 )[worker_id] = packing.Candidate(worker)
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -17,6 +17,7 @@
 from samphirestack.fleet import planner
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
+from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
@@ -75,6 +76,7 @@
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
         self._crashes = crashes.CrashTracker()
+        self.registry_freshness = registry_freshness.RegistryFreshness()
         self._last_check_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
@@ -836,6 +838,7 @@
 
     def should_send_start(
         self,
+        now: float,
         worker_id: model.WorkerId,
         task_id: model.TaskId,
         run_number: specs.RunNumber,
@@ -849,6 +852,11 @@
             return False
         if worker.is_overcommitted or worker.entry_is_outdated:
             return False
+        if not (
+            self.registry_freshness.permits_starts(now)
+            or self.configuration.enforces_capacity(worker.entry.service)
+        ):
+            return False
         run = worker.runs_by_key.get((task_id, run_number))
         return run is not None and run.stop_requested_at == float('-inf')
 
--- a/packages/core/src/samphirestack/fleet/specs.py
+++ b/packages/core/src/samphirestack/fleet/specs.py
@@ -137,6 +137,11 @@
         for same_host in self._queues_by_host.values():
             same_host.sort(key=lambda queue: -len(queue.prefix))
 
+    def enforces_capacity(self, service_id: model.ServiceId) -> bool:
+        """Return whether the workers of a service refuse what doesn't fit."""
+        service = self.services_by_id.get(service_id)
+        return service is not None and service.enforces_capacity
+
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest matching prefix."""
         for queue in self._queues_by_host.get(host, ()):
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -250,6 +250,7 @@
             bring back workers that have left since.
         """
         while True:
+            sent_at = clock.now()
             rows, version = await self._read_table(
                 self._context.registry.workers_table
             )
@@ -263,6 +264,7 @@
         for row in rows:
             with self._logging_bad_row(row):
                 self._update_worker_entry(row)
+        self.scheduler.registry_freshness.record_read(clock.now(), sent_at)
         return version
 
     def _update_worker_entry(
@@ -308,17 +310,22 @@
             )
 
     async def _follow_workers(self) -> None:
+        freshness = self.scheduler.registry_freshness
         version = self._workers_version
         self._apply_worker_entries()
+        # While jobs were loaded, the entries may have become outdated.
+        wait_s = 0.0
         while True:
+            sent_at = clock.now()
             try:
                 page = await self._context.store.feed(
-                    self._context.registry.workers_table,
-                    version,
-                    WORKER_FEED_WAIT_S,
+                    self._context.registry.workers_table, version, wait_s
                 )
             except errors.PlatformError as error:
                 logs.warning('workers.feed_failed', reason=error.message)
+                freshness.record_failure()
+                # No work starts until the entries are known to be current.
+                wait_s = 0.0
                 await asyncio.sleep(RETRY_AFTER_S)
                 continue
             if page is None:
@@ -329,6 +336,13 @@
             for row in page.rows:
                 with self._logging_bad_row(row):
                     self._apply_worker_row(row)
+            now = clock.now()
+            if not page.more:
+                waited = not page.rows and now - sent_at >= wait_s
+                freshness.record_read(
+                    now, sent_at + wait_s if waited else sent_at
+                )
+            wait_s = WORKER_FEED_WAIT_S
             if page.rows:
                 self._plan_requested.set()
                 await asyncio.sleep(WORKER_FEED_PAUSE_S)
@@ -533,10 +547,11 @@
         self._unstored_starts = unstored
 
     def _may_send_start(self, start: actions.Start) -> bool:
+        now = clock.now()
         return self._term.may_start_work(
-            clock.now()
+            now
         ) and self.scheduler.should_send_start(
-            start.worker.worker_id, start.order.task_id, start.order.run
+            now, start.worker.worker_id, start.order.task_id, start.order.run
         )
 
     def _on_changes_stored(self, changes: actions.Changes) -> None:
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -102,9 +102,15 @@
 def make_configuration(
     queues: Iterable[specs.Queue] = (),
     customers: Iterable[specs.Customer] = (),
+    services: Iterable[specs.Service] = (),
 ) -> specs.FleetConfiguration:
     return specs.FleetConfiguration(
-        1, list(queues) or [make_queue()], list(customers), [], {}, 10_000
+        1,
+        list(queues) or [make_queue()],
+        list(customers),
+        list(services),
+        {},
+        10_000,
     )
 
 
@@ -234,7 +240,7 @@
     def send_start(self, now: float, start: actions.Start) -> bool:
         """Send a planned start, if it still may be, and accept it."""
         sent = self.scheduler.should_send_start(
-            start.worker.worker_id, start.order.task_id, start.order.run
+            now, start.worker.worker_id, start.order.task_id, start.order.run
         )
         outcome = (
             specs.StartOutcome.STARTED if sent else specs.StartOutcome.NOT_SENT
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
+import pytest
+
 from samphirestack import errors
 from samphirestack.fleet import actions
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
+from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
 from samphirestack import model
@@ -308,3 +311,60 @@
         start = self._plan(holder)
         await holder._start(start)
         assert workers.started == [start.order.task_id]
+
+
+class FailingFeedStore(FollowedStore):
+    """Store of which only the feed of workers fails."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.feed_fails = False
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        if table == 'workers' and self.feed_fails:
+            raise errors.StoreUnavailable('the feed fails')
+        return await super().feed(table, after, wait_s)
+
+
+class TestFailingFeed:
+    """Guards against starts on capacities that are no longer known."""
+
+    async def test_work_starts_only_by_recent_entries(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'WORKER_FEED_WAIT_S', 0.05)
+        monkeypatch.setattr(registry_freshness, 'MAX_AGE_S', 0.5)
+        monkeypatch.setattr(registry_freshness, 'HEARTBEAT_S', 0.1)
+        store = FailingFeedStore()
+        await put_rows(store, 'workers', {'w0': b''})
+        workers = SlowToConnect(lambda: None)
+        holder = make_holder(store, workers)
+        freshness = holder.scheduler.registry_freshness
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(
+                lambda: 'w0' in workers.reports_by_id, TIMEOUT_S, 'a report'
+            )
+            store.feed_fails = True
+            await waiting.until(
+                lambda: not freshness.permits_starts(clock.now()),
+                TIMEOUT_S,
+                'outdated entries',
+            )
+            holder.add_job(records.encode(worlds.make_job(1)))
+            reports = workers.reports_by_id['w0']
+            await waiting.until(
+                lambda: workers.reports_by_id['w0'] > reports + 5,
+                TIMEOUT_S,
+                'more reports',
+            )
+            assert not workers.started
+            store.feed_fails = False
+            await waiting.until(
+                lambda: bool(workers.started), TIMEOUT_S, 'a start'
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
--- a/tests/unit/fleet/test_shrinking_workers.py
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -1,5 +1,6 @@
 """Workers whose capacity shrinks and grows while they run."""
 
+from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import specs
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
@@ -131,3 +132,55 @@
         world.accept(1.1, worlds.make_job(2, [worlds.make_step(2)]))
         starts = world.start_all(1.2)
         assert [start.worker.worker_id for start in starts] == ['b']
+
+
+class TestOutdatedEntries:
+    """Guards against starts on capacities that are no longer known."""
+
+    def _world(self, enforces_capacity: bool = False) -> worlds.World:
+        service = specs.Service(worlds.SERVICE, enforces_capacity)
+        world = worlds.World(
+            [worlds.make_worker('a')],
+            worlds.make_configuration(services=[service]),
+        )
+        world.scheduler.registry_freshness.record_read(0.0, 0.0)
+        world.accept(0.0, worlds.make_job(1))
+        return world
+
+    def test_nothing_starts_once_the_feed_of_entries_fails(self) -> None:
+        world = self._world()
+        world.scheduler.registry_freshness.record_failure()
+        assert world.plan_starts(registry_freshness.MAX_AGE_S + 0.1) == []
+
+    def test_a_planned_start_is_not_sent_either(self) -> None:
+        world = self._world()
+        (start,) = world.plan_starts(0.1)
+        assert not world.send_start(registry_freshness.MAX_AGE_S + 0.1, start)
+
+    def test_workers_that_refuse_what_does_not_fit_are_used(self) -> None:
+        world = self._world(enforces_capacity=True)
+        now = registry_freshness.MAX_AGE_S + 0.1
+        (start,) = world.plan_starts(now)
+        assert world.send_start(now, start)
+
+    def test_a_short_failure_delays_no_start(self) -> None:
+        world = self._world()
+        freshness = world.scheduler.registry_freshness
+        freshness.record_failure()
+        freshness.record_read(2.0, 2.0)
+        assert len(world.plan_starts(2.1)) == 1
+
+    def test_workers_get_a_heartbeat_after_an_outage(self) -> None:
+        world = self._world()
+        freshness = world.scheduler.registry_freshness
+        freshness.record_failure()
+        freshness.record_read(10.0, 10.0)
+        assert world.plan_starts(10.1) == []
+        settled_at = 10.0 + registry_freshness.HEARTBEAT_S
+        freshness.record_read(settled_at, settled_at)
+        assert len(world.plan_starts(settled_at)) == 1
+
+    def test_a_slow_read_without_a_failure_needs_no_heartbeat(self) -> None:
+        world = self._world()
+        world.scheduler.registry_freshness.record_read(10.0, 10.0)
+        assert len(world.plan_starts(10.1)) == 1
