Let no step wait for a gang that its service can't hold any more

Cause: a gang that found too few free workers made patient steps wait while it could still be in time, even if the workers had shrunk below its size. One that needs a single rack also reserved workers of several racks together, of which no rack could hold it.

Change: other steps leave workers only to a gang that would fit if the workers were empty, in one rack where it needs one. The check ends at the first workers that suffice. The gang itself keeps waiting and starts once the capacity has grown.

Ruled out: a gang that fits nowhere in any rack reserved no worker before either, since the forecast finds no moment for it. Single tasks that fit on no worker delay no other step.

--- a/packages/core/src/samphirestack/fleet/forecast.py
+++ b/packages/core/src/samphirestack/fleet/forecast.py
@@ -1,5 +1,7 @@
 """Forecast of when and where a gang fits, by expected ends of runs."""
 
+from collections.abc import Iterable
+
 from samphirestack.fleet import packing
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
@@ -87,6 +89,24 @@
     return min(count, spec.max_per_worker or count)
 
 
+def may_ever_fit(
+    spec: specs.StepSpec, candidates: Iterable[packing.Candidate]
+) -> bool:
+    """Return whether a gang fits on workers once they are empty.
+
+    It may not, after their capacities shrank.
+    """
+    counts_by_rack: dict[str, int] = {}
+    for candidate in candidates:
+        rack = candidate.worker.entry.rack if spec.single_rack else ''
+        count = counts_by_rack.get(rack, 0)
+        count += capacity_when_empty(candidate, spec)
+        if count >= spec.count:
+            return True
+        counts_by_rack[rack] = count
+    return False
+
+
 def _count_fitting(
     spec: specs.StepSpec, max_count: int, cpu: int, memory: int, gpu: int
 ) -> int:
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -499,11 +499,9 @@
         ]
         chosen = self._choose_gang(step, free)
         if chosen is None:
-            if (
-                ordering.classify(self._now, step)
-                is ordering.StepClass.IN_TIME
-            ):
-                self._gang_is_waiting = True
+            if not self._may_hold_workers(step):
+                return
+            self._gang_is_waiting = True
             if step.job.queue.advice is not None:
                 candidates = self._suitable(step)
             self._reserve_workers(step, candidates)
@@ -519,6 +517,20 @@
         for task, candidate in zip(step.tasks, chosen, strict=True):
             self._start(task, candidate, run_number, checkpoint)
 
+    def _may_hold_workers(self, step: work.StepRun) -> bool:
+        """Return whether other steps leave workers to a gang that waits."""
+        step_class = ordering.classify(self._now, step)
+        return step_class is ordering.StepClass.IN_TIME and (
+            forecast.may_ever_fit(
+                step.spec,
+                (
+                    candidate
+                    for candidate in self._candidates_by_id(step).values()
+                    if _is_eligible(candidate, step.spec)
+                ),
+            )
+        )
+
     def _choose_gang(
         self, step: work.StepRun, free: list[packing.Candidate]
     ) -> list[packing.Candidate] | None:
@@ -694,9 +706,6 @@
         """Reserve the workers on which a gang will fit first."""
         if self._reserved_gang_count >= MAX_RESERVED_GANGS:
             return
-        step_class = ordering.classify(self._now, step)
-        if step_class is not ordering.StepClass.IN_TIME:
-            return
         reservation = step.reservation
         if self._now - reservation.forecast_at >= FORECAST_INTERVAL_S:
             self._update_reservation(step, candidates)
--- a/tests/unit/fleet/test_shrinking_workers.py
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -184,3 +184,67 @@
         world = self._world()
         world.scheduler.registry_freshness.record_read(10.0, 10.0)
         assert len(world.plan_starts(10.1)) == 1
+
+
+class TestGangs:
+    """Guards against gangs that wait for a capacity that is gone."""
+
+    PATIENT = worlds.make_step(size=model.Resources(1000, 100), estimate_s=5.0)
+
+    def _plan_beside(self, gang: specs.StepSpec, cpu: int) -> list[str]:
+        """Return the jobs that start beside a gang that waits.
+
+        Two workers in different racks shrink from 8 cores.
+        """
+        entries = [
+            worlds.make_worker(f'w-{rack}', 8000, rack=rack)
+            for rack in ('r1', 'r2')
+        ]
+        world = worlds.World(entries)
+        busy = worlds.make_step(
+            2, size=model.Resources(5000, 100), max_per_worker=1
+        )
+        world.accept(0.0, worlds.make_job(1, [busy]))
+        assert len(world.start_all(0.0)) == 2
+        world.accept(0.0, worlds.make_job(2, [gang]))
+        assert world.plan_starts(0.1) == []
+        capacity = model.Resources(cpu, 32_000)
+        for entry in entries:
+            world.scheduler.update_worker(
+                0.2, worlds.with_capacity(entry, capacity)
+            )
+        queue = worlds.make_queue('patient', latency_target_s=30.0)
+        world.accept(0.3, worlds.make_job(3, [self.PATIENT], queue))
+        return [
+            start.order.task_id.split('.')[0]
+            for start in world.plan_starts(0.4)
+        ]
+
+    def test_nothing_waits_for_a_gang_that_no_longer_fits(self) -> None:
+        gang = worlds.make_step(
+            2, gang=True, size=model.Resources(7000, 100), estimate_s=3.0
+        )
+        assert self._plan_beside(gang, 8000) == []
+        assert self._plan_beside(gang, 6500) == [worlds.make_job(3).job_id]
+
+    def test_nothing_waits_for_a_gang_that_fits_into_no_rack(self) -> None:
+        gang = worlds.make_step(
+            2,
+            gang=True,
+            single_rack=True,
+            size=model.Resources(3500, 100),
+            estimate_s=3.0,
+        )
+        assert self._plan_beside(gang, 8000) == []
+        assert self._plan_beside(gang, 6500) == [worlds.make_job(3).job_id]
+
+    def test_it_starts_once_the_capacity_grows_again(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.accept(0.0, worlds.make_job(1))
+        assert len(world.start_all(0.0)) == 1
+        gang = worlds.make_step(2, gang=True)
+        world.accept(0.0, worlds.make_job(2, [gang]))
+        resize(world, 0.1, 'a', 1000)
+        assert world.plan_starts(0.2) == []
+        resize(world, 60.0, 'a', 3000)
+        assert len(world.plan_starts(60.1)) == 2
