--- a/tests/unit/fleet/test_shrinking_workers.py
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -5,6 +5,9 @@
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
+DONE = specs.EndReason.DONE
+STOPPED = specs.EndReason.STOPPED
+
 
 def resize(
     world: worlds.World,
@@ -248,3 +251,160 @@
         assert world.plan_starts(0.2) == []
         resize(world, 60.0, 'a', 3000)
         assert len(world.plan_starts(60.1)) == 2
+
+
+class TestFreeResources:
+    """Guards against free resources that drift over changes of capacity."""
+
+    def test_they_are_exact_after_several_changes(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 8000)])
+        job_id = world.accept(0.0, worlds.make_job(1, [worlds.make_step(3)]))
+        starts = world.start_all(0.1)
+        worker = world.scheduler.workers_by_id[model.WorkerId('a')]
+        for number, cpu in enumerate((2000, 0, 8000, 500, 4000)):
+            resize(world, 1.0 + number, 'a', cpu, memory=cpu)
+            assert worker.free_cpu == worker.free_memory == cpu - 3000
+        world.scheduler.cancel(7.0, job_id)
+        world.report(
+            8.0,
+            'a',
+            ended=[
+                (number, start.order.task_id, start.order.run, STOPPED)
+                for number, start in enumerate(starts, 1)
+            ],
+        )
+        assert worker.free_cpu == worker.free_memory == 4000
+
+    def test_nothing_starts_until_enough_has_ended(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 4000)])
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(4)]))
+        starts = world.start_all(0.1)
+        resize(world, 1.0, 'a', 2000)
+        world.accept(1.0, worlds.make_job(2))
+        running = [(start.order.task_id, start.order.run) for start in starts]
+        for ended in range(1, 4):
+            assert world.plan_starts(1.0 + ended) == []
+            rows = [
+                (number, *running[number - 1], DONE)
+                for number in range(1, ended + 1)
+            ]
+            world.report(1.5 + ended, 'a', running[ended:], rows)
+        assert len(world.plan_starts(5.0)) == 1
+
+    def test_a_run_that_is_being_stopped_still_counts(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        job_id = world.accept(0.0, worlds.make_job(1, [worlds.make_step(2)]))
+        world.start_all(0.1)
+        resize(world, 1.0, 'a', 1000)
+        world.scheduler.cancel(1.0, job_id)
+        world.accept(1.0, worlds.make_job(2))
+        assert world.plan_starts(1.1) == []
+
+    def test_an_unanswered_start_still_counts(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.plan_starts(0.1)
+        resize(world, 0.5, 'a', 1000)
+        world.answer_start(0.9, start, specs.StartOutcome.UNKNOWN)
+        world.accept(0.9, worlds.make_job(2))
+        world.report(1.0, 'a', sent_at=0.95)
+        assert world.plan_starts(1.1) == []
+
+    def test_fillers_need_memory_but_no_processors(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 4000, 4000)])
+        filler = worlds.make_step(2, filler=True)
+        world.accept(0.0, worlds.make_job(1, [filler]))
+        assert len(world.start_all(0.1)) == 2
+        resize(world, 1.0, 'a', 1000, memory=3000)
+        world.accept(1.0, worlds.make_job(2, [worlds.make_step(2)]))
+        assert len(world.start_all(1.1)) == 1
+        world.accept(1.2, worlds.make_job(3, [filler]))
+        assert world.plan_starts(1.3) == []
+
+    def test_waiting_fillers_are_not_sent_beyond_the_memory(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 4000, 2000)])
+        filler = worlds.make_step(2, filler=True)
+        world.accept(0.0, worlds.make_job(1, [filler]))
+        starts = world.plan_starts(0.1)
+        resize(world, 0.2, 'a', 4000, memory=1000)
+        assert [world.send_start(0.3, start) for start in starts] == [
+            False,
+            True,
+        ]
+
+    def test_waiting_fillers_are_sent_beside_a_lack_of_processors(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a', 4000)])
+        filler = worlds.make_step(2, filler=True)
+        world.accept(0.0, worlds.make_job(1, [filler]))
+        starts = world.plan_starts(0.1)
+        resize(world, 0.2, 'a', 1000)
+        assert all(world.send_start(0.3, start) for start in starts)
+
+    def test_a_task_waits_for_the_capacity_it_once_fitted(self) -> None:
+        world = worlds.World([worlds.make_worker('a', 2000)])
+        step = worlds.make_step(1, size=model.Resources(2000, 1000))
+        world.accept(0.0, worlds.make_job(1, [step]))
+        resize(world, 0.1, 'a', 1000)
+        assert world.plan_starts(0.2) == []
+        world.accept(0.2, worlds.make_job(2))
+        assert len(world.start_all(0.3)) == 1
+        resize(world, 60.0, 'a', 3000)
+        assert len(world.plan_starts(60.1)) == 1
+
+
+class TestTakeovers:
+    """Guards against starts beside inherited runs on a smaller worker."""
+
+    def _inherited(self) -> tuple[worlds.World, list[tuple[str, int]]]:
+        """Return a successor that knows two runs but not their worker."""
+        first = worlds.World([worlds.make_worker('a', 2000)])
+        record = worlds.make_job(1, [worlds.make_step(2)])
+        job_id = first.accept(0.0, record)
+        starts = first.start_all(0.1)
+        progress = first.scheduler.jobs.active_by_id[job_id].progress
+        first.store_changes()
+        second = worlds.World([], term=2)
+        second.scheduler.load_job(
+            1.0, worlds.UNIX_AT_ZERO_S + 1.0, record, progress
+        )
+        return second, [
+            (start.order.task_id, start.order.run) for start in starts
+        ]
+
+    def test_the_first_entry_after_a_placeholder_counts_the_runs(
+        self,
+    ) -> None:
+        world, runs = self._inherited()
+        resize(world, 1.1, 'a', 1000)
+        worker = world.scheduler.workers_by_id[model.WorkerId('a')]
+        assert worker.free_cpu == -1000
+        world.accept(1.1, worlds.make_job(2))
+        world.report(1.2, 'a', runs)
+        assert world.plan_starts(1.3) == []
+        ends = [
+            (number, task_id, run, DONE)
+            for number, (task_id, run) in enumerate(runs, 1)
+        ]
+        world.report(2.0, 'a', ended=ends)
+        assert worker.free_cpu == 1000
+        assert len(world.plan_starts(2.1)) == 1
+
+    def test_a_worker_is_not_used_before_its_first_entry(self) -> None:
+        world, runs = self._inherited()
+        world.report(1.1, 'a', runs[:1])
+        assert world.plan_starts(1.2) == []
+
+    def test_adopted_runs_count(self) -> None:
+        world = worlds.World(
+            [worlds.make_worker('a', 2000)], term=2, reported=False
+        )
+        record = worlds.make_job(1, [worlds.make_step(2)])
+        world.scheduler.load_job(0.0, worlds.UNIX_AT_ZERO_S, record, None)
+        world.accept(0.0, worlds.make_job(2))
+        resize(world, 0.1, 'a', 1000)
+        assert world.plan_starts(0.2) == []
+        runs = [(f'{record.job_id}.0.0.{index}', 1) for index in range(2)]
+        world.report(0.3, 'a', runs)
+        assert world.plan_starts(0.4) == []
