--- a/tests/integration/test_platform_entry.py
+++ b/tests/integration/test_platform_entry.py
@@ -8,6 +8,7 @@
 import pathlib
 import signal
 import socket
+import time
 
 import msgspec
 import pytest
@@ -15,9 +16,13 @@
 
 from samphirestack_platform import entry as platform_entry
 from samphirestack_platform_standin import deployment as deployments
+from samphirestack_platform_standin import soak
 from samphirestack_platform_standin import store as stores
+from samphirestack_platform_standin import workers
 
 LONGEST_WAIT_S = 40.0
+MAX_CRASHING_RUNS = 4
+LARGE_MILLICORES = 3000
 
 
 async def until(condition: Callable[[], Awaitable[bool] | bool]) -> None:
@@ -329,6 +334,170 @@
         ]
 
 
+def runs_of(
+    deployment: deployments.Deployment, number: int
+) -> list[workers.Run]:
+    job_id = f'{number:016x}'
+    return [run for run in deployment.runs if run.task.startswith(job_id)]
+
+
+def is_logged(deployment: deployments.Deployment, message_type: str) -> bool:
+    return any(
+        f'"{message_type}"' in entry.log_path.read_text()
+        for entry in deployment.entries
+    )
+
+
+class TestCrashingTasks:
+    """Guards against a task that crashes one worker after the other."""
+
+    @pytest.mark.parametrize('crash_delay_s', [0.01, 0.0])
+    @pytest.mark.parametrize('keeps_id', [False, True])
+    async def test_only_the_job_of_the_crashing_task_fails(
+        self,
+        deployment: deployments.Deployment,
+        keeps_id: bool,
+        crash_delay_s: float,
+    ) -> None:
+        deployment.make_outage = lambda: deployments.Outage(keeps_id=keeps_id)
+        for worker in deployment.workers:
+            worker.crash_delay_s = crash_delay_s
+        entry = deployment.entries[0]
+        for number in range(8):
+            body = job(run_ms=1500, count=3)
+            await deployment.call(entry, 'POST', path(number), body)
+        await until(lambda: len(deployment.runs) == 24)
+        body = job(count=1, more='crash')
+        await deployment.call(entry, 'POST', path(100), body)
+        for number in range(8, 16):
+            body = job(run_ms=1500, count=3)
+            await deployment.call(entry, 'POST', path(number), body)
+        await wait_for_state(deployment, 100, 'failed')
+        for number in range(16):
+            await wait_for_state(deployment, number, 'completed')
+        assert 2 <= deployment.crash_count <= MAX_CRASHING_RUNS
+        assert len(runs_of(deployment, 100)) == deployment.crash_count
+        assert_no_task_ran_twice(deployment)
+
+    async def test_the_other_tasks_of_the_job_stop(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        body = job(run_ms=20_000, count=6, more='crash=0')
+        await deployment.call(entry, 'POST', path(1), body)
+        await wait_for_state(deployment, 1, 'failed')
+        await until(
+            lambda: all(run.ended_at is not None for run in deployment.runs)
+        )
+        assert 2 <= deployment.crash_count <= MAX_CRASHING_RUNS
+        assert {run.reason for run in deployment.runs} <= {'gone', 'stopped'}
+
+    @pytest.mark.parametrize('is_reported', [False, True])
+    async def test_the_count_survives_the_death_of_the_holder(
+        self, deployment: deployments.Deployment, is_reported: bool
+    ) -> None:
+        entry = deployment.entries[0]
+        for number in range(4):
+            body = job(run_ms=1500, count=3)
+            await deployment.call(entry, 'POST', path(number), body)
+        body = job(count=1, more='crash')
+        await deployment.call(entry, 'POST', path(100), body)
+        await until(lambda: deployment.crash_count == 1)
+        if is_reported:
+            await until(lambda: is_logged(deployment, 'worker.crashed'))
+        name = deployment.holder_name()
+        holder = next(one for one in deployment.entries if one.name == name)
+        await holder.stop(signal.SIGKILL)
+        assert deployment.crash_count == 1
+        other = next(
+            index
+            for index, one in enumerate(deployment.entries)
+            if one is not holder
+        )
+        await wait_for_state(deployment, 100, 'failed', other)
+        for number in range(4):
+            await wait_for_state(deployment, number, 'completed', other)
+        assert 2 <= deployment.crash_count <= MAX_CRASHING_RUNS
+        assert_no_task_ran_twice(deployment)
+
+    async def test_one_crash_of_a_worker_fails_no_job(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        for number in range(6):
+            body = job(run_ms=2000, count=2)
+            await deployment.call(entry, 'POST', path(number), body)
+        await until(lambda: len(deployment.runs) == 12)
+        crashed_id = deployment.runs[-1].worker
+        worker = next(
+            one for one in deployment.workers if one.worker_id == crashed_id
+        )
+        deployment.crash_worker(worker)
+        for number in range(6):
+            await wait_for_state(deployment, number, 'completed')
+        assert worker.worker_ids != [crashed_id]
+        assert_no_task_ran_twice(deployment)
+
+
+class TestCapacity:
+    """Guards against starts beyond a capacity that has shrunk."""
+
+    async def test_a_worker_that_shrank_is_not_overcommitted(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        body = job(
+            run_ms=800,
+            count=1,
+            more=f'cpu={LARGE_MILLICORES}',
+            cpu=LARGE_MILLICORES,
+        )
+        for worker in deployment.workers:
+            deployment.set_capacity(worker, 2 * LARGE_MILLICORES)
+        shrank_at = time.monotonic()
+        numbers = itertools.count()
+
+        async def enough_late_starts() -> bool:
+            status, _ = await deployment.call(
+                entry, 'POST', path(next(numbers)), body
+            )
+            assert status == 200
+            late = shrank_at + soak.SHRINK_EFFECT_S
+            return sum(run.started_at > late for run in deployment.runs) >= 20
+
+        await until(enough_late_starts)
+        for number in range(next(numbers)):
+            await wait_for_state(deployment, number, 'completed')
+        for worker in deployment.workers:
+            assert soak.overcommitted(worker, deployment.runs) == []
+
+    async def test_a_worker_that_grew_gets_larger_tasks(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry = deployment.entries[0]
+        for worker in deployment.workers:
+            deployment.set_capacity(worker, LARGE_MILLICORES)
+        numbers = itertools.count()
+
+        async def some_wait() -> bool:
+            number = next(numbers)
+            body = job(count=1, cpu=LARGE_MILLICORES + 1)
+            status, _ = await deployment.call(
+                entry, 'POST', path(number), body
+            )
+            assert status == 200
+            _, answer = await deployment.call(entry, 'GET', '/batch/')
+            assert isinstance(answer, dict)
+            # The number is unknown until the holder has sent it.
+            return answer.get('waiting', 0) >= 10
+
+        await until(some_wait)
+        grown = deployment.workers[0]
+        deployment.set_capacity(grown, LARGE_MILLICORES + 1)
+        for number in range(next(numbers)):
+            await wait_for_state(deployment, number, 'completed')
+
+
 class TestAddresses:
     """Guards against an entry that ends without a word on its cause."""
 
