Handle broken connections of the fault proxy on Python 3.11

A connection that was broken off during a blocked write left an unhandled ExceptionGroup, because contextlib.suppress looks into groups only from Python 3.12 on. The soak printed it between its findings.

Before: [ExceptionGroup(... [ConnectionResetError(104, ...)])] == [] fails.

--- a/packages/testing/src/samphirestack_testing/faultproxy.py
+++ b/packages/testing/src/samphirestack_testing/faultproxy.py
@@ -187,10 +187,14 @@
         from_client: asyncio.StreamReader,
         from_server: asyncio.StreamReader,
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._to_server(connection, from_client))
-                group.create_task(self._to_client(connection, from_server))
+        with contextlib.suppress(asyncio.CancelledError):
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._to_server(connection, from_client))
+                    group.create_task(self._to_client(connection, from_server))
+            except* OSError:
+                # A side broke its connection off.
+                pass
 
     async def _to_server(
         self, connection: _Connection, reader: asyncio.StreamReader
