Follow a quarantined worker's probe without a result by another

A probe that was refused, stopped or broken with its gang, or lost with its worker's process, excluded the worker until the end of the term, also when the worker had long recovered.

The tests failed before on each of the four ways ('assert 0 == 1', no second probe). All tests of tests/unit/fleet pass.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -616,6 +616,7 @@
         if not runs:
             self._runs_by_job.pop(job_id, None)
         worker.remove_run(run)
+        self.quarantine.clear_probe(worker.entry.worker_id, run.task.id)
         self.usage.remove(
             run.task.step.job.customer_id, run.task.step.spec.size
         )
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -1,5 +1,7 @@
 """State of runs and workers in the fleet scheduler."""
 
+import pytest
+
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
@@ -365,6 +367,50 @@
         assert task.failed_runs == {1}
 
 
+class TestQuarantine:
+    """Guards against workers that get no work long after they recovered."""
+
+    @staticmethod
+    def _start_probe(world: worlds.World) -> actions.Start:
+        """Fail three jobs on the only worker and start its probe."""
+        for number in range(1, 4):
+            job_id = world.accept(0.0, worlds.make_job(number))
+            (start,) = world.start_all(0.0)
+            order = start.order
+            world.report(
+                0.0, 'a', ended=[(number, order.task_id, order.run, FAILED)]
+            )
+            world.scheduler.cancel(0.0, job_id)
+        world.accept(1.0, worlds.make_job(4))
+        assert world.plan_starts(1.0) == []
+        (probe,) = world.plan_starts(20.0)
+        return probe
+
+    @pytest.mark.parametrize('reason', [BROKEN, STOPPED])
+    def test_a_probe_without_a_result_is_followed_by_another(
+        self, reason: specs.EndReason
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        probe = self._start_probe(world)
+        order = probe.order
+        world.answer_start(20.0, probe, specs.StartOutcome.STARTED)
+        world.report(21.0, 'a', ended=[(4, order.task_id, order.run, reason)])
+        assert len(world.plan_starts(30.0)) == 1
+
+    def test_a_refused_probe_is_followed_by_another(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        probe = self._start_probe(world)
+        world.answer_start(20.0, probe, specs.StartOutcome.UNHEALTHY)
+        assert len(world.plan_starts(30.0)) == 1
+
+    def test_a_probe_lost_in_a_restart_is_followed_by_another(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        probe = self._start_probe(world)
+        world.answer_start(20.0, probe, specs.StartOutcome.STARTED)
+        world.report(21.0, 'a', started=2)
+        assert len(world.plan_starts(30.0)) == 1
+
+
 class TestGangs:
     """Guards against members of a gang that run alone."""
 
