--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -403,7 +403,10 @@
     async def _renew_lease(
         self, worker_id: model.WorkerId, wait_s: float
     ) -> None:
-        worker = self.scheduler.workers_by_id[worker_id]
+        worker = self.scheduler.workers_by_id.get(worker_id)
+        if worker is None:
+            # It was removed since the call was decided.
+            return
         sent_at = clock.now()
         deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -147,6 +147,74 @@
             await asyncio.gather(running, return_exceptions=True)
 
 
+class EndReportingWorkers(Workers):
+    """Workers that report the end of a run until it is acknowledged."""
+
+    async def hold(
+        self,
+        worker: specs.WorkerEntry,
+        term: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> specs.WorkerReport:
+        await super().hold(worker, term, last_seen, deadline_ms, wait_s)
+        end = (1, f'{1:016x}.0.0.0', 1, specs.EndReason.DONE)
+        return worlds.make_report(1000.0, ended=[end])
+
+
+class TestRemovedWorkers:
+    """Guards against a worker that is not called again once it is back.
+
+    Entries of workers expire in an outage of the store.
+    """
+
+    async def test_a_worker_that_left_with_an_unstored_end_is_called_again(
+        self,
+    ) -> None:
+        store = FollowedStore()
+        await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
+        workers = EndReportingWorkers(ZeroDivisionError(), 0)
+        holder = make_holder(store, workers)
+        scheduler = holder.scheduler
+        tracked_by_id = scheduler.workers_by_id
+        # Nothing renews the term here, and it must not end before the test.
+        record = holder._term.record
+        assert record is not None
+        holder._term.record_write(clock.now() + 3 * TIMEOUT_S, record, 0)
+        await holder._load()
+        holder._apply_worker_entries()
+        try:
+            await waiting.until(
+                lambda: tracked_by_id[model.WorkerId('w0')].unstored_ends,
+                TIMEOUT_S,
+                'the end of a run',
+            )
+            holder._apply_worker_row(ports.StoredRow('w0', b'', 5, True))
+            scheduler.plan(clock.now(), worlds.UnlimitedAdviceCallers())
+            assert 'w0' not in tracked_by_id
+            await waiting.until(
+                lambda: 'w0' not in holder._lease_tasks,
+                TIMEOUT_S,
+                'no calls to the removed worker',
+            )
+            calls = workers.reports_by_id['w0']
+            holder._apply_worker_row(ports.StoredRow('w0', b'', 6, False))
+            await waiting.until(
+                lambda: workers.reports_by_id['w0'] > calls,
+                TIMEOUT_S,
+                'a call to the worker that is back',
+            )
+            metrics = holder._context.metrics.render()[0].decode()
+            assert 'set_aside_total{' not in metrics
+        finally:
+            for task in holder._lease_tasks.values():
+                task.cancel()
+            await asyncio.gather(
+                *holder._lease_tasks.values(), return_exceptions=True
+            )
+
+
 class TestBadRows:
     """Guards against one bad row that no holder can load."""
 
