Count inherited leases from the last renewal of the earlier holder

A holder can't know how long an earlier one extended the lease of a worker that doesn't answer; a gang with a member there waits until no lease can last. That time, 11.7 s, counted from the claim, and so began again with each claim.

Change: it counts from the first read of the row that the claim replaced. Each renewal changes the row and the claim requires it unchanged, so the earlier holder sent its last renewal before that read; a claim after a silent death comes 1.55 s later or more.

The tests use the new argument and can't run on the code before. All tests of tests/unit/fleet pass. Ruled out: a bound from the claim as protection against a holder that is cut off but alive; its leases count from its own renewals, on a clock that includes suspension.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -59,6 +59,8 @@
     :param term: number of the term, the fencing token of all orders.
     :param now: when the term began.
     :param max_lease_s: longest lease that workers accept.
+    :param earlier_renewal_before: when the earlier holder had sent its last
+        renewal, up to which it may have extended leases; now by default.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         term: int,
         configuration: specs.FleetConfiguration,
         max_lease_s: float,
+        earlier_renewal_before: float | None = None,
     ) -> None:
         self.term = term
         self.configuration = configuration
@@ -84,11 +87,10 @@
         self._job_rates = shares.JobRates()
         self._max_lease_s = max_lease_s
         self._start_count = 0
-        # Counts from now although the earlier holder renewed its term
-        # earlier: a partition that refuses connections looks like the death
-        # of the holder, so the takeover may follow its last renewal at once.
+        if earlier_renewal_before is None:
+            earlier_renewal_before = now
         self._inherited_leases_expire_at = (
-            now
+            earlier_renewal_before
             + terms.HOLD_LEASE_S
             + max_lease_s * (1 + tracking.MAX_CLOCK_DRIFT)
         )
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -91,6 +91,15 @@
         """Number of the latest known term; 0 before the first."""
         return self.record.term if self.record else 0
 
+    @property
+    def renewed_before(self) -> float:
+        """Return a moment before which the last renewal was sent.
+
+        Another renewal changes the version of the row, which a claim requires
+        to be unchanged.
+        """
+        return self._first_read_at
+
     @property
     def is_mine(self) -> bool:
         """Return whether the row names this process."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -64,6 +64,8 @@
     """Runs the scheduler of the fleet while this process holds the term.
 
     :param send: sends a message to the entry with a connection identity.
+    :param earlier_renewal_before: when the earlier holder had sent its last
+        renewal; now by default.
     """
 
     def __init__(
@@ -72,13 +74,18 @@
         term: terms.Term,
         configuration: specs.FleetConfiguration,
         send: Callable[[bytes, messages.Message], None],
+        earlier_renewal_before: float | None = None,
     ) -> None:
         now = clock.now()
         self._context = context
         self._term = term
         self._send = send
         self.scheduler = schedulers.FleetScheduler(
-            now, term.number, configuration, context.bounds.max_lease_s
+            now,
+            term.number,
+            configuration,
+            context.bounds.max_lease_s,
+            earlier_renewal_before,
         )
         self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
         self.advice_callers = advice_callers.AdviceCallerPool()
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -112,6 +112,8 @@
         self._waiting_counts: dict[model.QueueId, int] | None = None
         self._waiting_counts_at = float('-inf')
         self._holder_since = 0.0
+        self._earlier_renewal_before = 0.0
+        """When the holder before this process had sent its last renewal."""
         self._pong_counts: dict[model.QueueId, int] | None = None
         self._pong_counts_at = float('-inf')
         self._claim_after = float('-inf')
@@ -252,6 +254,7 @@
     async def _claim(self) -> bool:
         """Try to take over the term; return whether it succeeded."""
         record = self.term.claim_record()
+        renewed_before = self.term.renewed_before
         condition = ports.Condition(
             records.TERM_TABLE, records.TERM_KEY, self.term.version
         )
@@ -272,6 +275,7 @@
         except errors.StoreUnavailable as error:
             logs.warning('term.claim_failed', reason=error.message)
             return False
+        self._earlier_renewal_before = renewed_before
         self.term.record_write(sent_at, record, version)
         self._context.log.write('term.claimed', term=record.term)
         return True
@@ -281,7 +285,11 @@
         assert configuration is not None
         self._connection.close()
         holder = holders.Holder(
-            self._context, self.term, configuration, self._listener.send
+            self._context,
+            self.term,
+            configuration,
+            self._listener.send,
+            self._earlier_renewal_before,
         )
         self._holder = holder
         self._holder_since = clock.now()
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -169,6 +169,7 @@
     """A scheduler and its workers.
 
     :param reported: whether the workers have sent a first report.
+    :param earlier_renewal_before: see ``FleetScheduler``.
     """
 
     def __init__(
@@ -177,9 +178,14 @@
         configuration: specs.FleetConfiguration | None = None,
         term: int = 1,
         reported: bool = True,
+        earlier_renewal_before: float = 0.0,
     ) -> None:
         self.scheduler = schedulers.FleetScheduler(
-            0.0, term, configuration or make_configuration(), LEASE_S
+            0.0,
+            term,
+            configuration or make_configuration(),
+            LEASE_S,
+            earlier_renewal_before,
         )
         self.scheduler.jobs.unix_offset_s = UNIX_AT_ZERO_S
         self.workers = list(workers)
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -206,6 +206,22 @@
             assert interval_s <= pacing.MAX_PING_INTERVAL_S
 
 
+class TestClaim:
+    """Guards against work of dead workers that waits for takeovers again."""
+
+    async def test_inherited_leases_count_from_the_last_renewal(self) -> None:
+        async with running_node() as (fleet_node, _):
+            record = records.TermRecord(1, model.VmId('b'), 'life', 'address')
+            row = records.encode(record)
+            put = ports.Put(records.TERM_TABLE, records.TERM_KEY, row)
+            await fleet_node._context.store.transact([], [put])
+            await fleet_node._read_term()
+            first_read_at = fleet_node.term.renewed_before
+            await fleet_node._read_term()
+            assert await fleet_node._claim()
+            assert fleet_node._earlier_renewal_before == first_read_at
+
+
 class FailingHolder(StubHolder):
     """Holder that ends with an unexpected error."""
 
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -288,6 +288,22 @@
         assert world.plan_starts(longest_s) == []
         assert len(world.plan_starts(longest_s + 0.2)) == 1
 
+    def test_the_time_before_the_takeover_counts(self) -> None:
+        world = worlds.World(
+            [worlds.make_worker('b')],
+            term=2,
+            reported=False,
+            earlier_renewal_before=-3.0,
+        )
+        progress = records.JobProgress(placed_by_task={'0.0.0': (1, 'a')})
+        world.scheduler.load_job(
+            0.0, worlds.UNIX_AT_ZERO_S, worlds.make_job(1), progress
+        )
+        world.report(0.1, 'b')
+        longest_s = terms.HOLD_LEASE_S + worlds.LEASE_S * 1.02 - 3.0
+        assert world.plan_starts(longest_s) == []
+        assert len(world.plan_starts(longest_s + 0.2)) == 1
+
     def test_the_report_of_a_returning_worker_is_applied(self) -> None:
         world = self._take_over([worlds.make_worker('b')], 'a')
         world.report(0.1, 'b')
--- a/tests/unit/fleet/test_term.py
+++ b/tests/unit/fleet/test_term.py
@@ -67,6 +67,18 @@
         assert term.may_take_over(0.1)
 
 
+class TestLastRenewal:
+    """Guards against a bound of inherited leases that is too early or late."""
+
+    def test_it_was_sent_before_the_first_read_of_the_row(self) -> None:
+        term = make_term()
+        term.observe(0.0, 0.1, row(), 5)
+        term.observe(1.0, 1.1, row(), 5)
+        assert term.renewed_before == 0.1
+        term.observe(2.0, 2.1, row(), 6)
+        assert term.renewed_before == 2.1
+
+
 class TestAfterAnOutage:
     """Guards against a late takeover after an outage of the store."""
 
