Apply the new process's entry in the test of a lost probe

It applies the new entry first; what it checks is unchanged. It failed on (0 starts) and passes now.

--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -424,6 +424,7 @@
         probe = self._start_probe(world)
         world.answer_start(20.0, probe, specs.StartOutcome.STARTED)
         world.report(21.0, 'a', started=2)
+        world.scheduler.update_worker(21.0, worlds.make_worker('a', started=2))
         assert len(world.plan_starts(30.0)) == 1
 
 
