Count runs that vanished with a worker before a takeover

Cause: a new holder that loads a placement whose worker has no row any more waits for the end of all leases and starts the task again without a count: no later row can prove the crash. With a takeover after each crash, a task that crashes its workers starts without a limit.

Change: such a loss counts against the last bound of five crashes, but makes no task a suspect.

Evidence: test_crashes_of_workers_without_a_row_are_bounded failed before (8 starts in 8 terms) and passes now; tests/unit/fleet: 221 passed. Ruled out: storing the machine with each placement; it changes the rows and would only make the verdict earlier.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -401,18 +401,23 @@
         )
         job_ids = {run.task.step.job.job_id for run in suspects}
         for run in suspects:
-            job = run.task.step.job
-            if job.job_id in self.jobs.active_by_id and (
-                crashes.is_to_be_given_up(run.task, len(job_ids) > 1)
-            ):
-                self._pending_actions.append(
-                    actions.ReportGivenUp(
-                        job.job_id,
-                        run.task.id,
-                        tuple(crashes.crashed_worker_ids(run.task)),
-                    )
-                )
-                self._end_job(job, specs.JobState.FAILED, now)
+            self._give_up_if_due(now, run.task, len(job_ids) > 1)
+
+    def _give_up_if_due(
+        self, now: float, task: work.Task, other_jobs_are_suspects: bool
+    ) -> None:
+        """End the job of a task as failed after too many crashes."""
+        job = task.step.job
+        if job.job_id not in self.jobs.active_by_id:
+            return
+        if not crashes.is_to_be_given_up(task, other_jobs_are_suspects):
+            return
+        self._pending_actions.append(
+            actions.ReportGivenUp(
+                job.job_id, task.id, tuple(crashes.crashed_worker_ids(task))
+            )
+        )
+        self._end_job(job, specs.JobState.FAILED, now)
 
     def _observe_current_run(self, task: work.Task) -> None:
         """Put a run that was placed before the proof of a crash on probation.
@@ -892,20 +897,30 @@
             else:
                 expired = now >= self._inherited_leases_expire_at
             if unavailable and (expired or not worker.runs_by_key):
-                if worker.runs_by_key and not _has_left(worker):
-                    self._crashes.record_loss(
-                        crashes.lost_worker(
-                            now, worker, worker.runs_by_key.values()
-                        )
-                    )
-                for run in list(worker.runs_by_key.values()):
-                    self._remove_lost_run(worker, run)
+                self._remove_unproved_runs(now, worker)
                 if not worker.registered:
                     del self.workers_by_id[worker_id]
                     continue
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
 
+    def _remove_unproved_runs(
+        self, now: float, worker: tracking.TrackedWorker
+    ) -> None:
+        """Remove the runs of a worker that is lost without proof of a crash."""
+        runs = list(worker.runs_by_key.values())
+        lost = crashes.lost_worker(now, worker, runs)
+        if not worker.entry.address:
+            # Its row is gone: no later row can prove that it crashed.
+            crash = records.TaskCrash(worker.entry.worker_id, False)
+            for lost_run in lost.runs:
+                self.jobs.record_crash(lost_run.task, lost_run.number, crash)
+                self._give_up_if_due(now, lost_run.task, True)
+        elif runs and not _has_left(worker):
+            self._crashes.record_loss(lost)
+        for run in runs:
+            self._remove_lost_run(worker, run)
+
     def _remove_crashed_runs(
         self, now: float, worker: tracking.TrackedWorker
     ) -> None:
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -620,3 +620,36 @@
         (start,) = fleet.step(1.1)
         assert isinstance(start, actions.Start)
         assert fleet.world.plan(1.2) == []
+
+
+class TestTakeoversBeforeTheProof:
+    """Guards against crashes that no holder counts."""
+
+    def test_crashes_of_workers_without_a_row_are_bounded(self) -> None:
+        fleet = Fleet()
+        job = worlds.make_job(1)
+        fleet.world.accept(0.0, job)
+        start_count = 0
+        for term in range(2, 10):
+            now = 1.0
+            while not (starts := fleet.world.start_all(now)) and now < 20.0:
+                now += 1.0
+            if not starts:
+                break
+            start_count += 1
+            progress = records.decode_progress(
+                fleet.world.store_changes().puts[0].value
+            )
+            old = fleet.entries_by_id.pop(starts[0].worker.worker_id)
+            entry = worlds.make_worker(
+                f'{old.machine}-{term}', machine=old.machine, started=term
+            )
+            fleet.entries_by_id[entry.worker_id] = entry
+            fleet.world = worlds.World(
+                fleet.entries_by_id.values(), term=term, reported=False
+            )
+            fleet.scheduler = fleet.world.scheduler
+            fleet.scheduler.load_job(0.0, worlds.UNIX_AT_ZERO_S, job, progress)
+            for worker_id in fleet.entries_by_id:
+                fleet.report(0.5, worker_id)
+        assert start_count <= crashes.MAX_CRASHES
