--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -907,7 +907,7 @@
     def _remove_unproved_runs(
         self, now: float, worker: tracking.TrackedWorker
     ) -> None:
-        """Remove the runs of a worker that is lost without proof of a crash."""
+        """Remove the runs of a worker that is lost without a proved crash."""
         runs = list(worker.runs_by_key.values())
         lost = crashes.lost_worker(now, worker, runs)
         if not worker.entry.address:
