--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -303,3 +303,21 @@
         if kind == 'gang' and len({s.worker_id for s in starts}) == 1:
             zone.event(1.2, starts[1], 2, 'stopped')
         assert len(zone.plan(1.5)) == (2 if kind == 'gang' else 1)
+
+
+class TestLostTasks:
+    """Guards against a task that is lost with each worker that starts it."""
+
+    def test_a_task_that_is_lost_each_time_is_given_up(self) -> None:
+        """Guards against retries without a limit."""
+        zone = _ready(1)
+        zone.submit('a')
+        count = 0
+        for number in range(8):
+            now = 10.0 * number
+            for start in zone.plan(now + 1.0):
+                count += 1
+                zone.accept(now + 1.0, start)
+                zone.report_tasks(now + 2.0, 'w0', start, asked_at=now + 2.0)
+                zone.report_tasks(now + 5.0, 'w0', asked_at=now + 5.0)
+        assert 1 < count <= 5
