--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from samphirestack_platform_standin import soak
+from samphirestack_platform_standin import workers
 
 LOAD_S = 6.0
 REGRESSION_SEEDS: tuple[int, ...] = ()
@@ -21,3 +22,25 @@
         run, found = await soak.soak(seed, tmp_path, LOAD_S)
         assert found == []
         assert any(200 in job.answers for job in run.jobs)
+
+
+class TestOracle:
+    """Guards against restarts that the soak overlooks or invents."""
+
+    @pytest.mark.parametrize('lapses', [False, True])
+    async def test_an_end_before_a_lapse_of_the_lease_is_not_known(
+        self, lapses: bool
+    ) -> None:
+        first = workers.Run('t', 1, 'w-0', 0.0)
+        worker = workers.Worker('w-0', '', [first])
+        worker._records_by_run['t', 1] = first
+        worker.extend_lease(worker.clock_ms + 60_000)
+        worker._end_run(('t', 1), 'done')
+        if lapses:
+            worker._deadline_ms = 0.0
+        worker.extend_lease(worker.clock_ms + 60_000)
+        worker.acknowledge_ends(1)
+        assert first.ended_at is not None
+        second = workers.Run('t', 2, 'w-1', first.ended_at + 1.0)
+        found = soak._findings_of_task('t', [first, second])
+        assert len(found) == (0 if lapses else 1)
