--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -6,8 +6,9 @@
 job's task starts on the worker at about the same time, so that one more crash
 identifies it.  A run that survives its start clears its task.
 
-A crash counts only if it is proved: by a new process with the worker's id or
-on its machine.  A worker that is merely silent may run on.
+A crash makes suspects only if it is proved: by a new process with the worker's
+id or on its machine.  A worker that is merely silent may run on.  Runs that
+vanished with their worker before a takeover only count towards MAX_CRASHES.
 """
 
 from collections.abc import Iterable
