Begin a term whose claim was applied without an answer

Cause: the term began only in the call that had claimed it, if the answer or one read right after it arrived. A later read that showed the claim made Term.is_mine true, which ended the reads as well as the claims, and nothing began the term. A claim that was applied late led to the same state.

Why it works: whoever owns the row begins the term whenever a read shows it. The lease counts from the sending of the claim, so that no work starts on a term that was found late before a renewal has succeeded; a term that another entry has taken over meanwhile ends at its first write.

--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -8,6 +8,8 @@
 work at the same time.
 """
 
+import msgspec
+
 from samphirestack.fleet import records
 from samphirestack import model
 
@@ -60,6 +62,17 @@
 about a tenth of a second."""
 
 
+class Claim(msgspec.Struct, frozen=True):
+    """A claim that was sent and may have been applied."""
+
+    sent_at: float
+    """When it was first sent on this version of the row."""
+    version: int
+    """Version of the row that it replaces."""
+    earlier_renewal_before: float
+    """Moment before which the replaced holder had sent its last renewal."""
+
+
 class Term:
     """State of the term as one entry knows it.
 
@@ -81,10 +94,15 @@
         self._unchanged_since: float | None = None
         """Since when reads without a gap show the row unchanged."""
         self._first_read_at = float('-inf')
-        """When this version of the row was first read, gaps or not."""
+        """When this version of the row was first read, gaps or not.  Its last
+        renewal was sent before: another one changes the version, which a
+        claim requires to be unchanged."""
         self._last_read_at: float | None = None
         self._renewed_at = float('-inf')
         self._dead_processes: set[str] = set()
+        self._claim: Claim | None = None
+        """Last claim of this process; without an answer, only a later read
+        shows whether it was applied."""
 
     @property
     def number(self) -> int:
@@ -92,17 +110,12 @@
         return self.record.term if self.record else 0
 
     @property
-    def renewed_before(self) -> float:
-        """Return a moment before which the last renewal was sent.
+    def is_mine(self) -> bool:
+        """Return whether the row names this process.
 
-        Another renewal changes the version of the row, which a claim requires
-        to be unchanged.
+        That is also the case after a claim whose answer was lost, before
+        this process has begun the term.
         """
-        return self._first_read_at
-
-    @property
-    def is_mine(self) -> bool:
-        """Return whether the row names this process."""
         return (
             self.record is not None
             and self.record.life == self._incarnation
@@ -188,8 +201,10 @@
             and now - self._first_read_at >= TAKEOVER_AFTER_S
         )
 
-    def claim_record(self) -> records.TermRecord:
-        """Return the row that claims the next term for this process."""
+    def begin_claim(self, now: float) -> records.TermRecord:
+        """Return the row that claims the next term, which is sent now."""
+        if self._claim is None or self._claim.version != self.version:
+            self._claim = Claim(now, self.version, self._first_read_at)
         return records.TermRecord(
             self.number + 1,
             self._vm_id,
@@ -199,6 +214,23 @@
             best_strength=self.best_strength,
         )
 
+    def begin_term(self, now: float) -> float:
+        """Begin the term that the row gives to this process.
+
+        The term may have been claimed some time ago by a write without an
+        answer.  Its lease counts from the sending of that write, so that a
+        process that learns of it late starts work only after a renewal.
+
+        :return: moment before which the replaced holder had sent its last
+            renewal.
+        """
+        claim = self._claim
+        self._claim = None
+        if claim is None:
+            return now
+        self._renewed_at = claim.sent_at
+        return claim.earlier_renewal_before
+
     def renewal_record(self, release: bool = False) -> records.TermRecord:
         """Return the row for the next write of the holder.
 
@@ -237,6 +269,7 @@
         """
         self._renewed_at = float('-inf')
         self._incarnation = incarnation
+        self._claim = None
 
 
 def strength(cores: float, link_mbps: float) -> float:
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -112,8 +112,6 @@
         self._waiting_counts: dict[model.QueueId, int] | None = None
         self._waiting_counts_at = float('-inf')
         self._holder_since = 0.0
-        self._earlier_renewal_before = 0.0
-        """When the holder before this process had sent its last renewal."""
         self._pong_counts: dict[model.QueueId, int] | None = None
         self._pong_counts_at = float('-inf')
         self._claim_after = float('-inf')
@@ -152,10 +150,10 @@
 
     async def _poll_term(self) -> None:
         while True:
-            if not self.term.is_mine:
+            if self._holder is None:
                 await self._read_term()
             await asyncio.sleep(POLL_TERM_INTERVAL_S)
-            if self.term.is_mine or not self._connection.is_late:
+            if self._holder is not None or not self._connection.is_late:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(POLL_TERM_IDLE_INTERVAL_S):
                         await self._poll_requested.wait()
@@ -199,8 +197,13 @@
             if self._connection.is_late:
                 # The row must be observed unchanged for a while.
                 self._poll_requested.set()
-            configuration = self.configuration_feed.configuration
-            if self._stopping or configuration is None:
+            if self.configuration_feed.configuration is None:
+                continue
+            if self.term.is_mine:
+                # An earlier claim was applied although its answer was lost.
+                await self._hold_term()
+                continue
+            if self._stopping:
                 continue
             if clock.now() < self._claim_after:
                 continue
@@ -216,7 +219,8 @@
             )
             if not self._may_take_over():
                 continue
-            if await self._claim():
+            await self._claim()
+            if self.term.is_mine:
                 await self._hold_term()
 
     def _may_take_over(self) -> bool:
@@ -251,45 +255,51 @@
             await self._read_term()
             self.term.mark_process_dead(record.life)
 
-    async def _claim(self) -> bool:
-        """Try to take over the term; return whether it succeeded."""
-        record = self.term.claim_record()
-        renewed_before = self.term.renewed_before
+    async def _claim(self) -> None:
+        """Try to take over the term.
+
+        Without an answer, the claim may be applied at any later time.  The
+        row then names this process, which a read shows.
+        """
         condition = ports.Condition(
             records.TERM_TABLE, records.TERM_KEY, self.term.version
         )
+        sent_at = clock.now()
+        record = self.term.begin_claim(sent_at)
         put = ports.Put(
             records.TERM_TABLE, records.TERM_KEY, records.encode(record)
         )
-        sent_at = clock.now()
         try:
             version = await self._context.store.transact([condition], [put])
         except errors.TransactionConflict:
             await self._read_term()
-            return False
-        except errors.OutcomeUnknown:
+        except errors.OutcomeUnknown as error:
+            logs.warning(
+                'term.claim_unknown', term=record.term, reason=error.message
+            )
             await self._read_term()
-            if self.term.record != record:
-                return False
-            version = self.term.version
         except errors.StoreUnavailable as error:
             logs.warning('term.claim_failed', reason=error.message)
-            return False
-        self._earlier_renewal_before = renewed_before
-        self.term.record_write(sent_at, record, version)
-        self._context.log.write('term.claimed', term=record.term)
-        return True
+        else:
+            self.term.record_write(sent_at, record, version)
 
     async def _hold_term(self) -> None:
         configuration = self.configuration_feed.configuration
         assert configuration is not None
+        now = clock.now()
+        earlier_renewal_before = self.term.begin_term(now)
+        self._context.log.write(
+            'term.claimed',
+            term=self.term.number,
+            renewal_age_s=round(self.term.renewal_age(now), 3),
+        )
         self._connection.close()
         holder = holders.Holder(
             self._context,
             self.term,
             configuration,
             self._listener.send,
-            self._earlier_renewal_before,
+            earlier_renewal_before,
         )
         self._holder = holder
         self._holder_since = clock.now()
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -1,10 +1,13 @@
 """Messages between a holder and entries, and giving up the term."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+from typing import Any
 
 import pytest
 
+from samphirestack import errors
 from samphirestack.fleet import messages
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
@@ -18,6 +21,8 @@
 from samphirestackd.fleet import node
 from samphirestackd.fleet import writer as writers
 
+TIMEOUT_S = 10.0
+
 
 class StubHolder:
     """Holder without I/O.
@@ -44,9 +49,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running_node() -> AsyncIterator[tuple[node.Node, MessageRecorder]]:
+async def running_node(
+    store: ports.RowStore | None = None,
+) -> AsyncIterator[tuple[node.Node, MessageRecorder]]:
     """Make a node whose replies to entries are recorded."""
-    context = worlds.make_context(row_store.MemoryRowStore())
+    context = worlds.make_context(store or row_store.MemoryRowStore())
     context.registry = Registry()  # type: ignore[assignment]
     fleet_node = node.Node(context, '127.0.0.1:*')
     recorder = MessageRecorder()
@@ -206,20 +213,88 @@
             assert interval_s <= pacing.MAX_PING_INTERVAL_S
 
 
+class UnansweringStore(row_store.MemoryRowStore):
+    """Store that applies writes and answers nothing while it is cut off."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_cut_off = False
+
+    async def transact(self, *arguments: Any) -> int:
+        await super().transact(*arguments)
+        if self.is_cut_off:
+            raise errors.OutcomeUnknown('no answer')
+        return self.version
+
+    async def read(self, *arguments: Any) -> ports.Page:
+        if self.is_cut_off:
+            raise errors.StoreUnavailable('no answer')
+        return await super().read(*arguments)
+
+
+async def put_term(store: ports.RowStore) -> None:
+    """Store the row of a holder that has ended."""
+    record = records.TermRecord(1, model.VmId('b'), 'life', 'address')
+    row = records.encode(record)
+    put = ports.Put(records.TERM_TABLE, records.TERM_KEY, row)
+    await store.transact([], [put])
+
+
 class TestClaim:
     """Guards against work of dead workers that waits for takeovers again."""
 
     async def test_inherited_leases_count_from_the_last_renewal(self) -> None:
         async with running_node() as (fleet_node, _):
-            record = records.TermRecord(1, model.VmId('b'), 'life', 'address')
-            row = records.encode(record)
-            put = ports.Put(records.TERM_TABLE, records.TERM_KEY, row)
-            await fleet_node._context.store.transact([], [put])
+            await put_term(fleet_node._context.store)
             await fleet_node._read_term()
-            first_read_at = fleet_node.term.renewed_before
+            first_read_at = fleet_node.term._first_read_at
+            await fleet_node._read_term()
+            await fleet_node._claim()
+            assert fleet_node.term.is_mine
+            assert fleet_node.term.begin_term(clock.now()) == first_read_at
+
+
+class TestUnansweredClaim:
+    """Guards against an entry that never begins the term that it claimed.
+
+    Its claim is applied, and neither the answer nor a read arrives.
+    """
+
+    async def test_the_term_begins_once_the_store_answers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        begun = asyncio.Event()
+
+        class Holder(StubHolder):
+            async def run(self) -> None:
+                begun.set()
+                await asyncio.Event().wait()
+
+        monkeypatch.setattr(
+            holders, 'Holder', lambda *arguments: Holder(loaded=True)
+        )
+        store = UnansweringStore()
+        async with running_node(store) as (fleet_node, _):
+            fleet_node.configuration_feed.configuration = (
+                worlds.make_configuration()
+            )
+            await put_term(store)
             await fleet_node._read_term()
-            assert await fleet_node._claim()
-            assert fleet_node._earlier_renewal_before == first_read_at
+            store.is_cut_off = True
+            await fleet_node._claim()
+            assert not fleet_node.term.is_mine
+            store.is_cut_off = False
+            tasks = [
+                asyncio.create_task(fleet_node._poll_term()),
+                asyncio.create_task(fleet_node._acquire_terms()),
+            ]
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    await begun.wait()
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
 
 
 class FailingHolder(StubHolder):
--- a/tests/unit/fleet/test_term.py
+++ b/tests/unit/fleet/test_term.py
@@ -74,9 +74,37 @@
         term = make_term()
         term.observe(0.0, 0.1, row(), 5)
         term.observe(1.0, 1.1, row(), 5)
-        assert term.renewed_before == 0.1
+        term.begin_claim(1.2)
+        assert term.begin_term(1.3) == 0.1
         term.observe(2.0, 2.1, row(), 6)
-        assert term.renewed_before == 2.1
+        term.begin_claim(2.2)
+        assert term.begin_term(2.3) == 2.1
+
+
+class TestUnansweredClaim:
+    """Guards against a lease that counts from the discovery of a claim."""
+
+    def test_the_lease_counts_from_the_first_sending(self) -> None:
+        term = make_term('a')
+        term.observe(0.0, 0.0, row(), 5)
+        term.begin_claim(1.0)
+        claimed = term.begin_claim(3.0)
+        term.observe(4.0, 4.0, claimed, 6)
+        assert term.is_mine
+        term.begin_term(4.0)
+        assert not term.may_start_work(1.0 + terms.ORDER_LEASE_S)
+        assert term.may_extend_leases(1.0 + terms.HOLD_LEASE_S - 0.1)
+        assert not term.may_extend_leases(1.0 + terms.HOLD_LEASE_S)
+
+    def test_a_claim_on_a_newer_row_counts_from_its_own_sending(self) -> None:
+        term = make_term('a')
+        term.observe(0.0, 0.0, row(), 5)
+        term.begin_claim(1.0)
+        term.observe(2.0, 2.0, row(), 6)
+        claimed = term.begin_claim(3.0)
+        term.observe(3.5, 3.5, claimed, 7)
+        assert term.begin_term(3.5) == 2.0
+        assert term.may_start_work(3.0 + terms.ORDER_LEASE_S - 0.1)
 
 
 class TestAfterAnOutage:
@@ -108,7 +136,7 @@
 
     def test_work_starts_end_before_a_takeover_is_possible(self) -> None:
         term = make_term()
-        record = term.claim_record()
+        record = term.begin_claim(10.0)
         term.record_write(10.0, record, 1)
         assert term.may_start_work(10.0 + terms.ORDER_LEASE_S - 0.01)
         assert not term.may_start_work(10.0 + terms.ORDER_LEASE_S)
@@ -116,13 +144,13 @@
 
     def test_lease_extensions_end_after_their_own_bound(self) -> None:
         term = make_term()
-        term.record_write(10.0, term.claim_record(), 1)
+        term.record_write(10.0, term.begin_claim(10.0), 1)
         assert term.may_extend_leases(10.0 + terms.HOLD_LEASE_S - 0.01)
         assert not term.may_extend_leases(10.0 + terms.HOLD_LEASE_S)
 
     def test_an_abandoned_term_can_be_taken_over(self) -> None:
         term = make_term()
-        term.record_write(10.0, term.claim_record(), 1)
+        term.record_write(10.0, term.begin_claim(10.0), 1)
         term.abandon('process-next')
         assert not term.is_mine
         assert not term.may_extend_leases(10.1)
@@ -154,9 +182,9 @@
     def test_the_row_informs_new_entries_of_the_strongest(self) -> None:
         holder = make_term('b', 'process-b')
         holder.best_strength = 2.0
-        claimed = holder.claim_record()
+        claimed = holder.begin_claim(0.0)
         holder.record_write(0.0, claimed, 5)
         started = make_term()
         started.observe(0.5, 0.5, holder.renewal_record(), 6)
         assert started.best_strength == 2.0
-        assert started.claim_record().best_strength == 2.0
+        assert started.begin_claim(0.0).best_strength == 2.0
