Limit log lines about inputs that fail again and again

Cause: errors that repeat, such as those of one odd row or one worker, are logged each time; a report that raises is read again every 0.15 s, each time with a traceback. Change: one line per kind and subject in 60 s, at most 20 subjects a kind, and the number of suppressed lines in the next window. Ruled out: a limit over all lines, which would hide other kinds.

--- a/packages/daemon/src/samphirestackd/logs.py
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -10,10 +10,12 @@
 import sys
 import threading
 import time
+import traceback
 
 import eliot
 import msgspec
 
+from samphirestack.internal import log_limits
 from samphirestack import settings as settings_types
 from samphirestackd import redaction
 
@@ -23,11 +25,14 @@
 STANDARD_ERROR = '-'
 STANDARD_OUTPUT = 'stdout'
 FLUSH_TIMEOUT_S = 1.0
+MAX_REASON_CHARACTERS = 300
+"""Limit of a reason, which may quote input of any size."""
 
 _TRACEBACK = 'eliot:traceback'
 _UNUSED_FIELDS = ('task_uuid', 'task_level')
 
 _threshold = LEVELS['info']
+_limiter = log_limits.LogLimiter()
 
 
 def debug(kind: str, /, **fields: object) -> None:
@@ -50,12 +55,49 @@
     _log('error', kind, fields)
 
 
+def bad_input(
+    kind: str, subject: str, problem: Exception | str, /, **fields: object
+) -> None:
+    """Log that an input was set aside, not each time that it comes again.
+
+    :param subject: where it came from, such as the key of a row.
+    """
+    reason = problem if isinstance(problem, str) else repr(problem)
+    if _admit(kind, subject, reason, fields):
+        _log('warning', kind, fields)
+
+
+def unexpected(
+    kind: str, subject: str, problem: Exception, /, **fields: object
+) -> None:
+    """Log an exception that a component didn't expect, with its traceback.
+
+    It is not logged each time that it is raised about the same subject.
+    """
+    if _admit(kind, subject, repr(problem), fields):
+        fields['traceback'] = ''.join(traceback.format_exception(problem))
+        _log('error', kind, fields)
+
+
+def _admit(
+    kind: str, subject: str, reason: str, fields: dict[str, object]
+) -> bool:
+    """Complete the fields of a line and return whether to write it."""
+    suppressed = _limiter.admit(time.monotonic(), kind, subject)
+    if suppressed is None:
+        return False
+    if suppressed:
+        fields['suppressed_before'] = suppressed
+    fields.update(subject=subject, reason=reason[:MAX_REASON_CHARACTERS])
+    return True
+
+
 def guard(call: Callable[[], object]) -> None:
     """Call a handler of another component and log its exception."""
     try:
         call()
-    except Exception:
-        eliot.write_traceback()
+    except Exception as error:
+        unexpected('handler.failed', type(error).__name__, error)
 
 
 def _log(level: str, kind: str, fields: dict[str, object]) -> None:
