Settle orders that raise an unexpected error

Fault: a start order that raised, for example OverflowError for a port out of range, left its run ordered and its task placed for the rest of the term, since only the answer to the order leaves that state; a throttle order that raised counted as set. Now a start counts as unanswered, so that the lists of the worker decide, and a stop or throttle as not accepted, so that it is repeated. Both tests failed on the code before (OverflowError). Ruled out: dropping the run, since the order may have been sent.

--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -671,8 +671,9 @@
 
     def _on_call_done(self, task: asyncio.Task[None]) -> None:
         self._calls.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.error('order.failed', reason=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            logs.unexpected('call.failed', type(error).__name__, error)
 
     async def _start(self, action: actions.Start) -> None:
         worker_id = action.worker.worker_id
@@ -686,13 +687,7 @@
                 worker_id, action.order.task_id, action.order.run
             )
             self.scheduler.record_lease_deadline(worker_id, deadline_ms)
-            outcome = await self._context.workers.start(
-                action.worker,
-                action.order,
-                self.scheduler.term,
-                deadline_ms,
-                lambda: self._may_send_start(action),
-            )
+            outcome = await self._send_start(action, deadline_ms)
         now = clock.now()
         self.scheduler.handle_start_result(
             now, worker_id, action.order.task_id, action.order.run, outcome
@@ -715,11 +710,39 @@
         if outcome is not specs.StartOutcome.STARTED:
             self._plan_requested.set()
 
+    async def _send_start(
+        self, action: actions.Start, deadline_ms: int
+    ) -> specs.StartOutcome:
+        try:
+            return await self._context.workers.start(
+                action.worker,
+                action.order,
+                self.scheduler.term,
+                deadline_ms,
+                lambda: self._may_send_start(action),
+            )
+        except Exception as error:
+            # Without an outcome, the run would count as ordered for ever.
+            self._log_failed_order('start', action.worker, error)
+            return specs.StartOutcome.UNKNOWN
+
+    def _log_failed_order(
+        self, kind: str, worker: specs.WorkerEntry, error: Exception
+    ) -> None:
+        self._context.metrics.set_aside.inc({'source': 'order'})
+        logs.unexpected(
+            'order.failed', f'{kind} {worker.worker_id}', error, order=kind
+        )
+
     async def _stop(self, action: actions.Stop) -> None:
         worker_id = action.worker.worker_id
-        accepted = await self._context.workers.stop(
-            action.worker, action.task_id, action.run, self.scheduler.term
-        )
+        try:
+            accepted = await self._context.workers.stop(
+                action.worker, action.task_id, action.run, self.scheduler.term
+            )
+        except Exception as error:
+            self._log_failed_order('stop', action.worker, error)
+            accepted = False
         self._context.metrics.orders.inc(
             {'kind': 'stop', 'outcome': str(accepted).lower()}
         )
@@ -736,13 +759,17 @@
         )
 
     async def _throttle(self, action: actions.Throttle) -> None:
-        accepted = await self._context.workers.throttle(
-            action.worker,
-            action.task_id,
-            action.run,
-            action.percent,
-            self.scheduler.term,
-        )
+        try:
+            accepted = await self._context.workers.throttle(
+                action.worker,
+                action.task_id,
+                action.run,
+                action.percent,
+                self.scheduler.term,
+            )
+        except Exception as error:
+            self._log_failed_order('throttle', action.worker, error)
+            accepted = False
         self._context.log.write(
             'run.paced',
             task_id=action.task_id,
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -436,3 +436,64 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class FailingOrders(Workers):
+    """Workers whose orders raise an error that no caller expects."""
+
+    def __init__(self) -> None:
+        super().__init__(ZeroDivisionError(), 0)
+
+    async def start(self, *arguments: object) -> specs.StartOutcome:
+        raise OverflowError('port must be 0-65535')
+
+    async def throttle(self, *arguments: object) -> bool:
+        raise OverflowError('port must be 0-65535')
+
+
+class TestFailingOrders:
+    """Guards against a state that only the answer to an order can leave."""
+
+    def _start(self, holder: holders.Holder) -> actions.Start:
+        now = clock.now()
+        scheduler = holder.scheduler
+        scheduler.set_workers(now, [worlds.make_worker('w0')])
+        scheduler.apply_report(
+            now, now, model.WorkerId('w0'), worlds.make_report(1000.0)
+        )
+        scheduler.accept_job(now, clock.unix_now(), worlds.make_job(1))
+        (start,) = scheduler.plan(now, worlds.UnlimitedAdviceCallers())
+        assert isinstance(start, actions.Start)
+        return start
+
+    async def test_the_task_of_a_start_that_raised_starts_again(self) -> None:
+        holder = make_holder(FollowedStore(), FailingOrders())
+        scheduler = holder.scheduler
+        start = self._start(holder)
+        await holder._start(start)
+        worker_id = model.WorkerId('w0')
+        for _ in range(2):
+            now = clock.now()
+            scheduler.apply_report(
+                now, now, worker_id, worlds.make_report(1000.0)
+            )
+            scheduler.handle_stop_result(
+                now, worker_id, start.order.task_id, start.order.run, True
+            )
+        starts = scheduler.plan(
+            clock.now() + 1.0, worlds.UnlimitedAdviceCallers()
+        )
+        assert start.order.task_id in [
+            one.order.task_id
+            for one in starts
+            if isinstance(one, actions.Start)
+        ]
+
+    async def test_a_throttle_that_raised_does_not_count_as_set(self) -> None:
+        holder = make_holder(FollowedStore(), FailingOrders())
+        start = self._start(holder)
+        worker = holder.scheduler.workers_by_id[model.WorkerId('w0')]
+        key = (start.order.task_id, start.order.run)
+        worker.runs_by_key[key].throttle_percent = 30
+        await holder._throttle(actions.Throttle(worker.entry, *key, 30))
+        assert worker.runs_by_key[key].throttle_percent not in range(101)
