Order the upkeep of other machines beside one without an answer

Fault: the call for one machine that got no answer ended the whole pass over all waves, before the next machines and the completion of waves; a machine that never answers held up all others. Now it stays to be ordered again and the pass goes on. Limits are unchanged: an unanswered machine counts as down.

--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -128,9 +128,20 @@
     ) -> None:
         if not self._term.may_start_work(clock.now()):
             return
-        begun = await self._context.machines.begin_upkeep(
-            machine, run.wave.number, self._context.vm_id, self._term.number
-        )
+        try:
+            begun = await self._context.machines.begin_upkeep(
+                machine,
+                run.wave.number,
+                self._context.vm_id,
+                self._term.number,
+            )
+        except errors.PlatformError as error:
+            # The upkeep may have begun.  The order is repeated, and the other
+            # machines don't wait for its answer.
+            logs.warning(
+                'upkeep.no_answer', machine=machine, reason=error.message
+            )
+            return
         self._context.log.write(
             'upkeep.ordered',
             wave=run.wave.number,
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -1,10 +1,21 @@
 """Waves of upkeep, throttling of fillers and leaving workers."""
 
+import asyncio
+
+from samphirestack import errors
 from samphirestack.fleet import actions
+from samphirestack.fleet import ports
+from samphirestack.fleet import records
+from samphirestack.fleet import term as terms
 from samphirestack.fleet import tracking
 from samphirestack.fleet import upkeep
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
+from samphirestack_testing import row_store
+from samphirestack_testing import waiting
+from samphirestackd.fleet import clock
+from samphirestackd.fleet import waves
+from samphirestackd.fleet import writer as writers
 
 UP = upkeep.MachineState.UP
 DOWN = upkeep.MachineState.DOWN
@@ -155,3 +166,55 @@
             for action in world.plan(1.2)
             if isinstance(action, actions.Stop)
         ]
+
+
+class Machines:
+    """Machines of which ``m1`` never answers an order."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+
+    async def list_machines(self) -> dict[str, upkeep.MachineState]:
+        return dict.fromkeys(('m1', 'm2', 'm3'), UP)
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, holder: model.VmId, term: int
+    ) -> bool:
+        if machine == 'm1':
+            raise errors.PlatformError('no answer')
+        self.begun.append(machine)
+        return True
+
+
+class Registry:
+    """Registry that names no row for the operator."""
+
+    def wave_status(self, number: int, completed: bool) -> ports.Put:
+        return ports.Put('status', str(number), b'')
+
+
+class TestUnansweredOrders:
+    """Guards against a wave that waits for the answer of one machine."""
+
+    async def test_the_other_machines_are_ordered(self) -> None:
+        context = worlds.make_context(row_store.MemoryRowStore())
+        machines = Machines()
+        context.machines = machines
+        context.registry = Registry()  # type: ignore[assignment]
+        context.waves = lambda: {1: make_wave(max_down=2)}
+        term = terms.Term(model.VmId('vm'), 'life', 'address')
+        record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
+        term.record_write(clock.now() + 60.0, record, 0)
+        scheduler = worlds.World([]).scheduler
+        writer = writers.TermWriter(context, term, scheduler, lambda one: None)
+        running = asyncio.create_task(
+            waves.UpkeepController(context, term, scheduler, writer).run()
+        )
+        try:
+            await waiting.until(
+                lambda: machines.begun == ['m2'], 10.0, 'the order for m2'
+            )
+            assert not running.done()
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
