Release a term whose claim is answered after the stop

Fault: a process that was told to stop while its claim was in progress began the term after the stop and never released it; until it had been unchanged for 1.55 s nobody could take over. Now the first write releases it. The test timed out on the code before.

--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -305,6 +305,9 @@
         self._holder_since = clock.now()
         self._pong_counts = None
         self._context.metrics.term.set({}, holder.scheduler.term)
+        if self._stopping:
+            # The claim was in progress when this process was told to stop.
+            holder.writer.release()
         supervisor = asyncio.create_task(self._supervise_holder(holder))
         reason = 'stopped'
         try:
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -297,6 +297,36 @@
                 await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class QuietStore(row_store.MemoryRowStore):
+    """Store whose feeds have no changes."""
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        del table
+        await asyncio.sleep(wait_s)
+        return ports.Page([], after)
+
+
+class TestStopDuringClaim:
+    """Guards against a term that a process takes with it when it stops."""
+
+    async def test_the_term_is_released(self) -> None:
+        async with running_node(QuietStore()) as (fleet_node, _):
+            fleet_node.configuration_feed.configuration = (
+                worlds.make_configuration()
+            )
+            store = fleet_node._context.store
+            await put_term(store)
+            await fleet_node._read_term()
+            await fleet_node._claim()
+            await fleet_node.stop()
+            async with asyncio.timeout(TIMEOUT_S):
+                await fleet_node._hold_term()
+            page = await store.read(records.TERM_TABLE)
+            assert records.decode_term(page.rows[0].value).released
+
+
 class FailingHolder(StubHolder):
     """Holder that ends with an unexpected error."""
 
