Settle missing runs by complete lists only

Cause: a worker lists at most 500 ends at once. A run that was neither running nor among these counted as lost, and its task was queued again.

Ruled out: ends that are acknowledged before they are read.

Why it works: the adapter tells whether a report has all ends, and only a complete one proves by absence that a run is over. The same cause on related paths: the ends of a restarted worker are applied before the crash is attributed, and an end is acknowledged only until the worker has confirmed it, since a process that starts under the same id would forget its own first ends.

--- a/packages/core/src/samphirestack/fleet/ports.py
+++ b/packages/core/src/samphirestack/fleet/ports.py
@@ -149,8 +149,8 @@
     ) -> specs.WorkerReport:
         """Extend the lease, wait for a run to end and return the lists.
 
-        :param last_seen: number of the last end that is stored; the worker
-            may forget the ends up to it.
+        :param last_seen: number of an end; the worker forgets the ends up to
+            it.  0 if it is to forget none.
         :param deadline_ms: new end of the lease; ``None`` to leave it.
         :param wait_s: maximum time to wait for an end.
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -267,12 +267,15 @@
         sent_at: float,
         worker_id: model.WorkerId,
         report: specs.WorkerReport,
+        acknowledged_end: int = 0,
     ) -> None:
         """Reconcile the tracked runs of a worker with its report.
 
         A report of an earlier process of the worker is ignored.
 
         :param sent_at: when the report was requested.
+        :param acknowledged_end: end up to which the request let the worker
+            forget its ends.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
@@ -309,20 +312,36 @@
         for key in list(worker.unknown_runs):
             if key not in listed:
                 del worker.unknown_runs[key]
+        if acknowledged_end <= worker.last_stored_end:
+            worker.last_acknowledged_end = max(
+                worker.last_acknowledged_end, acknowledged_end
+            )
+        if report.ends_complete:
+            self._settle_unlisted_runs(now, sent_at, worker, listed)
+        worker.has_reported = True
+
+    def _settle_unlisted_runs(
+        self,
+        now: float,
+        sent_at: float,
+        worker: tracking.TrackedWorker,
+        listed: set[tuple[model.TaskId, specs.RunNumber]],
+    ) -> None:
+        """Remove or stop the runs that no list of the worker contains.
+
+        :param listed: keys of the runs that are listed as running; those
+            listed as ended are not tracked any more.
+        """
         for key, run in list(worker.runs_by_key.items()):
-            if key in listed:
+            if key in listed or run.lists_valid_from >= sent_at:
                 continue
-            had_started = (
-                run.state is tracking.RunState.CONFIRMED
-                or run.state is tracking.RunState.STOPPING
-            )
-            if had_started and run.lists_valid_from < sent_at:
-                self._remove_lost_run(worker, run)
-            elif run.state is tracking.RunState.UNCERTAIN and (
-                run.lists_valid_from < sent_at
+            if run.state in (
+                tracking.RunState.CONFIRMED,
+                tracking.RunState.STOPPING,
             ):
+                self._remove_lost_run(worker, run)
+            elif run.state is tracking.RunState.UNCERTAIN:
                 self._stop_run(worker, run, now, 'start order not answered')
-        worker.has_reported = True
 
     def mark_worker_silent(
         self, now: float, worker_id: model.WorkerId
@@ -342,13 +361,13 @@
         worker.started_unix_ms = started_unix_ms
         worker.last_handled_end = 0
         worker.last_stored_end = 0
+        worker.last_acknowledged_end = 0
         worker.unstored_ends.clear()
         worker.reset_clock(now, self._max_lease_s)
-        listed = (
-            {(row.task_id, row.run) for row in report.running}
-            if (report)
-            else set()
-        )
+        listed = _listed_runs(report) if report else set()
+        if report is not None and not report.ends_complete:
+            # Runs of the new process may have ended beyond the list.
+            return
         if not _has_left(worker):
             self._attribute_crash(
                 now,
@@ -1071,6 +1090,12 @@
         return advanced
 
 
+def _listed_runs(
+    report: specs.WorkerReport,
+) -> set[tuple[model.TaskId, specs.RunNumber]]:
+    return {(row.task_id, row.run) for row in (*report.running, *report.ended)}
+
+
 def _has_left(worker: tracking.TrackedWorker) -> bool:
     """Return whether a worker that ends does so as announced."""
     return worker.is_draining or worker.closed_for_upkeep
--- a/packages/core/src/samphirestack/fleet/specs.py
+++ b/packages/core/src/samphirestack/fleet/specs.py
@@ -219,6 +219,10 @@
     started_unix_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndRow, ...]
+    """Ends above the last acknowledged one, in ascending order."""
+    ends_complete: bool = True
+    """Whether these are all such ends.  A run that is neither running nor in
+    an incomplete list may have ended in any way."""
 
 
 class StartOutcome(enum.Enum):
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -106,6 +106,9 @@
         self.last_stored_end = 0
         """Highest number of a run end that is stored; the worker may forget
         the ends up to it."""
+        self.last_acknowledged_end = 0
+        """Highest number of a run end up to which the worker has confirmed
+        that it forgot them."""
         self.lease_deadline_ms = 0.0
         """Latest lease deadline that was sent, on the worker's clock."""
         self.clock_ms = 0.0
@@ -146,9 +149,21 @@
             and not self.consecutive_failed_calls
             and not self.runs_by_key
             and not self.unknown_runs
-            and self.last_handled_end == self.last_stored_end
+            and self.last_handled_end == self.last_acknowledged_end
         )
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """Return up to which end the worker may forget its ends; 0 for none.
+
+        An end is acknowledged only until the worker has confirmed it.  A
+        process that starts under the same id counts its ends anew, and must
+        not forget the first ones because of those of its predecessor.
+        """
+        if self.last_stored_end > self.last_acknowledged_end:
+            return self.last_stored_end
+        return 0
+
     @property
     def is_draining(self) -> bool:
         """Return whether the worker announced that it takes no new work."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -418,11 +418,12 @@
         deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
         was_silent = worker.silent_since is not None
+        acknowledged_end = worker.end_to_acknowledge
         try:
             report = await self._context.workers.hold(
                 worker.entry,
                 self.scheduler.term,
-                worker.last_stored_end,
+                acknowledged_end,
                 deadline_ms,
                 wait_s,
             )
@@ -457,7 +458,9 @@
                     run=row.run,
                     reason=row.reason.value,
                 )
-        self.scheduler.apply_report(now, sent_at, worker_id, report)
+        self.scheduler.apply_report(
+            now, sent_at, worker_id, report, acknowledged_end
+        )
         if self.scheduler.jobs.has_changes or report.ended:
             self.writer.write_requested.set()
         self._plan_requested.set()
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -203,12 +203,14 @@
         sent_at: float | None = None,
         started: int = 1,
         percent: float = 10.0,
+        acknowledged_end: int = 0,
     ) -> None:
         self.scheduler.apply_report(
             now,
             now if sent_at is None else sent_at,
             model.WorkerId(worker_id),
             make_report(now * 1000, running, ended, started, percent),
+            acknowledged_end,
         )
 
     def accept(self, now: float, job: records.JobRecord) -> model.JobId:
--- a/tests/integration/test_platform_entry.py
+++ b/tests/integration/test_platform_entry.py
@@ -175,6 +175,34 @@
         await until(counted)
 
 
+class TestManyEnds:
+    """Guards against ends beyond an incomplete list that count as lost."""
+
+    async def test_no_task_starts_again_after_its_success(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        tasks = 50
+        jobs = 4 * workers.MAX_LISTED_ENDS // tasks
+        for worker in deployment.workers[1:]:
+            deployment.set_capacity(worker, 0)
+        deployment.set_capacity(deployment.workers[0], 100_000)
+        entry = deployment.entries[0]
+        more = f'done_at={time.time() + 12.0}'
+        for number in range(jobs):
+            body = job(12_000, tasks, more, cpu=8, memory_request_mb=8)
+            status, _ = await deployment.call(
+                entry, 'POST', path(number), body
+            )
+            assert status == 200
+        for number in range(jobs):
+            await wait_for_state(deployment, number, 'completed')
+        assert_no_task_ran_twice(deployment)
+        assert (
+            deployment.workers[0].most_unacknowledged_ends
+            > workers.MAX_LISTED_ENDS
+        )
+
+
 class TestFailures:
     """Guards against lost and doubled work during failures."""
 
