Count a machine as removed by two lists

Fault: a machine that one list of the platform did not contain counted as removed, and a wave was completed without its upkeep. The pages of a list are read at different moments, so a machine can be missing from one; an empty answer removed all. Now it has to be missing for a second. The new test failed before (the wave was complete).

test_completion_requires_all_remaining_machines asserted the completion by one list without the machine; it now asserts that the first one is not enough and the second is.

--- a/packages/core/src/samphirestack/fleet/upkeep.py
+++ b/packages/core/src/samphirestack/fleet/upkeep.py
@@ -26,6 +26,11 @@
 back; the list may be older than the order."""
 
 
+MISSING_S = 1.0
+"""Time between two lists without a machine after which it counts as removed.
+The pages of one list are read at different moments."""
+
+
 class Wave(msgspec.Struct, frozen=True):
     """A request of the operator for upkeep of machines."""
 
@@ -77,6 +82,9 @@
         """Machines whose upkeep the platform has acknowledged."""
         self._returned: set[str] = set()
         """Machines that are up again after their upkeep."""
+        self._missing_since: dict[str, float] = {}
+        """When the first list without the machine was requested, of lists
+        that all don't have it."""
         self._removed: set[str] = set()
         """Machines that the platform no longer lists."""
 
@@ -85,15 +93,18 @@
     ) -> None:
         """Record the states of the machines of the platform.
 
-        A machine that is not in the list was removed.
+        A machine that several lists don't contain was removed.
 
         :param sent_at: when the list was requested.
         """
         for machine in self.wave.machines:
             state = states_by_machine.get(machine)
             if state is None:
-                self._removed.add(machine)
+                since = self._missing_since.setdefault(machine, sent_at)
+                if sent_at - since >= MISSING_S:
+                    self._removed.add(machine)
                 continue
+            self._missing_since.pop(machine, None)
             self._removed.discard(machine)
             ordered_at = self._ordered_at_by_machine.get(machine)
             if (
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -78,8 +78,20 @@
         run.record_states(5.0, {'m1': UP, 'm2': UP, 'm3': UP})
         assert not run.is_complete
         run.record_states(6.0, {'m1': UP, 'm2': UP})
+        assert not run.is_complete
+        run.record_states(7.0, {'m1': UP, 'm2': UP})
         assert run.is_complete
 
+    def test_a_machine_that_is_missing_once_is_not_removed(self) -> None:
+        run = make_run(make_wave(3))
+        run.begin_next(0.0, {})
+        for machine in ('m1', 'm2', 'm3'):
+            run.mark_acknowledged(machine)
+        run.record_states(5.0, {})
+        run.record_states(6.0, {'m1': UP, 'm2': DOWN, 'm3': UP})
+        run.record_states(7.0, {'m1': UP, 'm3': UP})
+        assert not run.is_complete
+
     def test_a_new_holder_repeats_orders_of_its_predecessor(self) -> None:
         run = make_run(make_wave(), upkeep.WaveProgress(['m1']))
         assert run.unconfirmed() == ['m1']
