Read tables and feeds to their end

Now one reader follows the pages, and an incomplete feed continues in the transaction of its last row. TestPages failed before (version 2 instead of 7). The 410 case was seen in a test whose store always answers so: the loop never yielded. Whether the platform pages its feeds is not stated; then nothing changes. Ruled out: a longer re-read interval, which would delay changes.

--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -9,6 +9,7 @@
 from samphirestack.fleet import upkeep
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import node_context
+from samphirestackd.fleet import table_reader
 from samphirestackd import logs
 
 FEED_WAIT_S = 1.0
@@ -52,25 +53,30 @@
             sent_at = clock.now()
             try:
                 if version is None or sent_at - read_at > REREAD_INTERVAL_S:
-                    page = await self._store.read(
-                        self._registry.operator_table
+                    rows, version = await table_reader.read_table(
+                        self._store, self._registry.operator_table
                     )
                     read_at = sent_at
-                    self._apply(page.rows)
+                    self._apply(rows)
                 else:
                     # After a failure, the first call does not wait for
                     # changes, so that recovery is detected at once.
-                    following = await self._store.feed(
+                    page = await self._store.feed(
                         self._registry.operator_table,
                         version,
                         0.0 if failing else FEED_WAIT_S,
                     )
-                    if following is None:
+                    if page is None:
                         self.answered_at = clock.now()
                         version = None
+                        # The store may drop its history again and again.
+                        await asyncio.sleep(RETRY_AFTER_S)
                         continue
-                    page = following
                     self._apply(page.rows)
+                    version = table_reader.next_feed_version(page, version)
+                    if page.more:
+                        self.answered_at = clock.now()
+                        continue
             except errors.PlatformError as error:
                 if not failing:
                     logs.warning('store.lost', reason=error.message)
@@ -81,7 +87,6 @@
                 logs.info('store.regained')
                 failing = False
                 self.on_store_recovered()
-            version = page.version
             self.answered_at = clock.now()
             self.confirmed_at = sent_at
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -22,6 +22,7 @@
 from samphirestackd.fleet import archiver
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import node_context
+from samphirestackd.fleet import table_reader
 from samphirestackd.fleet import waves
 from samphirestackd.fleet import writer as writers
 from samphirestackd import logs
@@ -230,13 +231,18 @@
     async def _read_table(
         self, table: str, part: str = records.HOLDER_PART
     ) -> tuple[list[ports.StoredRow], int]:
-        """Return all rows of a partition and the version of the first page."""
+        """Return all rows of a part and the version of the first page.
+
+        A page without an answer is read again.
+        """
         rows: list[ports.StoredRow] = []
         first = ''
         version: int | None = None
         while True:
             try:
-                page = await self._context.store.read(table, first, part=part)
+                page = await table_reader.read_page(
+                    self._context.store, table, first, part
+                )
             except errors.PlatformError as error:
                 logs.warning('store.read_failed', reason=error.message)
                 await asyncio.sleep(RETRY_AFTER_S)
@@ -246,7 +252,7 @@
             rows.extend(page.rows)
             if not page.more:
                 return rows, version
-            first = page.rows[-1].key + '\x00'
+            first = table_reader.following_key(page)
 
     # Workers
 
@@ -338,8 +344,10 @@
             if page is None:
                 version = await self._read_workers(version)
                 self._apply_worker_entries()
+                # The store may drop its history again and again.
+                await asyncio.sleep(RETRY_AFTER_S)
                 continue
-            version = page.version
+            version = table_reader.next_feed_version(page, version)
             for row in page.rows:
                 with self._logging_bad_row(row):
                     self._apply_worker_row(row)
@@ -521,7 +529,8 @@
             if page is None:
                 rows, version = await self._read_jobs()
             else:
-                rows, version = page.rows, page.version
+                rows = page.rows
+                version = table_reader.next_feed_version(page, version)
             for row in rows:
                 if row.removed:
                     continue
--- a/packages/testing/src/samphirestack_testing/row_store.py
+++ b/packages/testing/src/samphirestack_testing/row_store.py
@@ -9,6 +9,9 @@
 class MemoryRowStore:
     """Applies transactions at once; single calls can be made to fail."""
 
+    page_rows = 500
+    """Number of rows that a read returns at most."""
+
     def __init__(self) -> None:
         self.version = 0
         self.rows_by_key: dict[tuple[str, str, str], tuple[bytes, int]] = {}
@@ -58,7 +61,9 @@
             and row_key >= first
             and (not end or row_key < end)
         ]
-        return ports.Page(rows, self.version)
+        return ports.Page(
+            rows[: self.page_rows], self.version, len(rows) > self.page_rows
+        )
 
     async def feed(
         self, table: str, after: int, wait_s: float
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -6,6 +6,7 @@
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
 from samphirestack_testing import fleet_world as worlds
+from samphirestack_testing import row_store
 from samphirestack_testing import waiting
 from samphirestackd.fleet import configuration_feed
 
@@ -34,8 +35,10 @@
     def __init__(self, versions: list[int]) -> None:
         self.versions = versions
 
-    async def read(self, table: str) -> ports.Page:
-        del table
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        del table, first, end, part
         version = self.versions.pop(0)
         row = ports.StoredRow('config', str(version).encode(), version, False)
         return ports.Page([row], version, False)
@@ -69,3 +72,41 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class FollowedStore(row_store.MemoryRowStore):
+    """Store that lists two rows on a page and has no later changes."""
+
+    page_rows = 2
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        del table
+        await asyncio.sleep(wait_s)
+        return ports.Page([], after)
+
+
+class TestPages:
+    """Guards against a configuration on a later page that is not applied."""
+
+    async def test_the_configuration_on_the_last_page_is_applied(self) -> None:
+        store = FollowedStore()
+        puts = [
+            ports.Put('operator', f'{number}', str(number).encode())
+            for number in range(1, 8)
+        ]
+        await store.transact([], puts)
+        feed = configuration_feed.ConfigurationFeed(store, Registry())  # type: ignore[arg-type]
+        running = asyncio.create_task(feed.run())
+        try:
+            await waiting.until(
+                lambda: feed.configuration is not None,
+                TIMEOUT_S,
+                'a configuration',
+            )
+            assert feed.configuration is not None
+            assert feed.configuration.version == 7
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
