--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1093,7 +1093,8 @@
 def _listed_runs(
     report: specs.WorkerReport,
 ) -> set[tuple[model.TaskId, specs.RunNumber]]:
-    return {(row.task_id, row.run) for row in (*report.running, *report.ended)}
+    running = {(row.task_id, row.run) for row in report.running}
+    return running | {(row.task_id, row.run) for row in report.ended}
 
 
 def _has_left(worker: tracking.TrackedWorker) -> bool:
