Treat odd addresses and answers of servers as failed calls

Fault (report on odd entries): an address with a port out of range raised OverflowError, and one that is no host UnicodeError or ValueError; the lease of the worker was tried again every 0.15 s with a traceback, and a check of a holder's address ended the process. A body had no limit of its size. Now these are calls that were not sent, and a body above 16 MB is no answer.

--- a/packages/daemon/src/samphirestackd/http_client.py
+++ b/packages/daemon/src/samphirestackd/http_client.py
@@ -20,6 +20,10 @@
 
 DEFAULT_MAX_IDLE = 1000
 
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Limit of a body, which bounds the memory that one server can occupy.  The
+platform's largest answers have 1 MB."""
+
 
 class NotSent(Exception):
     """The call failed before anything was sent to the server."""
@@ -55,6 +59,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response = Response()
         self._body_parts: list[bytes] = []
+        self._body_bytes = 0
 
     # asyncio.Protocol
 
@@ -68,7 +73,10 @@
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(NoAnswer(f'malformed HTTP response: {error}'))
             self.abort()
 
@@ -82,7 +90,13 @@
         self._response.headers[name.lower()] = value
 
     def on_body(self, body: bytes) -> None:
-        self._body_parts.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            self._body_parts.clear()
+            self._fail(NoAnswer('the body of the response is too large'))
+            self.abort()
+        else:
+            self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         response = self._response
@@ -217,7 +231,7 @@
                 _, connection = await loop.create_connection(
                     _Connection, host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, OverflowError, TimeoutError, ValueError) as error:
             raise NotSent(f'{address} cannot be reached: {error!r}') from None
         return connection
 
@@ -241,7 +255,7 @@
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, OverflowError, TimeoutError, ValueError):
         return False
     writer.close()
     with contextlib.suppress(OSError):
--- a/tests/unit/fleet/test_http_client.py
+++ b/tests/unit/fleet/test_http_client.py
@@ -21,10 +21,11 @@
 
 
 class Server:
-    """Server that answers every call with ``RESPONSE``."""
+    """Server that answers every call with ``RESPONSE``, if not changed."""
 
     def __init__(self) -> None:
         self.calls = 0
+        self.response = RESPONSE
         self._connections: set[asyncio.Task[None]] = set()
 
     async def serve(
@@ -40,7 +41,7 @@
                     if line.startswith(b'content-length:'):
                         await reader.readexactly(int(line.split(b':')[1]))
                 self.calls += 1
-                writer.write(RESPONSE)
+                writer.write(self.response)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -160,3 +161,55 @@
             with pytest.raises(errors.OutcomeUnknown):
                 await store.transact([], [ports.Put('t', 'k', b'v')])
             client.close()
+
+
+class TestOddServers:
+    """Guards against a server whose address or answer ends its caller."""
+
+    @pytest.mark.parametrize(
+        'address',
+        ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1', 'x' * 99 + ':80'],
+    )
+    async def test_an_odd_address_cannot_be_reached(
+        self, address: str
+    ) -> None:
+        client = http_client.HttpClient()
+        with pytest.raises(http_client.NotSent):
+            await client.call(address, 'GET', '/', timeout_s=TIMEOUT_S)
+        assert not await http_client.refuses_connections(address)
+
+    @pytest.mark.parametrize(
+        'response',
+        [
+            b'no HTTP\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n'
+            + b'x' * 17_000_000,
+        ],
+        ids=['no-http', 'length', 'large'],
+    )
+    async def test_an_odd_answer_is_none(self, response: bytes) -> None:
+        client = http_client.HttpClient()
+        async with serving() as (server, address):
+            server.response = response
+            with pytest.raises(http_client.NoAnswer):
+                await client.call(address, 'GET', '/', timeout_s=TIMEOUT_S)
+            server.response = RESPONSE
+            answer = await client.call(
+                address, 'GET', '/', timeout_s=TIMEOUT_S
+            )
+            assert answer.status == 200
+        client.close()
+
+    async def test_an_upgrade_is_no_success(self) -> None:
+        client = http_client.HttpClient()
+        async with serving() as (server, address):
+            server.response = (
+                b'HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: y\r\n\r\n'
+            )
+            for _ in range(2):
+                answer = await client.call(
+                    address, 'GET', '/', timeout_s=TIMEOUT_S
+                )
+                assert answer.status == 101
+        client.close()
