Receive messages of peers after odd ones

Fault (report on odd entries): a message that is nested too deeply raised RecursionError, which msgspec also raises for values that it skips, and one of several frames ValueError; either ended the receiving task and with it the process. Now each decoder has one error, messages are limited to 1 MB and the log line isn't repeated. The new test failed before (no message was received any more). The older interface's links had the same gap.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -1,9 +1,12 @@
 """Messages between entries and the holder of the term."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from samphirestack.fleet import pacing
 from samphirestack.fleet import specs
+from samphirestack.internal import decoding
 from samphirestack import model
 
 
@@ -16,7 +19,7 @@
     """Process that the entry expects to be the holder."""
     store_age_s: float
     """Time since the store last answered the entry."""
-    strength: float
+    strength: decoding.Amount
     """Fitness of the entry to hold the term; see ``term.strength``."""
 
 
@@ -26,7 +29,7 @@
     term: int
     waiting_by_queue: dict[model.QueueId, int] | None
     """Absent until the holder has read all jobs."""
-    best_strength: float
+    best_strength: decoding.Amount
     """Highest strength among the entries known to the holder."""
     renewal_age_s: float
     """Time since the holder last renewed the term in the store."""
@@ -101,7 +104,9 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_decode: Callable[[bytes], Message] = decoding.msgpack_decoder(
+    Message  # type: ignore[arg-type]
+)
 
 
 def encode(message: Message) -> bytes:
@@ -114,4 +119,4 @@
 
     :raises msgspec.DecodeError: it is no message of this version.
     """
-    return _decoder.decode(data)
+    return _decode(data)
--- a/packages/core/src/samphirestack/internal/messages.py
+++ b/packages/core/src/samphirestack/internal/messages.py
@@ -271,7 +271,7 @@
         return None
     try:
         envelope = _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     if envelope.schema != SCHEMA_VERSION:
         return None
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -15,6 +15,7 @@
 
 from samphirestack.fleet import messages
 from samphirestack.fleet import pacing
+from samphirestack.internal import addresses
 from samphirestackd.fleet import clock
 from samphirestackd import logs
 
@@ -27,6 +28,10 @@
 MAX_QUEUED_MESSAGES = 5000
 """Outgoing messages that are queued for a peer that does not read."""
 
+MAX_MESSAGE_BYTES = 1024 * 1024
+"""Limit of a message; a peer that sends a larger one is disconnected.  The
+largest is a stored job, which is bounded by the size of a row."""
+
 MONITORED_EVENTS = zmq.EVENT_DISCONNECTED
 """The operating system closes the connections of a process that dies, which is
 detected long before missing replies are."""
@@ -46,13 +51,14 @@
         self._socket = context.socket(zmq.ROUTER)
         self._socket.setsockopt(zmq.LINGER, 0)
         self._socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self._socket.bind(f'tcp://{address}')
 
     async def run(self, handler: Handler) -> None:
         """Pass each message to the handler until cancelled."""
         while True:
-            identity, data = await self._socket.recv_multipart()
-            message = _decode(data)
+            identity, *frames = await self._socket.recv_multipart()
+            message = _decode(frames)
             if message is not None:
                 logs.guard(lambda: handler(identity, message))  # noqa: B023
 
@@ -134,12 +140,16 @@
         self.address = address
         self._opened_at = clock.now()
         self.ping_interval_s = pacing.MIN_PING_INTERVAL_S
+        if not addresses.is_address(address):
+            logs.bad_input('link.bad_address', address, 'it is no address')
+            return
         sock = self._context.socket(zmq.DEALER)
         sock.setsockopt(zmq.LINGER, 0)
         sock.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
         sock.setsockopt(
             zmq.IDENTITY, f'{self._name}/{self._generation}'.encode()
         )
+        sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         sock.connect(f'tcp://{address}')
         self._socket = sock
         self._monitor = sock.get_monitor_socket(MONITORED_EVENTS)
@@ -155,9 +165,9 @@
 
     async def _receive(self, sock: zmq.asyncio.Socket) -> None:
         while True:
-            data = await sock.recv()
+            frames = await sock.recv_multipart()
             self.received_at = clock.now()
-            message = _decode(data)
+            message = _decode(frames)
             if message is not None:
                 logs.guard(lambda: self._handler(b'', message))  # noqa: B023
 
@@ -188,12 +198,14 @@
 
 def _log_failure(future: asyncio.Future[Any]) -> None:
     if not future.cancelled() and future.exception() is not None:
-        logs.warning('link.not_sent', reason=str(future.exception()))
+        logs.bad_input('link.not_sent', '', str(future.exception()))
 
 
-def _decode(data: bytes) -> messages.Message | None:
+def _decode(frames: list[bytes]) -> messages.Message | None:
     try:
-        return messages.decode(data)
+        if len(frames) != 1:
+            raise msgspec.DecodeError(f'it has {len(frames)} frames')
+        return messages.decode(frames[0])
     except msgspec.DecodeError as error:
-        logs.warning('link.bad_message', reason=str(error))
+        logs.bad_input('link.bad_message', type(error).__name__, error)
         return None
--- a/tests/unit/fleet/test_link.py
+++ b/tests/unit/fleet/test_link.py
@@ -88,3 +88,24 @@
             peers.connection.send(PING)
             await peers.received.wait()
             assert not peers.disconnected.is_set()
+
+
+class TestOddMessages:
+    """Guards against a message that ends the process of its receiver."""
+
+    async def test_messages_after_odd_ones_are_received(self) -> None:
+        async with connected() as peers:
+            peers.received.clear()
+            assert peers.connection._socket is not None
+            for frames in (
+                [b''],
+                [b'\xff'],
+                [b'\x81\xa4type' + b'\x91' * 60_000],
+                [b'a', b'b', b'c'],
+            ):
+                await peers.connection._socket.send_multipart(frames)
+            peers.connection.send(PING)
+            async with asyncio.timeout(10.0):
+                await peers.received.wait()
+            assert peers.task is not None
+            assert not peers.task.done()
