Check stored records and callers' bodies, and replace an odd term

No term's number is above the version of its row, as each claim raises the number by one and the version by at least one. So the row is replaced by that number plus one, once it has not been renewed for the usual time. - A body with a number too large to store, nested too deeply or with a negative amount got a 500 and a traceback, or was accepted. Now the limits of a job are one function of the product, which checks bodies and stored rows, and the caller gets 400. Bodies were read without a limit; now up to the configured one. An odd Host or Request-Deadline-Ms header gave a 500. - A stored job that can't be read gave a 500; now 503, as a newer version may have stored it. - Lines of libraries, which callers can cause, went to standard error without a limit.

test_a_malformed_term_is_neither_followed_nor_claimed asserted that such a term is never claimed, for fear of a repeated number. TestOddTermRow replaces it: not claimed before the time without a renewal has passed, and with a number above all earlier ones.

--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
+from samphirestack import errors
+from samphirestack.fleet import job_limits
 from samphirestack.fleet import specs
+from samphirestack.internal import decoding
 from samphirestack import model
 
 JOBS_TABLE = 'jobs'
@@ -38,11 +41,11 @@
     queue: specs.Queue
     """The queue at the time of acceptance; it may be removed later."""
     customer_id: model.TeamId
-    accepted_unix_s: float
+    accepted_unix_s: decoding.Amount
     spec: specs.JobSpec | None = None
     """Absent once the job has ended."""
     ended_as: specs.JobState | None = None
-    ended_unix_s: float = 0.0
+    ended_unix_s: decoding.Amount = 0.0
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -56,13 +59,13 @@
 class JobProgress(msgspec.Struct, omit_defaults=True):
     """Progress of a job as the holder of the term stores it."""
 
-    done_by_step: dict[str, list[int]] = {}
+    done_by_step: dict[str, list[decoding.Count]] = {}
     """Indexes of the tasks that succeeded, by ``OCCURRENCE.STEP``."""
-    failed_runs_by_task: dict[str, list[int]] = {}
+    failed_runs_by_task: dict[str, list[decoding.Count]] = {}
     """Numbers of failed runs, by ``OCCURRENCE.STEP.INDEX``."""
-    crashes_by_task: dict[str, dict[int, TaskCrash]] = {}
+    crashes_by_task: dict[str, dict[decoding.Count, TaskCrash]] = {}
     """Crashes of workers by run number, by ``OCCURRENCE.STEP.INDEX``."""
-    placed_by_task: dict[str, tuple[int, str]] = {}
+    placed_by_task: dict[str, tuple[decoding.Count, str]] = {}
     """Run number and worker of each task that may be on a worker, by
     ``OCCURRENCE.STEP.INDEX``.  It is stored before the order is sent, so a
     run that is missing here was never ordered."""
@@ -73,26 +76,26 @@
 class TermRecord(msgspec.Struct, frozen=True):
     """The row of the term; it names the process that decides."""
 
-    term: int
+    term: decoding.Count
     holder: model.VmId
     life: str
     """Identifies one start of the holder's process."""
     address: str
     """Address at which entries reach the holder."""
-    writes: int = 0
+    writes: decoding.Count = 0
     """Number of writes of the holder; shows whether a write without an
     answer took effect."""
     released: bool = False
     """Whether the holder gave the term up and issues no more orders."""
-    best_strength: float = 0.0
+    best_strength: decoding.Amount = 0.0
     """Strength of the strongest entry known to the holder, for entries that
     had no contact with the holder."""
 
 
 _encoder = msgspec.msgpack.Encoder()
-_job_decoder = msgspec.msgpack.Decoder(JobRecord)
-_progress_decoder = msgspec.msgpack.Decoder(JobProgress)
-_term_decoder = msgspec.msgpack.Decoder(TermRecord)
+_decode_job = decoding.msgpack_decoder(JobRecord)
+_decode_progress = decoding.msgpack_decoder(JobProgress)
+_decode_term = decoding.msgpack_decoder(TermRecord)
 
 
 def encode(record: JobRecord | JobProgress | TermRecord) -> bytes:
@@ -115,7 +118,27 @@
 
     :raises msgspec.DecodeError: the bytes are no such record.
     """
-    return _job_decoder.decode(data)
+    record = _decode_job(data)
+    if record.spec is not None:
+        try:
+            job_limits.check_job(record.spec)
+        except errors.BadRequest as error:
+            raise msgspec.ValidationError(error.message) from error
+    return record
+
+
+def decode_stored_job(key: str, data: bytes) -> JobRecord:
+    """Read the row of a job.
+
+    :raises msgspec.DecodeError: the row is no such record, or that of a job
+        with another id than its key.
+    """
+    record = decode_job(data)
+    if record.job_id != key:
+        raise msgspec.ValidationError(
+            f'the job {record.job_id!r} is in the row of another one'
+        )
+    return record
 
 
 def decode_progress(data: bytes) -> JobProgress:
@@ -123,7 +146,21 @@
 
     :raises msgspec.DecodeError: the bytes are no such record.
     """
-    return _progress_decoder.decode(data)
+    return _decode_progress(data)
+
+
+def decode_stored_term(data: bytes, version: int) -> TermRecord:
+    """Read the row of the term.
+
+    :raises msgspec.DecodeError: the row is no such record, or its number is
+        above every one that its version allows.
+    """
+    record = decode_term(data)
+    if record.term > version:
+        raise msgspec.ValidationError(
+            f'the term {record.term} is above the version {version}'
+        )
+    return record
 
 
 def decode_term(data: bytes) -> TermRecord:
@@ -131,4 +168,4 @@
 
     :raises msgspec.DecodeError: the bytes are no such record.
     """
-    return _term_decoder.decode(data)
+    return _decode_term(data)
--- a/packages/core/src/samphirestack/fleet/specs.py
+++ b/packages/core/src/samphirestack/fleet/specs.py
@@ -269,11 +269,28 @@
     return model.TaskId(f'{job_id}.{occurrence}.{step}.{index}')
 
 
+MAX_CLOCK_SKEW_S = 3600.0
+"""Limit of the difference between the clocks of VMs and workers."""
+
+
+def is_plausible_start(unix_now: float, started_unix_ms: int) -> bool:
+    """Return whether a process can have started at a time.
+
+    A start far in the future would make everything that its worker says
+    later look like that of an earlier process.
+    """
+    return started_unix_ms / 1000 <= unix_now + MAX_CLOCK_SKEW_S
+
+
 def split_task_id(
     task_id: model.TaskId,
 ) -> tuple[model.JobId, int, int, int] | None:
     """Return the parts of a task's id, or ``None`` if it is malformed."""
     parts = task_id.split('.')
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(_is_index(part) for part in parts[1:]):
         return None
     return model.JobId(parts[0]), int(parts[1]), int(parts[2]), int(parts[3])
+
+
+def _is_index(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= 9
--- a/packages/core/src/samphirestack/fleet/term.py
+++ b/packages/core/src/samphirestack/fleet/term.py
@@ -104,6 +104,18 @@
         """Last claim of this process; without an answer, only a later read
         shows whether it was applied."""
 
+    def observe_unreadable(
+        self, sent_at: float, now: float, version: int
+    ) -> None:
+        """Record a read of a row that is no record of a term.
+
+        No earlier term has a number above the version of the row: each claim
+        raises the number by one and the version by at least one.  A holder
+        may still act, so the row is replaced like one that isn't renewed.
+        """
+        unknown = records.TermRecord(version, model.VmId(''), '', '')
+        self.observe(sent_at, now, unknown, version)
+
     @property
     def number(self) -> int:
         """Number of the latest known term; 0 before the first."""
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -16,6 +16,7 @@
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import configuration_feed
 from samphirestackd.fleet import node_context
+from samphirestackd import logs
 
 JOB_ID = re.compile(r'[0-9a-fA-F]{16}')
 
@@ -31,9 +32,6 @@
 """Retry-After while the holder reaches the store and this entry does not:
 clients retry at another entry, which serves them at once."""
 
-MAX_TASKS = 20_000
-"""Limit of the tasks of a job, which bounds the memory for one call."""
-
 MAX_UNKNOWN_JOBS = 1000
 """Limit of remembered jobs whose storing has an unknown outcome; more than an
 entry receives during an outage that clients wait out."""
@@ -60,6 +58,7 @@
     path: str
     key: str
     body: bytes
+    """Of a body that is too large, only the first bytes."""
     timeout_s: float | None
     """Time for which the client waits, if the call states it."""
     queue: specs.Queue | None = None
@@ -169,6 +168,12 @@
             self._find_operation,
         )
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the size of the largest body that a call may have."""
+        configuration = self._configuration_feed.configuration
+        return configuration.max_body_bytes if configuration else 0
+
     async def handle(self, call: Call) -> Reply:
         """Return the reply to a call.
 
@@ -181,7 +186,11 @@
             if reply is not None:
                 break
         if reply is None:
-            reply = await self._run(call)
+            try:
+                reply = await self._run(call)
+            except Exception as error:
+                logs.unexpected('call.failed', call.operation.value, error)
+                reply = _unknown('the call failed by an unexpected error')
         took_s = clock.now() - started_at
         metrics = self._context.metrics
         labels = {
@@ -290,6 +299,9 @@
             if len(self._unknown_job_ids) > MAX_UNKNOWN_JOBS:
                 del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
             return _unknown(error.message)
+        except msgspec.DecodeError as error:
+            logs.bad_input('job.bad_row', call.job_id, error)
+            return self._refuse(call, 'the stored job cannot be read')
         return self._count_waiting(call)
 
     def _unavailable(self, detail: str) -> Reply:
@@ -336,8 +348,6 @@
             spec = self._decode_job(call.body)
         except errors.BadRequest as error:
             return _not_run(Outcome.BAD_REQUEST, error.message)
-        if sum(step.count for step in spec.steps) > MAX_TASKS:
-            return _not_run(Outcome.BAD_REQUEST, 'the job has too many tasks')
         record = records.JobRecord(
             call.job_id,
             call.queue,
@@ -390,7 +400,9 @@
         )
         for row in page.rows:
             if row.key == job_id:
-                return records.decode_job(row.value), row.version
+                return records.decode_stored_job(
+                    row.key, row.value
+                ), row.version
         return None
 
     async def _cancel(self, call: Call) -> Reply:
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -5,7 +5,6 @@
 import hashlib
 import os
 
-import eliot
 import msgspec
 import zmq.asyncio
 
@@ -170,10 +169,15 @@
             return
         row = page.rows[0] if page.rows else None
         try:
-            record = records.decode_term(row.value) if row else None
+            record = (
+                records.decode_stored_term(row.value, row.version)
+                if row
+                else None
+            )
         except msgspec.DecodeError as error:
-            # Without the number of the term, a claim could repeat it.
-            logs.error('term.bad_row', reason=str(error))
+            assert row is not None
+            logs.bad_input('term.bad_row', str(row.version), error)
+            self.term.observe_unreadable(sent_at, clock.now(), row.version)
             return
         before = self.term.number
         self.term.observe(
@@ -316,7 +320,7 @@
             reason = str(group.exceptions[0])
         except* Exception as group:
             reason = f'unexpected error: {group.exceptions[0]!r}'
-            eliot.write_traceback()
+            logs.unexpected('term.failed', '', group.exceptions[0])
             self._claim_after = clock.now() + CLAIM_PAUSE_S
         finally:
             self._holder = None
@@ -423,6 +427,8 @@
                 continue
             if record.life == self._incarnation or record.released:
                 continue
+            if not record.address:
+                continue
             if (
                 record.address != self._connection.address
                 or self._connection.is_silent
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from samphirestack import errors
 from samphirestack.fleet import actions
 from samphirestack.fleet import ports
@@ -142,7 +144,18 @@
                 await asyncio.sleep(RETRY_AFTER_S)
                 continue
             row = page.rows[0] if page.rows else None
-            found = records.decode_term(row.value) if row else None
+            try:
+                found = (
+                    records.decode_stored_term(row.value, row.version)
+                    if row
+                    else None
+                )
+            except msgspec.DecodeError as error:
+                assert row is not None
+                self._term.observe_unreadable(
+                    sent_at, clock.now(), row.version
+                )
+                raise TermLost(f'the row of the term: {error}') from error
             if row is not None and found == record:
                 self._term.record_write(sent_at, record, row.version)
                 self._record_success()
--- a/packages/daemon/src/samphirestackd/logs.py
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+import logging
 import os
 import sys
 import threading
@@ -106,6 +107,21 @@
         eliot.log_message(**fields)
 
 
+class LibraryHandler(logging.Handler):
+    """Writes what libraries log, without repeating it.
+
+    Callers can cause such lines, for example by requests that are no HTTP.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        problem = record.exc_info[1] if record.exc_info else None
+        if isinstance(problem, Exception):
+            unexpected('library.failed', f'{record.name} {problem!r}', problem)
+        else:
+            bad_input('library.warning', record.name, record.getMessage())
+
+
 class LineWriter:
     """Thread that writes lines to a file or the standard error stream.
 
@@ -215,4 +231,7 @@
     writer = LineWriter(settings.file)
     writer.start()
     eliot.add_destinations(Destination(writer, settings.level, node))
+    root = logging.getLogger()
+    if not any(isinstance(one, LibraryHandler) for one in root.handlers):
+        root.addHandler(LibraryHandler(logging.WARNING))
     return writer
