Set odd rows and answers aside without ending a process

What callers saw in our own processes: an entry of a worker that is nested 60,000 levels deep, or any other odd row, ended the entries one after the other (connections were refused, status 0); in a worker's report a run number of 2**64 ended each term in turn, as it could not be stored again.

A worker whose report is odd counts as silent, so its tasks start elsewhere after its lease. A wave with odd progress begins anew, which the platform confirms machine by machine.

--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -94,19 +94,26 @@
         for row in rows:
             if row.removed:
                 continue
-            wave = self._registry.wave(row)
-            if wave is not None:
-                self.waves_by_number[wave.number] = wave
-                continue
-            found = self._registry.configuration(row)
-            if found is None:
-                continue
-            current = self.configuration
-            if current is None or found.version > current.version:
-                self.configuration = found
-                logs.info(
-                    'configuration.applied',
-                    version=found.version,
-                    queues=len(found.queues_by_id),
-                    customers=len(found.customers_by_id),
-                )
+            try:
+                self._apply_row(row)
+            except Exception as error:
+                # The other rows, and the feed, go on.
+                logs.unexpected('operator.bad_row', row.key, error)
+
+    def _apply_row(self, row: ports.StoredRow) -> None:
+        wave = self._registry.wave(row)
+        if wave is not None:
+            self.waves_by_number[wave.number] = wave
+            return
+        found = self._registry.configuration(row)
+        if found is None:
+            return
+        current = self.configuration
+        if current is None or found.version > current.version:
+            self.configuration = found
+            logs.info(
+                'configuration.applied',
+                version=found.version,
+                queues=len(found.queues_by_id),
+                customers=len(found.customers_by_id),
+            )
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import contextlib
 
-import eliot
 import msgspec
 
 from samphirestack import errors
@@ -192,7 +191,7 @@
                 self.scheduler.load_job(
                     now,
                     unix_now,
-                    records.decode_job(row.value),
+                    records.decode_stored_job(row.key, row.value),
                     progress_by_id.get(row.key),
                 )
         for job_id in cancelled:
@@ -215,7 +214,7 @@
         except Exception as error:
             # One row must not keep every holder from loading the others.
             self._context.metrics.set_aside.inc({'source': 'row'})
-            logs.error('store.bad_row', row=row.key, reason=repr(error))
+            logs.bad_input('store.bad_row', row.key, error)
 
     async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
         """Return the rows of all jobs and a version that all rows reflect."""
@@ -284,6 +283,11 @@
         self, row: ports.StoredRow
     ) -> specs.WorkerEntry | None:
         entry = None if row.removed else self._context.registry.worker(row)
+        if entry is not None and not specs.is_plausible_start(
+            clock.unix_now(), entry.started_unix_ms
+        ):
+            logs.bad_input('worker.bad_start', row.key, 'it is in the future')
+            entry = None
         previous = self._worker_entries_by_id.pop(row.key, None)
         if entry is not None:
             self._worker_entries_by_id[row.key] = entry
@@ -392,10 +396,10 @@
                     continue
             try:
                 await self._renew_lease(worker_id, wait_s)
-            except Exception:
+            except Exception as error:
                 # The leases of its runs must still be renewed.
                 self._context.metrics.set_aside.inc({'source': 'report'})
-                eliot.write_traceback()
+                logs.unexpected('report.failed', worker_id, error)
                 await asyncio.sleep(RETRY_AFTER_S)
             await self._pause_while_idle(worker)
 
@@ -435,6 +439,12 @@
                 deadline_ms,
                 wait_s,
             )
+            if not specs.is_plausible_start(
+                clock.unix_now(), report.started_unix_ms
+            ):
+                raise errors.PlatformError(
+                    f'the start {report.started_unix_ms} is in the future'
+                )
         except errors.FencedOff:
             self.scheduler.fenced = True
             await asyncio.sleep(RETRY_AFTER_S)
@@ -485,14 +495,17 @@
         try:
             record = records.decode_job(row)
         except msgspec.DecodeError as error:
-            logs.error('job.bad_row', reason=str(error))
+            logs.bad_input('job.bad_row', '', error)
             return
+        self._accept_job(record)
+
+    def _accept_job(self, record: records.JobRecord) -> None:
         now = clock.now()
         try:
             accepted = self.scheduler.accept_job(now, clock.unix_now(), record)
         except Exception as error:
             self._context.metrics.set_aside.inc({'source': 'job'})
-            logs.error('job.bad_row', job_id=record.job_id, reason=repr(error))
+            logs.bad_input('job.bad_row', record.job_id, error)
             return
         if accepted:
             if record.job_id in self._early_cancellations:
@@ -541,7 +554,10 @@
                         )
                     )
                 else:
-                    self.add_job(row.value)
+                    with self._logging_bad_row(row):
+                        self._accept_job(
+                            records.decode_stored_job(row.key, row.value)
+                        )
 
     def _send_starts(self, changes: actions.Changes) -> None:
         """Send the starts whose placement is stored now."""
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -10,6 +10,7 @@
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import upkeep
+from samphirestack.internal import decoding
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import node_context
 from samphirestackd.fleet import writer as writers
@@ -18,7 +19,7 @@
 CHECK_INTERVAL_S = 0.5
 """Interval between steps of the waves, whose deadlines are many seconds."""
 
-_decode_progress = msgspec.msgpack.Decoder(upkeep.WaveProgress).decode
+_decode_progress = decoding.msgpack_decoder(upkeep.WaveProgress)
 
 
 class UpkeepController:
@@ -54,6 +55,9 @@
                     await self._advance(active)
                 except errors.PlatformError as error:
                     logs.warning('upkeep.failed', reason=error.message)
+                except Exception as error:
+                    # One wave must not end the term.
+                    logs.unexpected('upkeep.failed', '', error)
 
     async def _start_wave(self, wave: upkeep.Wave) -> None:
         key = str(wave.number)
@@ -66,7 +70,12 @@
             return
         progress = None
         if page.rows:
-            progress = _decode_progress(page.rows[0].value)
+            try:
+                progress = _decode_progress(page.rows[0].value)
+            except msgspec.DecodeError as error:
+                # The platform confirms the upkeep of a machine that has
+                # already begun.
+                logs.bad_input('upkeep.bad_row', key, error)
         run = upkeep.WaveRun(
             wave, clock.now(), self._context.bounds.upkeep_s, progress
         )
--- a/packages/daemon/src/samphirestackd/platform_http/agents.py
+++ b/packages/daemon/src/samphirestackd/platform_http/agents.py
@@ -142,7 +142,7 @@
 def _error_from(path: str, answer: calls.Answer) -> errors.SamphireError:
     try:
         refusal = _refusal_decoder.decode(answer.body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         refusal = _Refusal('')
     if refusal.code == FENCED_OFF:
         return errors.FencedOff(refusal.worker, refusal.epoch, refusal.owner)
@@ -159,7 +159,7 @@
 def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.OutcomeUnknown(f'invalid response: {error}') from None
 
 
--- a/packages/daemon/src/samphirestackd/platform_http/store.py
+++ b/packages/daemon/src/samphirestackd/platform_http/store.py
@@ -116,7 +116,7 @@
 def _decode_versions(body: bytes) -> list[int]:
     try:
         return _versions_decoder.decode(body).versions
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.OutcomeUnknown(f'invalid response: {error}') from None
 
 
@@ -124,7 +124,7 @@
     if answer.status == CONFLICT:
         try:
             refusal = _refusal_decoder.decode(answer.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.OutcomeUnknown(f'invalid response: {error}') from None
         raise errors.TransactionConflict(
             {(row.table, row.key): row.version for row in refusal.conflicts}
@@ -140,7 +140,7 @@
 def _decode(decoder: msgspec.json.Decoder[calls.T], body: bytes) -> calls.T:
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.StoreUnavailable(f'invalid response: {error}') from None
 
 
