--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -39,7 +39,7 @@
         )
         self.set_aside = self._counter(
             'samphirestack_fleet_set_aside_total',
-            'Rows, jobs and reports that raised an error, by source.',
+            'Rows, jobs, reports and orders that raised an error, by source.',
         )
         self.wait_time = self._histogram(
             'samphirestack_fleet_wait_seconds',
