Limit the log lines of failed calls of the holder

Reads, feeds, advice and archive writes that fail again and again, for example because the service answers oddly, were logged each time, up to ten lines a second. They go through the same limit as odd rows, one line for each subject in 60 s; the function is named limited_warning, as it is not only about input. store.lost and step.advised still tell each outage and each call.

--- a/packages/daemon/src/samphirestackd/fleet/archiver.py
+++ b/packages/daemon/src/samphirestackd/fleet/archiver.py
@@ -68,8 +68,8 @@
         try:
             await self._context.store.transact([], puts, removals, batch.part)
         except errors.PlatformError as error:
-            logs.warning(
-                'jobs.archive_failed', part=batch.part, reason=error.message
+            logs.limited_warning(
+                'jobs.archive_failed', batch.part, error.message
             )
             self._jobs.archive.requeue_batch(clock.now(), batch)
             return False
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -300,7 +300,7 @@
                 del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
             return _unknown(error.message)
         except msgspec.DecodeError as error:
-            logs.bad_input('job.bad_row', call.job_id, error)
+            logs.limited_warning('job.bad_row', call.job_id, error)
             return self._refuse(call, 'the stored job cannot be read')
         return self._count_waiting(call)
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -214,7 +214,7 @@
         except Exception as error:
             # One row must not keep every holder from loading the others.
             self._context.metrics.set_aside.inc({'source': 'row'})
-            logs.bad_input('store.bad_row', row.key, error)
+            logs.limited_warning('store.bad_row', row.key, error)
 
     async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
         """Return the rows of all jobs and a version that all rows reflect."""
@@ -243,7 +243,7 @@
                     self._context.store, table, first, part
                 )
             except errors.PlatformError as error:
-                logs.warning('store.read_failed', reason=error.message)
+                logs.limited_warning('store.read_failed', table, error.message)
                 await asyncio.sleep(RETRY_AFTER_S)
                 continue
             if version is None:
@@ -286,7 +286,9 @@
         if entry is not None and not specs.is_plausible_start(
             clock.unix_now(), entry.started_unix_ms
         ):
-            logs.bad_input('worker.bad_start', row.key, 'it is in the future')
+            logs.limited_warning(
+                'worker.bad_start', row.key, 'it is in the future'
+            )
             entry = None
         previous = self._worker_entries_by_id.pop(row.key, None)
         if entry is not None:
@@ -339,7 +341,7 @@
                     self._context.registry.workers_table, version, wait_s
                 )
             except errors.PlatformError as error:
-                logs.warning('workers.feed_failed', reason=error.message)
+                logs.limited_warning('workers.feed_failed', '', error.message)
                 freshness.record_failure()
                 # No work starts until the entries are known to be current.
                 wait_s = 0.0
@@ -495,7 +497,7 @@
         try:
             record = records.decode_job(row)
         except msgspec.DecodeError as error:
-            logs.bad_input('job.bad_row', '', error)
+            logs.limited_warning('job.bad_row', '', error)
             return
         self._accept_job(record)
 
@@ -505,7 +507,7 @@
             accepted = self.scheduler.accept_job(now, clock.unix_now(), record)
         except Exception as error:
             self._context.metrics.set_aside.inc({'source': 'job'})
-            logs.bad_input('job.bad_row', record.job_id, error)
+            logs.limited_warning('job.bad_row', record.job_id, error)
             return
         if accepted:
             if record.job_id in self._early_cancellations:
@@ -537,7 +539,7 @@
                     records.JOBS_TABLE, version, 0.0
                 )
             except errors.PlatformError as error:
-                logs.warning('jobs.feed_failed', reason=error.message)
+                logs.limited_warning('jobs.feed_failed', '', error.message)
                 continue
             if page is None:
                 rows, version = await self._read_jobs()
@@ -832,7 +834,11 @@
                         action, number, caller, timeout_s
                     )
         except TimeoutError:
-            logs.warning('advice.no_answer', step=action.step_id)
+            logs.limited_warning(
+                'advice.no_answer',
+                '',
+                f'for {timeout_s:.1f} s, {action.step_id}',
+            )
         finally:
             self.advice_callers.release(number)
         now = clock.now()
@@ -894,6 +900,8 @@
     try:
         advice = await context.advisor.advise(step_id, worker_ids)
     except errors.PlatformError as error:
-        logs.warning('advice.failed', step=step_id, reason=error.message)
+        logs.limited_warning(
+            'advice.failed', '', f'{error.message}, {step_id}'
+        )
         return None
     return advice.tickets_by_worker_id
--- a/packages/daemon/src/samphirestackd/fleet/link.py
+++ b/packages/daemon/src/samphirestackd/fleet/link.py
@@ -141,7 +141,9 @@
         self._opened_at = clock.now()
         self.ping_interval_s = pacing.MIN_PING_INTERVAL_S
         if not addresses.is_address(address):
-            logs.bad_input('link.bad_address', address, 'it is no address')
+            logs.limited_warning(
+                'link.bad_address', address, 'it is no address'
+            )
             return
         sock = self._context.socket(zmq.DEALER)
         sock.setsockopt(zmq.LINGER, 0)
@@ -198,7 +200,7 @@
 
 def _log_failure(future: asyncio.Future[Any]) -> None:
     if not future.cancelled() and future.exception() is not None:
-        logs.bad_input('link.not_sent', '', str(future.exception()))
+        logs.limited_warning('link.not_sent', '', str(future.exception()))
 
 
 def _decode(frames: list[bytes]) -> messages.Message | None:
@@ -207,5 +209,5 @@
             raise msgspec.DecodeError(f'it has {len(frames)} frames')
         return messages.decode(frames[0])
     except msgspec.DecodeError as error:
-        logs.bad_input('link.bad_message', type(error).__name__, error)
+        logs.limited_warning('link.bad_message', type(error).__name__, error)
         return None
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -176,7 +176,7 @@
             )
         except msgspec.DecodeError as error:
             assert row is not None
-            logs.bad_input('term.bad_row', str(row.version), error)
+            logs.limited_warning('term.bad_row', str(row.version), error)
             self.term.observe_unreadable(sent_at, clock.now(), row.version)
             return
         before = self.term.number
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -54,7 +54,9 @@
                 try:
                     await self._advance(active)
                 except errors.PlatformError as error:
-                    logs.warning('upkeep.failed', reason=error.message)
+                    logs.limited_warning(
+                        'upkeep.failed', 'list', error.message
+                    )
                 except Exception as error:
                     # One wave must not end the term.
                     logs.unexpected('upkeep.failed', '', error)
@@ -66,7 +68,7 @@
                 records.UPKEEP_TABLE, key, key + '\x00'
             )
         except errors.PlatformError as error:
-            logs.warning('upkeep.failed', reason=error.message)
+            logs.limited_warning('upkeep.failed', key, error.message)
             return
         progress = None
         if page.rows:
@@ -75,7 +77,7 @@
             except msgspec.DecodeError as error:
                 # The platform confirms the upkeep of a machine that has
                 # already begun.
-                logs.bad_input('upkeep.bad_row', key, error)
+                logs.limited_warning('upkeep.bad_row', key, error)
         run = upkeep.WaveRun(
             wave, clock.now(), self._context.bounds.upkeep_s, progress
         )
@@ -147,9 +149,7 @@
         except errors.PlatformError as error:
             # The upkeep may have begun.  The order is repeated, and the other
             # machines don't wait for its answer.
-            logs.warning(
-                'upkeep.no_answer', machine=machine, reason=error.message
-            )
+            logs.limited_warning('upkeep.no_answer', machine, error.message)
             return
         self._context.log.write(
             'upkeep.ordered',
--- a/packages/daemon/src/samphirestackd/logs.py
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -56,10 +56,12 @@
     _log('error', kind, fields)
 
 
-def bad_input(
+def limited_warning(
     kind: str, subject: str, problem: Exception | str, /, **fields: object
 ) -> None:
-    """Log that an input was set aside, not each time that it comes again.
+    """Log a problem that may come again and again, such as an odd row.
+
+    It is not logged each time; see ``log_limits``.
 
     :param subject: where it came from, such as the key of a row.
     """
@@ -119,7 +121,9 @@
         if isinstance(problem, Exception):
             unexpected('library.failed', f'{record.name} {problem!r}', problem)
         else:
-            bad_input('library.warning', record.name, record.getMessage())
+            limited_warning(
+                'library.warning', record.name, record.getMessage()
+            )
 
 
 class LineWriter:
--- a/tests/integration/test_odd_input.py
+++ b/tests/integration/test_odd_input.py
@@ -197,7 +197,7 @@
             b'{"clock_ms":5,"born":1,"ended":[[1' + b'0' * 30 + b']]}',
         ):
             deployment.workers[0].odd_report = odd
-            deployment.advisor.odd_answers.append(odd)
+            deployment.advisor.odd_answers += [odd] * 10
             deployment.store.odd_answers.append(odd)
             await assert_serves(deployment, number)
             number += 3
