--- a/packages/daemon/src/samphirestackd/logs.py
+++ b/packages/daemon/src/samphirestackd/logs.py
@@ -59,7 +59,7 @@
 def limited_warning(
     kind: str, subject: str, problem: Exception | str, /, **fields: object
 ) -> None:
-    """Log a problem that may come again and again, such as an odd row.
+    """Log a problem that may come again and again, such as a malformed row.
 
     It is not logged each time; see ``log_limits``.
 
--- a/tests/integration/test_odd_input.py
+++ b/tests/integration/test_malformed_input.py
@@ -1,4 +1,4 @@
-"""Entry processes beside odd rows, answers and calls of others."""
+"""Entry processes beside malformed rows, answers and calls of others."""
 
 import asyncio
 import collections
@@ -18,7 +18,7 @@
 """Windows of the log limiter that a test touches."""
 
 DEEP = b'{"x":' + b'[' * 60_000
-ODD_JSON = [
+MALFORMED_JSON = [
     DEEP,
     b'',
     b'\xff\xfe',
@@ -41,7 +41,7 @@
     return {'specification': f'run_ms={run_ms}', 'steps': [step]}
 
 
-def worker_row(**odd: object) -> bytes:
+def worker_row(**malformed: object) -> bytes:
     fields: dict[str, object] = {
         'service': deployments.SERVICE,
         'address': '127.0.0.1:9',
@@ -49,15 +49,15 @@
         'state': 'ready',
         'capacity': {'cpu': 99_000, 'memory_request_mb': 99_000, 'gpu': 0},
         'labels': ['a', 'r1'],
-        'machine': 'm-odd',
+        'machine': 'm-malformed',
         'born': 1,
     }
-    fields.update(odd)
+    fields.update(malformed)
     return msgspec.json.encode(fields)
 
 
-ODD_WORKERS = [
-    *ODD_JSON,
+MALFORMED_WORKERS = [
+    *MALFORMED_JSON,
     worker_row(address='127.0.0.1:99999'),
     worker_row(address='127.0.0.1:0'),
     worker_row(address='127.0.0.1:-1'),
@@ -131,16 +131,16 @@
         ), counts
 
 
-class TestOddRows:
+class TestMalformedRows:
     """Guards against a row of another writer that ends its readers."""
 
     async def test_rows_of_workers(
         self, deployment: deployments.Deployment
     ) -> None:
         for _ in range(3):
-            for number, row in enumerate(ODD_WORKERS):
-                deployment.store.put('servers', f'odd-{number}', row)
-                deployment.store.put('servers', f'odd {number}\r\n', row)
+            for number, row in enumerate(MALFORMED_WORKERS):
+                deployment.store.put('servers', f'malformed-{number}', row)
+                deployment.store.put('servers', f'malformed {number}\r\n', row)
             await asyncio.sleep(0.2)
         await assert_serves(deployment, 1)
         # A new holder reads the whole table.
@@ -157,10 +157,14 @@
     ) -> None:
         store = deployment.store
         deep = b'\x81\xa1x' + b'\x91' * 60_000
-        odd = [*ODD_JSON, deep, msgspec.msgpack.encode({'term': 2**63})]
-        for number, row in enumerate(odd):
+        malformed = [
+            *MALFORMED_JSON,
+            deep,
+            msgspec.msgpack.encode({'term': 2**63}),
+        ]
+        for number, row in enumerate(malformed):
             job_id = f'{0xFFFF + number:016x}'
-            store.put('op', f'odd-{number}', row)
+            store.put('op', f'malformed-{number}', row)
             store.put('op', f'wave/{number}', row)
             store.put('upkeep', str(number), row)
             store.put('status', str(number), row)
@@ -177,34 +181,34 @@
             b'{"wave":1,"machines":["m-w-0"],"deadline_s":60,"max_count":1}',
         )
         await assert_serves(deployment, 1)
-        for number, row in enumerate(odd):
+        for number, row in enumerate(malformed):
             store.put('term', 'fleet', row)
             await assert_serves(deployment, 10 + 3 * number)
         assert_few_log_lines(deployment)
 
 
-class TestOddAnswers:
+class TestMalformedAnswers:
     """Guards against an answer that ends its caller or floods its log."""
 
     async def test_a_worker_the_store_and_the_advice_service(
         self, deployment: deployments.Deployment
     ) -> None:
         number = 1
-        for odd in (
-            *ODD_JSON,
+        for malformed in (
+            *MALFORMED_JSON,
             b'{"clock_ms":5,"born":1' + b'0' * 25 + b'}',
             b'{"clock_ms":5,"born":1,"running":[["x.0.0.\xc2\xb2",1,"",0]]}',
             b'{"clock_ms":5,"born":1,"ended":[[1' + b'0' * 30 + b']]}',
         ):
-            deployment.workers[0].odd_report = odd
-            deployment.advisor.odd_answers += [odd] * 10
-            deployment.store.odd_answers.append(odd)
+            deployment.workers[0].malformed_report = malformed
+            deployment.advisor.malformed_answers += [malformed] * 10
+            deployment.store.malformed_answers.append(malformed)
             await assert_serves(deployment, number)
             number += 3
         assert_few_log_lines(deployment)
 
 
-class TestOddCalls:
+class TestMalformedCalls:
     """Guards against a call that isn't refused with a status of 4xx."""
 
     async def _raw(self, address: str, data: bytes) -> bytes:
@@ -223,7 +227,7 @@
         entry = deployment.entries[0]
         step = b'{"specification":"x","steps":[{"count":1,%s}]}'
         bodies = [
-            *(odd for odd in ODD_JSON if odd != DEEP),
+            *(malformed for malformed in MALFORMED_JSON if malformed != DEEP),
             DEEP,
             b'{"specification":"x","steps":' + b'[' * 60_000,
             step % b'"cpu":1%s' % (b'0' * 30),
--- a/tests/property/test_odd_input.py
+++ b/tests/property/test_malformed_input.py
@@ -41,7 +41,7 @@
 W0 = model.WorkerId('w0')
 TASK = f'{1:016x}.0.0.0'
 
-_odd_values = st.one_of(
+_malformed_values = st.one_of(
     st.none(),
     st.booleans(),
     st.sampled_from(
@@ -89,26 +89,26 @@
 
 
 @st.composite
-def _odd_versions(draw: st.DrawFn, valid: Any) -> Any:
-    """Return a valid value in which one or two parts are odd or missing."""
+def _malformed_versions(draw: st.DrawFn, valid: Any) -> Any:
+    """Return a valid value in which one or two parts are replaced."""
     value = copy.deepcopy(valid)
     for _ in range(draw(st.integers(1, 2))):
         path = draw(st.sampled_from(_paths(value)))
         if not path:
-            return copy.deepcopy(draw(_odd_values))
+            return copy.deepcopy(draw(_malformed_values))
         parent = value
         for key in path[:-1]:
             parent = parent[key]
         if draw(st.integers(0, 4)) == 0:
             del parent[path[-1]]
         else:
-            parent[path[-1]] = copy.deepcopy(draw(_odd_values))
+            parent[path[-1]] = copy.deepcopy(draw(_malformed_values))
     return value
 
 
 def _json(valid: Any) -> st.SearchStrategy[bytes]:
     return st.one_of(
-        _odd_versions(valid).map(msgspec.json.encode),
+        _malformed_versions(valid).map(msgspec.json.encode),
         st.binary(max_size=30),
         st.just(DEEP_JSON),
         st.just(msgspec.json.encode(valid)),
@@ -124,7 +124,7 @@
 
     builtin = msgspec.to_builtins(valid)
     return st.one_of(
-        _odd_versions(builtin).map(encode),
+        _malformed_versions(builtin).map(encode),
         st.binary(max_size=30),
         st.just(DEEP_MSGPACK),
     )
@@ -160,7 +160,7 @@
 
 
 def use(world: worlds.World) -> None:
-    """Decide and store after an odd input, as the holder does."""
+    """Decide and store after a malformed input, as the holder does."""
     for now in (1.0, 3.0):
         world.plan(now)
         changes = world.store_changes(now)
--- a/tests/unit/core/test_log_limits.py
+++ b/tests/unit/core/test_log_limits.py
@@ -4,7 +4,7 @@
 
 
 class TestLogLimiter:
-    """Guards against one odd input that floods the log."""
+    """Guards against one malformed input that floods the log."""
 
     def test_a_subject_is_logged_once_in_a_window(self) -> None:
         limiter = log_limits.LogLimiter()
--- a/tests/unit/fleet/test_http_client.py
+++ b/tests/unit/fleet/test_http_client.py
@@ -163,14 +163,14 @@
             client.close()
 
 
-class TestOddServers:
+class TestMalformedServers:
     """Guards against a server whose address or answer ends its caller."""
 
     @pytest.mark.parametrize(
         'address',
         ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1', 'x' * 99 + ':80'],
     )
-    async def test_an_odd_address_cannot_be_reached(
+    async def test_a_malformed_address_cannot_be_reached(
         self, address: str
     ) -> None:
         client = http_client.HttpClient()
@@ -188,7 +188,7 @@
         ],
         ids=['no-http', 'length', 'large'],
     )
-    async def test_an_odd_answer_is_none(self, response: bytes) -> None:
+    async def test_a_malformed_answer_is_none(self, response: bytes) -> None:
         client = http_client.HttpClient()
         async with serving() as (server, address):
             server.response = response
--- a/tests/unit/fleet/test_link.py
+++ b/tests/unit/fleet/test_link.py
@@ -90,10 +90,10 @@
             assert not peers.disconnected.is_set()
 
 
-class TestOddMessages:
+class TestMalformedMessages:
     """Guards against a message that ends the process of its receiver."""
 
-    async def test_messages_after_odd_ones_are_received(self) -> None:
+    async def test_messages_after_malformed_ones_are_received(self) -> None:
         async with connected() as peers:
             peers.received.clear()
             assert peers.connection._socket is not None
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -362,7 +362,7 @@
             assert fleet_node._holder is None
 
 
-class TestOddTermRow:
+class TestMalformedTermRow:
     """Guards against a row of the term that no process can read.
 
     Nothing would be scheduled any more.
@@ -401,7 +401,9 @@
             assert fleet_node.term.is_mine
             assert fleet_node.term.number == 8
 
-    async def test_an_entry_sends_no_pings_to_an_odd_address(self) -> None:
+    async def test_an_entry_sends_no_pings_to_a_malformed_address(
+        self,
+    ) -> None:
         async with running_node() as (fleet_node, _):
             fleet_node._connection.open('10.0.0.1:99999')
             assert not fleet_node._connection.send(make_ping('life'))
