--- a/packages/testing/src/samphirestack_testing/row_store.py
+++ b/packages/testing/src/samphirestack_testing/row_store.py
@@ -1,5 +1,6 @@
 """Rows of the platform's store in memory, as a ``ports.RowStore``."""
 
+import asyncio
 from collections.abc import Sequence
 
 from samphirestack import errors
@@ -71,3 +72,15 @@
         """Return that the history is gone; see ``ports.RowStore``."""
         del table, after, wait_s
         return None
+
+
+class QuietRowStore(MemoryRowStore):
+    """Store whose feeds have no changes."""
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        """Wait in vain; see ``ports.RowStore``."""
+        del table
+        await asyncio.sleep(wait_s)
+        return ports.Page([], after)
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -74,24 +74,12 @@
             await asyncio.gather(running, return_exceptions=True)
 
 
-class FollowedStore(row_store.MemoryRowStore):
-    """Store that lists two rows on a page and has no later changes."""
-
-    page_rows = 2
-
-    async def feed(
-        self, table: str, after: int, wait_s: float
-    ) -> ports.Page | None:
-        del table
-        await asyncio.sleep(wait_s)
-        return ports.Page([], after)
-
-
 class TestPages:
     """Guards against a configuration on a later page that is not applied."""
 
     async def test_the_configuration_on_the_last_page_is_applied(self) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
+        store.page_rows = 2
         puts = [
             ports.Put('operator', f'{number}', str(number).encode())
             for number in range(1, 8)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -67,17 +67,6 @@
         return worlds.make_report(1000.0)
 
 
-class FollowedStore(row_store.MemoryRowStore):
-    """Store whose feeds have no changes."""
-
-    async def feed(
-        self, table: str, after: int, wait_s: float
-    ) -> ports.Page | None:
-        del table
-        await asyncio.sleep(wait_s)
-        return ports.Page([], after, False)
-
-
 def make_holder(
     store: row_store.MemoryRowStore, workers: Workers | None = None
 ) -> holders.Holder:
@@ -92,6 +81,20 @@
     )
 
 
+def plan_start(holder: holders.Holder) -> actions.Start:
+    """Return the start of a job on the only worker."""
+    now = clock.now()
+    scheduler = holder.scheduler
+    scheduler.set_workers(now, [worlds.make_worker('w0')])
+    scheduler.apply_report(
+        now, now, model.WorkerId('w0'), worlds.make_report(1000.0)
+    )
+    scheduler.accept_job(now, clock.unix_now(), worlds.make_job(1))
+    (start,) = scheduler.plan(now, worlds.UnlimitedAdviceCallers())
+    assert isinstance(start, actions.Start)
+    return start
+
+
 async def put_rows(
     store: row_store.MemoryRowStore,
     table: str,
@@ -113,7 +116,7 @@
     """
 
     async def test_leases_are_renewed_after_an_unexpected_error(self) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
         workers = Workers(ZeroDivisionError('report'), 1)
         holder = make_holder(store, workers)
@@ -132,7 +135,7 @@
             await asyncio.gather(running, return_exceptions=True)
 
     async def test_a_refused_report_does_not_end_the_term(self) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
         workers = Workers(errors.PlatformError('malformed report'), 3)
         holder = make_holder(store, workers)
@@ -172,7 +175,7 @@
     async def test_a_worker_that_left_with_an_unstored_end_is_called_again(
         self,
     ) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
         workers = EndReportingWorkers(ZeroDivisionError(), 0)
         holder = make_holder(store, workers)
@@ -219,14 +222,14 @@
     """Guards against one bad row that no holder can load."""
 
     async def test_a_bad_worker_is_set_aside(self) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         await put_rows(store, 'workers', {'w0': b'bad', 'w1': b''})
         holder = make_holder(store)
         await holder._load()
         assert holder.scheduler.workers_by_id.keys() == {'w1'}
 
     async def test_progress_with_malformed_keys_is_set_aside(self) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         for number in (1, 2):
             job = worlds.make_job(number)
             part = records.job_part(job.job_id)
@@ -247,7 +250,7 @@
     async def test_a_job_with_unreadable_progress_does_not_run_again(
         self,
     ) -> None:
-        store = FollowedStore()
+        store = row_store.QuietRowStore()
         job = worlds.make_job(1)
         part = records.job_part(job.job_id)
         row = records.encode(job)
@@ -258,14 +261,14 @@
         assert not holder.scheduler.jobs.active_by_id
 
     async def test_a_bad_job_of_an_entry_is_set_aside(self) -> None:
-        holder = make_holder(FollowedStore())
+        holder = make_holder(row_store.QuietRowStore())
         await holder._load()
         holder.add_job(b'\xff')
         holder.add_job(records.encode(worlds.make_job(2)))
         assert len(holder.scheduler.jobs.active_by_id) == 1
 
 
-class CompactedStore(FollowedStore):
+class CompactedStore(row_store.QuietRowStore):
     """Store that drops its history and then reads out an old list once."""
 
     def __init__(self) -> None:
@@ -346,27 +349,14 @@
 class TestShrinkingWorkers:
     """Guards against orders that wait while the capacity shrinks."""
 
-    def _plan(self, holder: holders.Holder) -> actions.Start:
-        """Return the start of a job on the only worker."""
-        now = clock.now()
-        scheduler = holder.scheduler
-        scheduler.set_workers(now, [worlds.make_worker('w0')])
-        scheduler.apply_report(
-            now, now, model.WorkerId('w0'), worlds.make_report(1000.0)
-        )
-        scheduler.accept_job(now, clock.unix_now(), worlds.make_job(1))
-        (start,) = scheduler.plan(now, worlds.UnlimitedAdviceCallers())
-        assert isinstance(start, actions.Start)
-        return start
-
     async def test_an_order_that_waits_is_withdrawn(self) -> None:
         workers = SlowToConnect(
             lambda: holder.scheduler.set_workers(
                 clock.now(), [worlds.make_worker('w0', cpu=500)]
             )
         )
-        holder = make_holder(FollowedStore(), workers)
-        await holder._start(self._plan(holder))
+        holder = make_holder(row_store.QuietRowStore(), workers)
+        await holder._start(plan_start(holder))
         assert not workers.started
 
     async def test_an_order_that_still_fits_is_sent(self) -> None:
@@ -375,13 +365,13 @@
                 clock.now(), [worlds.make_worker('w0', cpu=1000)]
             )
         )
-        holder = make_holder(FollowedStore(), workers)
-        start = self._plan(holder)
+        holder = make_holder(row_store.QuietRowStore(), workers)
+        start = plan_start(holder)
         await holder._start(start)
         assert workers.started == [start.order.task_id]
 
 
-class FailingFeedStore(FollowedStore):
+class FailingFeedStore(row_store.QuietRowStore):
     """Store of which only the feed of workers fails."""
 
     def __init__(self) -> None:
@@ -454,22 +444,10 @@
 class TestFailingOrders:
     """Guards against a state that only the answer to an order can leave."""
 
-    def _start(self, holder: holders.Holder) -> actions.Start:
-        now = clock.now()
-        scheduler = holder.scheduler
-        scheduler.set_workers(now, [worlds.make_worker('w0')])
-        scheduler.apply_report(
-            now, now, model.WorkerId('w0'), worlds.make_report(1000.0)
-        )
-        scheduler.accept_job(now, clock.unix_now(), worlds.make_job(1))
-        (start,) = scheduler.plan(now, worlds.UnlimitedAdviceCallers())
-        assert isinstance(start, actions.Start)
-        return start
-
     async def test_the_task_of_a_start_that_raised_starts_again(self) -> None:
-        holder = make_holder(FollowedStore(), FailingOrders())
+        holder = make_holder(row_store.QuietRowStore(), FailingOrders())
         scheduler = holder.scheduler
-        start = self._start(holder)
+        start = plan_start(holder)
         await holder._start(start)
         worker_id = model.WorkerId('w0')
         for _ in range(2):
@@ -490,8 +468,8 @@
         ]
 
     async def test_a_throttle_that_raised_does_not_count_as_set(self) -> None:
-        holder = make_holder(FollowedStore(), FailingOrders())
-        start = self._start(holder)
+        holder = make_holder(row_store.QuietRowStore(), FailingOrders())
+        start = plan_start(holder)
         worker = holder.scheduler.workers_by_id[model.WorkerId('w0')]
         key = (start.order.task_id, start.order.run)
         worker.runs_by_key[key].throttle_percent = 30
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -298,22 +298,11 @@
                 await asyncio.gather(*tasks, return_exceptions=True)
 
 
-class QuietStore(row_store.MemoryRowStore):
-    """Store whose feeds have no changes."""
-
-    async def feed(
-        self, table: str, after: int, wait_s: float
-    ) -> ports.Page | None:
-        del table
-        await asyncio.sleep(wait_s)
-        return ports.Page([], after)
-
-
 class TestStopDuringClaim:
     """Guards against a term that a process takes with it when it stops."""
 
     async def test_the_term_is_released(self) -> None:
-        async with running_node(QuietStore()) as (fleet_node, _):
+        async with running_node(row_store.QuietRowStore()) as (fleet_node, _):
             fleet_node.configuration_feed.configuration = (
                 worlds.make_configuration()
             )
