--- a/tests/integration/test_malformed_input.py
+++ b/tests/integration/test_malformed_input.py
@@ -97,10 +97,15 @@
     entry = deployment.entries[0]
     numbers = range(first, first + 3)
     for number in numbers:
-        status, _ = await deployment.call(
-            entry, 'POST', f'/batch/{number:016x}', job()
-        )
-        assert status == 200
+
+        async def accepted(number: int = number) -> bool:
+            status, _ = await deployment.call(
+                entry, 'POST', f'/batch/{number:016x}', job()
+            )
+            return status == 200
+
+        # An entry that was restarted may not listen yet.
+        await waiting.until(accepted, LONGEST_WAIT_S, 'an accepted job')
 
     async def completed() -> bool:
         for number in numbers:
