Log decided, overdue and early confirmed stops

The holder logs run.stop_decided, run.listed_early and run.stop_overdue now, with counters for the first and the last; the last says how many orders were sent and whether one was accepted. No decision is changed: tests/unit/fleet pass.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -70,6 +70,41 @@
     """Workers that crashed under the task."""
 
 
+class ReportStopDecided(msgspec.Struct, frozen=True):
+    """Tell operators that a run is to be stopped."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+    reason: str
+    start_answered: bool
+    """Whether the start was answered, has timed out or is known from a
+    report."""
+
+
+class ReportStopOverdue(msgspec.Struct, frozen=True):
+    """Tell operators that a run goes on long after it was to be stopped."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+    reason: str
+    decided_s: float
+    """Time since the decision."""
+    orders: int
+    """Stop orders sent so far."""
+    accepted: bool
+    """Whether the worker accepted one of them."""
+
+
+class ReportListedEarly(msgspec.Struct, frozen=True):
+    """Tell operators that a report lists a run whose start is unanswered."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+
+
 Action = (
     Start
     | Stop
@@ -78,6 +113,9 @@
     | Throttle
     | ReportCrash
     | ReportGivenUp
+    | ReportStopDecided
+    | ReportStopOverdue
+    | ReportListedEarly
 )
 
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -460,6 +460,12 @@
             run = self._adopt_run(now, worker, row)
             if run is None:
                 return
+        if run.state is tracking.RunState.ORDERED:
+            self._pending_actions.append(
+                actions.ReportListedEarly(
+                    worker.entry.worker_id, row.task_id, row.run
+                )
+            )
         if run.state is not tracking.RunState.STOPPING:
             if run.state is not tracking.RunState.CONFIRMED:
                 run.state = tracking.RunState.CONFIRMED
@@ -664,14 +670,40 @@
     ) -> None:
         if run.state is tracking.RunState.STOPPING:
             return
-        if run.state is tracking.RunState.ORDERED:
-            # The stop is sent once the start order is answered.
-            run.stop_requested_at = now
-            return
-        run.state = tracking.RunState.STOPPING
-        run.lists_valid_from = float('inf')
+        is_new = run.stop is None
+        if run.stop is None:
+            run.stop = tracking.StopDecision(now, reason)
+        start_answered = run.state is not tracking.RunState.ORDERED
+        if start_answered:
+            run.state = tracking.RunState.STOPPING
+            run.lists_valid_from = float('inf')
+            self._send_stop(worker, run, reason)
+        # Otherwise the stop is sent once the start order is answered.
         run.stop_requested_at = now
-        self._pending_actions.append(_stop_action(worker, run, reason))
+        if is_new:
+            self._pending_actions.append(
+                actions.ReportStopDecided(
+                    worker.entry.worker_id,
+                    run.task.id,
+                    specs.RunNumber(run.number),
+                    reason,
+                    start_answered,
+                )
+            )
+
+    def _send_stop(
+        self, worker: tracking.TrackedWorker, run: tracking.Run, reason: str
+    ) -> None:
+        if run.stop is not None:
+            run.stop.orders += 1
+        self._pending_actions.append(
+            actions.Stop(
+                worker.entry,
+                run.task.id,
+                specs.RunNumber(run.number),
+                reason,
+            )
+        )
 
     # Answers to actions
 
@@ -759,6 +791,8 @@
         if run is None or run.state is not tracking.RunState.STOPPING:
             return
         if accepted:
+            if run.stop is not None:
+                run.stop.is_accepted = True
             # A list requested from now on that doesn't contain the run
             # proves that it is over or will never start.
             run.lists_valid_from = now
@@ -956,6 +990,7 @@
     def _check_run(
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
+        self._report_overdue_stop(now, worker, run)
         if run.state is tracking.RunState.STOPPING:
             if (
                 now - run.stop_requested_at > STOP_RETRY_S
@@ -963,9 +998,7 @@
                 and worker.silent_since is None
             ):
                 run.stop_requested_at = now
-                self._pending_actions.append(
-                    _stop_action(worker, run, 'stop order not answered')
-                )
+                self._send_stop(worker, run, 'stop order not answered')
             return
         if run.state is tracking.RunState.ORDERED:
             return
@@ -991,6 +1024,30 @@
             if spec.checkpoints and remaining_s > worker.entry.leaves_in_s:
                 self._stop_run(worker, run, now, 'worker leaves')
 
+    def _report_overdue_stop(
+        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
+    ) -> None:
+        stop = run.stop
+        if (
+            stop is None
+            or stop.is_reported
+            or worker.silent_since is not None
+            or not stop.is_overdue(now)
+        ):
+            return
+        stop.is_reported = True
+        self._pending_actions.append(
+            actions.ReportStopOverdue(
+                worker.entry.worker_id,
+                run.task.id,
+                specs.RunNumber(run.number),
+                stop.reason,
+                now - stop.decided_at,
+                stop.orders,
+                stop.is_accepted,
+            )
+        )
+
     def _within_disruption_budget(self, step: work.StepRun) -> bool:
         """Return whether one more long-running task may be interrupted."""
         unavailable = len(step.waiting) + sum(
@@ -1102,14 +1159,6 @@
     return worker.is_draining or worker.closed_for_upkeep
 
 
-def _stop_action(
-    worker: tracking.TrackedWorker, run: tracking.Run, reason: str
-) -> actions.Stop:
-    return actions.Stop(
-        worker.entry, run.task.id, specs.RunNumber(run.number), reason
-    )
-
-
 def _placeholder_entry(
     task: work.Task, worker_id: model.WorkerId
 ) -> specs.WorkerEntry:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -10,6 +10,10 @@
 LATE_ORDER_S = 12.0
 """An order without an answer may be carried out this much later."""
 
+STOP_OVERDUE_S = 3.0
+"""Time after the decision to stop a run from which operators are told that it
+still goes on.  Workers stop a run within about a second."""
+
 MAX_CLOCK_DRIFT = 0.03
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
@@ -27,6 +31,32 @@
     """A stop order was issued; the run holds its resources until its end."""
 
 
+class StopDecision:
+    """Decision to stop a run."""
+
+    __slots__ = (
+        'decided_at',
+        'is_accepted',
+        'is_reported',
+        'orders',
+        'reason',
+    )
+
+    def __init__(self, now: float, reason: str) -> None:
+        self.decided_at = now
+        self.reason = reason
+        self.orders = 0
+        """Number of stop orders sent."""
+        self.is_accepted = False
+        """Whether the worker accepted a stop order."""
+        self.is_reported = False
+        """Whether operators were told that the stop is overdue."""
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the run should have ended long ago."""
+        return now - self.decided_at > STOP_OVERDUE_S
+
+
 class Run:
     """A run that uses, or may use, resources of a worker."""
 
@@ -43,6 +73,7 @@
         'probation_is_checked',
         'started_at',
         'state',
+        'stop',
         'stop_requested_at',
         'task',
         'throttle_percent',
@@ -80,6 +111,7 @@
         self.throttle_percent = 100
         """Speed limit that was ordered last; only used for fillers."""
         self.stop_requested_at = float('-inf')
+        self.stop: StopDecision | None = None
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
         surplus run of a task that is placed or done already."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -668,6 +668,17 @@
             self._report_crash(action)
         elif isinstance(action, actions.ReportGivenUp):
             self._report_given_up(action)
+        elif isinstance(action, actions.ReportStopDecided):
+            self._report_stop_decided(action)
+        elif isinstance(action, actions.ReportStopOverdue):
+            self._report_stop_overdue(action)
+        elif isinstance(action, actions.ReportListedEarly):
+            self._context.log.write(
+                'run.listed_early',
+                task_id=action.task_id,
+                run=action.run,
+                worker=action.worker_id,
+            )
         else:
             self._spawn(self._renew_lease(action.worker_id, 0.0))
 
@@ -694,6 +705,36 @@
             reason='the workers that start the task crash',
         )
 
+    def _report_stop_decided(self, action: actions.ReportStopDecided) -> None:
+        self._context.metrics.stops_decided.inc({'reason': action.reason})
+        self._context.log.write(
+            'run.stop_decided',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            reason=action.reason,
+            start_answered=action.start_answered,
+        )
+
+    def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
+        if action.accepted:
+            cause = 'accepted'
+        elif action.orders:
+            cause = 'not_accepted'
+        else:
+            cause = 'not_sent'
+        self._context.metrics.stops_overdue.inc({'cause': cause})
+        self._context.log.write(
+            'run.stop_overdue',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            reason=action.reason,
+            decided_s=round(action.decided_s, 3),
+            orders=action.orders,
+            accepted=action.accepted,
+        )
+
     def _spawn(self, call) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(call)
         self._calls.add(task)
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -37,6 +37,15 @@
             'samphirestack_fleet_jobs_given_up_total',
             'Jobs that ended as failed because a task crashes its workers.',
         )
+        self.stops_decided = self._counter(
+            'samphirestack_fleet_stops_decided_total',
+            'Runs that were to be stopped, by reason.',
+        )
+        self.stops_overdue = self._counter(
+            'samphirestack_fleet_stops_overdue_total',
+            'Runs that went on for 3 s after the decision to stop them, by '
+            'whether the order was sent and accepted.',
+        )
         self.set_aside = self._counter(
             'samphirestack_fleet_set_aside_total',
             'Rows, jobs, reports and orders that raised an error, by source.',
