Keep the decision to stop a run apart from what is heard of it

Cause: whether a run is to be stopped was a part of its state, next to what the worker had said of it. While the start order was unanswered, the decision was a time stamp that only the answer's handler read. A report that listed the run first made it confirmed; the answer was then ignored, and with it the stop. A restart of the worker dropped it in the same way.

Change: the state says only what was heard of the start. The decision is a record of its own with reason, orders and their acceptance, that lasts until the run is over. The order is sent as soon as the start is answered, has timed out or is listed, and repeated until it is accepted; a restart sends it anew. A run whose start is uncertain when its worker restarts is not taken for over because a stop had been sent to the earlier process.

Ruled out: sending the stop before the start is answered. Workers would refuse the start, but a refusal for an old run number also means that an earlier holder used it, and would have to be told apart.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -49,9 +49,6 @@
 READY_PERCENT = 100.0
 """Progress that a long-running task reports once it serves."""
 
-STOP_RETRY_S = 1.0
-"""Interval between stop orders while the worker does not answer."""
-
 
 class FleetScheduler:
     """Decides for all workers during one term.
@@ -335,9 +332,8 @@
         for key, run in list(worker.runs_by_key.items()):
             if key in listed or run.lists_valid_from >= sent_at:
                 continue
-            if run.state in (
-                tracking.RunState.CONFIRMED,
-                tracking.RunState.STOPPING,
+            if run.state is tracking.RunState.CONFIRMED or (
+                run.stop is not None and run.stop.is_accepted
             ):
                 self._remove_lost_run(worker, run)
             elif run.state is tracking.RunState.UNCERTAIN:
@@ -392,6 +388,8 @@
                 # The order may still reach the restarted worker.
                 run.state = tracking.RunState.UNCERTAIN
                 run.lists_valid_from = now
+                if run.stop is not None:
+                    run.stop.forget_orders()
             else:
                 self._remove_lost_run(worker, run)
 
@@ -466,10 +464,11 @@
                     worker.entry.worker_id, row.task_id, row.run
                 )
             )
-        if run.state is not tracking.RunState.STOPPING:
-            if run.state is not tracking.RunState.CONFIRMED:
-                run.state = tracking.RunState.CONFIRMED
+        run.state = tracking.RunState.CONFIRMED
+        if run.stop is None:
             run.lists_valid_from = now
+        else:
+            self._send_due_stop(now, worker, run)
         run.started_at = min(run.started_at, now)
         if (
             run.on_probation
@@ -494,7 +493,7 @@
         stalled_s = max(STALL_MIN_S, STALL_ESTIMATES * spec.estimate_s)
         if (
             spec.long_running
-            or run.state is not tracking.RunState.CONFIRMED
+            or run.stop is not None
             or now - run.last_progress_at <= stalled_s
         ):
             return
@@ -514,7 +513,7 @@
         if task is None:
             key = (row.task_id, row.run)
             ordered_at = worker.unknown_runs.get(key, float('-inf'))
-            if now - ordered_at > STOP_RETRY_S:
+            if now - ordered_at > tracking.STOP_RETRY_S:
                 worker.unknown_runs[key] = now
                 self._pending_actions.append(
                     actions.Stop(
@@ -668,40 +667,43 @@
         now: float,
         reason: str,
     ) -> None:
-        if run.state is tracking.RunState.STOPPING:
+        if run.stop is not None:
             return
-        is_new = run.stop is None
-        if run.stop is None:
-            run.stop = tracking.StopDecision(now, reason)
-        start_answered = run.state is not tracking.RunState.ORDERED
-        if start_answered:
-            run.state = tracking.RunState.STOPPING
-            run.lists_valid_from = float('inf')
-            self._send_stop(worker, run, reason)
-        # Otherwise the stop is sent once the start order is answered.
-        run.stop_requested_at = now
-        if is_new:
-            self._pending_actions.append(
-                actions.ReportStopDecided(
-                    worker.entry.worker_id,
-                    run.task.id,
-                    specs.RunNumber(run.number),
-                    reason,
-                    start_answered,
-                )
+        run.stop = tracking.StopDecision(now, reason)
+        self._send_due_stop(now, worker, run)
+        self._pending_actions.append(
+            actions.ReportStopDecided(
+                worker.entry.worker_id,
+                run.task.id,
+                specs.RunNumber(run.number),
+                reason,
+                run.state is not tracking.RunState.ORDERED,
             )
+        )
 
-    def _send_stop(
-        self, worker: tracking.TrackedWorker, run: tracking.Run, reason: str
+    def _send_due_stop(
+        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
-        if run.stop is not None:
-            run.stop.orders += 1
+        """Send a stop order if one is due.
+
+        While the start order is unanswered, the worker might receive it after
+        the stop order.
+        """
+        stop = run.stop
+        if (
+            stop is None
+            or run.state is tracking.RunState.ORDERED
+            or not stop.is_order_due(now)
+        ):
+            return
+        stop.record_order(now)
+        run.lists_valid_from = float('inf')
         self._pending_actions.append(
             actions.Stop(
                 worker.entry,
                 run.task.id,
                 specs.RunNumber(run.number),
-                reason,
+                stop.reason,
             )
         )
 
@@ -724,7 +726,6 @@
             return
         if run.state is not tracking.RunState.ORDERED:
             return
-        wanted = run.stop_requested_at == float('-inf')
         run.started_at = now
         run.order_sent = True
         if outcome is specs.StartOutcome.STARTED:
@@ -733,16 +734,14 @@
             run.lists_valid_from = now
             run.last_progress_at = now
             self.jobs.mark_running(run.task.step.job)
-            if not wanted:
-                self._stop_run(worker, run, now, 'no longer wanted')
+            self._send_due_stop(now, worker, run)
             return
         if outcome is specs.StartOutcome.UNKNOWN:
             run.state = tracking.RunState.UNCERTAIN
             run.lists_valid_from = now
-            if not wanted:
-                self._stop_run(worker, run, now, 'no longer wanted')
-            else:
+            if run.stop is None:
                 self._pending_actions.append(actions.PollWorker(worker_id))
+            self._send_due_stop(now, worker, run)
             return
         self._handle_refusal(now, worker, run, outcome)
 
@@ -788,11 +787,10 @@
         if worker is None:
             return
         run = worker.runs_by_key.get((task_id, run_number))
-        if run is None or run.state is not tracking.RunState.STOPPING:
+        if run is None or run.stop is None:
             return
         if accepted:
-            if run.stop is not None:
-                run.stop.is_accepted = True
+            run.stop.is_accepted = True
             # A list requested from now on that doesn't contain the run
             # proves that it is over or will never start.
             run.lists_valid_from = now
@@ -919,7 +917,7 @@
         ):
             return False
         run = worker.runs_by_key.get((task_id, run_number))
-        return run is not None and run.stop_requested_at == float('-inf')
+        return run is not None and run.stop is None
 
     def mark_start_sent(
         self,
@@ -991,14 +989,9 @@
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
         self._report_overdue_stop(now, worker, run)
-        if run.state is tracking.RunState.STOPPING:
-            if (
-                now - run.stop_requested_at > STOP_RETRY_S
-                and run.lists_valid_from == float('inf')
-                and worker.silent_since is None
-            ):
-                run.stop_requested_at = now
-                self._send_stop(worker, run, 'stop order not answered')
+        if run.stop is not None:
+            if worker.silent_since is None:
+                self._send_due_stop(now, worker, run)
             return
         if run.state is tracking.RunState.ORDERED:
             return
@@ -1056,6 +1049,7 @@
             if run.task.step is step
             and (
                 run.state is not tracking.RunState.CONFIRMED
+                or run.stop is not None
                 or run.percent < READY_PERCENT
             )
         )
@@ -1067,7 +1061,10 @@
             serving = []
             for run in worker.runs_by_key.values():
                 spec = run.task.step.spec
-                if run.state is not tracking.RunState.CONFIRMED:
+                if (
+                    run.state is not tracking.RunState.CONFIRMED
+                    or run.stop is not None
+                ):
                     continue
                 if spec.filler:
                     fillers.append(run)
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -10,6 +10,9 @@
 LATE_ORDER_S = 12.0
 """An order without an answer may be carried out this much later."""
 
+STOP_RETRY_S = 1.0
+"""Interval between stop orders while the worker does not answer."""
+
 STOP_OVERDUE_S = 3.0
 """Time after the decision to stop a run from which operators are told that it
 still goes on.  Workers stop a run within about a second."""
@@ -19,7 +22,11 @@
 
 
 class RunState(enum.Enum):
-    """State of a run on a worker, as the scheduler knows it."""
+    """What the scheduler has heard of the start of a run.
+
+    Whether the run is to be stopped is a decision, which nothing that is heard
+    revokes; see ``StopDecision``.
+    """
 
     ORDERED = 'ordered'
     """The start order has no answer yet."""
@@ -27,12 +34,13 @@
     """The start order timed out: the run may be active or start later."""
     CONFIRMED = 'confirmed'
     """The worker accepted the start order or listed the run."""
-    STOPPING = 'stopping'
-    """A stop order was issued; the run holds its resources until its end."""
 
 
 class StopDecision:
-    """Decision to stop a run."""
+    """Decision to stop a run, which is in force until the run is over.
+
+    The run holds its resources until its end.
+    """
 
     __slots__ = (
         'decided_at',
@@ -40,18 +48,35 @@
         'is_reported',
         'orders',
         'reason',
+        'sent_at',
     )
 
     def __init__(self, now: float, reason: str) -> None:
         self.decided_at = now
         self.reason = reason
+        self.sent_at = float('-inf')
+        """When the last stop order to this process of the worker was sent."""
         self.orders = 0
         """Number of stop orders sent."""
         self.is_accepted = False
-        """Whether the worker accepted a stop order."""
+        """Whether this process of the worker accepted a stop order."""
         self.is_reported = False
         """Whether operators were told that the stop is overdue."""
 
+    def is_order_due(self, now: float) -> bool:
+        """Return whether to send a stop order, for the first time or again."""
+        return not self.is_accepted and now - self.sent_at > STOP_RETRY_S
+
+    def record_order(self, now: float) -> None:
+        """Record that a stop order is sent."""
+        self.sent_at = now
+        self.orders += 1
+
+    def forget_orders(self) -> None:
+        """Send the order anew, to the next process of the worker."""
+        self.sent_at = float('-inf')
+        self.is_accepted = False
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the run should have ended long ago."""
         return now - self.decided_at > STOP_OVERDUE_S
@@ -74,7 +99,6 @@
         'started_at',
         'state',
         'stop',
-        'stop_requested_at',
         'task',
         'throttle_percent',
         'worker_id',
@@ -110,7 +134,6 @@
         self.load = 0.0
         self.throttle_percent = 100
         """Speed limit that was ordered last; only used for fillers."""
-        self.stop_requested_at = float('-inf')
         self.stop: StopDecision | None = None
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
