Repeat a stop that was accepted while the run stays listed

Callers would see a task of a cancelled job go on: after one accepted stop order no other followed, whatever the reports of the worker said. Cause: the acceptance was taken for the end of the decision. Now the order is repeated 3 s later while the run is tracked; a list without the run still proves that it is over.

The new test fails without the change (no second order); tests/unit/fleet and the property test of shrinking workers pass.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -697,7 +697,8 @@
         ):
             return
         stop.record_order(now)
-        run.lists_valid_from = float('inf')
+        if not stop.is_accepted:
+            run.lists_valid_from = float('inf')
         self._pending_actions.append(
             actions.Stop(
                 worker.entry,
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -14,8 +14,9 @@
 """Interval between stop orders while the worker does not answer."""
 
 STOP_OVERDUE_S = 3.0
-"""Time after the decision to stop a run from which operators are told that it
-still goes on.  Workers stop a run within about a second."""
+"""Time after which a run that was to be stopped should have ended.  Operators
+are told that it goes on, and an accepted stop order is repeated.  Workers stop
+a run within about a second."""
 
 MAX_CLOCK_DRIFT = 0.03
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
@@ -65,7 +66,8 @@
 
     def is_order_due(self, now: float) -> bool:
         """Return whether to send a stop order, for the first time or again."""
-        return not self.is_accepted and now - self.sent_at > STOP_RETRY_S
+        interval_s = STOP_OVERDUE_S if self.is_accepted else STOP_RETRY_S
+        return now - self.sent_at > interval_s
 
     def record_order(self, now: float) -> None:
         """Record that a stop order is sent."""
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -521,3 +521,32 @@
         )
         world.accept(0.0, worlds.make_job(1, [worlds.make_step(6)]))
         assert len(world.plan_starts(0.1)) == 2
+
+
+class TestAcceptedStops:
+    """Guards against runs that go on after their worker accepted the stop."""
+
+    def test_a_run_that_stays_listed_is_stopped_again(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        order, worker_id = start.order, start.worker.worker_id
+        world.scheduler.cancel(0.2, job_id)
+        assert len(_stops(world.plan(0.2))) == 1
+        world.scheduler.handle_stop_result(
+            0.3, worker_id, order.task_id, order.run, True
+        )
+        running = [(order.task_id, order.run)]
+        world.report(1.0, 'a', running)
+        assert not _stops(world.plan(1.0))
+        late = 0.3 + tracking.STOP_OVERDUE_S
+        world.report(late, 'a', running)
+        (again,) = _stops(world.plan(late))
+        assert (again.task_id, again.run) == running[0]
+        world.report(late + 0.1, 'a')
+        worker = world.scheduler.workers_by_id[worker_id]
+        assert not worker.runs_by_key
+
+
+def _stops(planned: list[actions.Action]) -> list[actions.Stop]:
+    return [action for action in planned if isinstance(action, actions.Stop)]
