Stop the rest of a gang however one of its members was lost

Cause: the decision was tied to two of the events after which a gang is incomplete, and kept in memory.

Now it follows from queueing a member again, whatever the reason, and a new holder derives it from the stored placements. A confirmed run that a list doesn't contain is over also while its stop is unanswered; only for a run that may still start does the scheduler wait for the acceptance.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -131,6 +131,10 @@
             raise
         for task, run, worker_id in self.jobs.inherited_placements(job):
             self._add_inherited_run(now, task, run, worker_id)
+        for step in job.steps_by_key.values():
+            if step.spec.gang and 0 < len(step.waiting) < step.spec.count:
+                # The earlier holder was about to stop the others.
+                self._stop_gang(now, step)
 
     def _add_inherited_run(
         self,
@@ -335,7 +339,7 @@
             if run.state is tracking.RunState.CONFIRMED or (
                 run.stop is not None and run.stop.is_accepted
             ):
-                self._remove_lost_run(worker, run)
+                self._remove_lost_run(now, worker, run)
             elif run.state is tracking.RunState.UNCERTAIN:
                 self._stop_run(worker, run, now, 'start order not answered')
 
@@ -391,7 +395,7 @@
                 if run.stop is not None:
                     run.stop.forget_orders()
             else:
-                self._remove_lost_run(worker, run)
+                self._remove_lost_run(now, worker, run)
 
     def _attribute_crash(self, now: float, lost: crashes.LostWorker) -> None:
         """Record a proved crash and give up the job that causes crashes."""
@@ -465,10 +469,8 @@
                 )
             )
         run.state = tracking.RunState.CONFIRMED
-        if run.stop is None:
-            run.lists_valid_from = now
-        else:
-            self._send_due_stop(now, worker, run)
+        run.lists_valid_from = now
+        self._send_due_stop(now, worker, run)
         run.started_at = min(run.started_at, now)
         if (
             run.on_probation
@@ -566,9 +568,7 @@
         if is_primary and task.placed_run_number == row.run:
             if row.checkpoint:
                 task.checkpoint = row.checkpoint
-            self.jobs.requeue(task)
-            if task.step.spec.gang:
-                self._stop_gang(now, task.step, row.run)
+            self._requeue(now, task)
 
     def _complete_task(self, now: float, task: work.Task) -> None:
         tasks = task.step.tasks if task.step.spec.gang else [task]
@@ -604,7 +604,7 @@
             self._end_job(job, specs.JobState.FAILED, now)
 
     def _remove_lost_run(
-        self, worker: tracking.TrackedWorker, run: tracking.Run
+        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
         """Remove a run that is over without a reported end.
 
@@ -617,7 +617,14 @@
             and task.state is work.TaskState.PLACED
             and task.placed_run_number == run.number
         ):
-            self.jobs.requeue(task)
+            self._requeue(now, task)
+
+    def _requeue(self, now: float, task: work.Task) -> None:
+        """Queue a placed task again; a gang starts anew as a whole."""
+        run_number = task.placed_run_number
+        self.jobs.requeue(task)
+        if task.step.spec.gang:
+            self._stop_gang(now, task.step, run_number)
 
     def _add_run(
         self, worker: tracking.TrackedWorker, run: tracking.Run
@@ -653,11 +660,14 @@
         )
 
     def _stop_gang(
-        self, now: float, step: work.StepRun, run_number: int
+        self, now: float, step: work.StepRun, run_number: int | None = None
     ) -> None:
-        """Stop the other members of a gang after one ended or was refused."""
+        """Stop the members of a gang that go on without the others.
+
+        :param run_number: number that their runs share; any by default.
+        """
         for worker, run in self._runs_of_job(step.job):
-            if run.task.step is step and run.number == run_number:
+            if run.task.step is step and run_number in (None, run.number):
                 self._stop_run(worker, run, now, 'gang is incomplete')
 
     def _stop_run(
@@ -697,7 +707,7 @@
         ):
             return
         stop.record_order(now)
-        if not stop.is_accepted:
+        if run.state is tracking.RunState.UNCERTAIN and not stop.is_accepted:
             run.lists_valid_from = float('inf')
         self._pending_actions.append(
             actions.Stop(
@@ -753,7 +763,7 @@
         run: tracking.Run,
         outcome: specs.StartOutcome,
     ) -> None:
-        self._remove_lost_run(worker, run)
+        self._remove_lost_run(now, worker, run)
         step = run.task.step
         step.blocked_until = now + STEP_RETRY_DELAY_S
         worker_id = worker.entry.worker_id
@@ -772,8 +782,6 @@
                 worker.avoid_until, now + UNHEALTHY_PAUSE_S
             )
             self._pending_actions.append(actions.PollWorker(worker_id))
-        if step.spec.gang:
-            self._stop_gang(now, step, run.number)
 
     def handle_stop_result(
         self,
@@ -971,7 +979,7 @@
         elif runs and not _has_left(worker):
             self._crashes.record_loss(lost)
         for run in runs:
-            self._remove_lost_run(worker, run)
+            self._remove_lost_run(now, worker, run)
 
     def _remove_crashed_runs(
         self, now: float, worker: tracking.TrackedWorker
@@ -984,7 +992,7 @@
         runs = list(worker.runs_by_key.values())
         self._attribute_crash(now, crashes.lost_worker(now, worker, runs))
         for run in runs:
-            self._remove_lost_run(worker, run)
+            self._remove_lost_run(now, worker, run)
 
     def _check_run(
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -121,7 +121,8 @@
         self.ordered_at = now
         self.lists_valid_from = now
         """Only lists requested after this moment can prove that the run is
-        over by not containing it; infinite while a stop is unanswered."""
+        over by not containing it.  Infinite while the run may start until its
+        worker has accepted the stop."""
         self.started_at = float('inf')
         """Latest moment at which the run may have started, as far as is
         known."""
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -548,5 +548,76 @@
         assert not worker.runs_by_key
 
 
+class TestIncompleteGangs:
+    """Guards against members of a gang that wait for the others in vain."""
+
+    def _begin_gang(
+        self,
+    ) -> tuple[worlds.World, records.JobRecord, list[actions.Start]]:
+        world = worlds.World(
+            [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        gang = worlds.make_step(2, gang=True, max_per_worker=1)
+        job = worlds.make_job(1, [gang])
+        world.accept(0.0, job)
+        return world, job, world.plan_starts(0.1)
+
+    def test_a_member_whose_start_is_withdrawn_ends_the_others(self) -> None:
+        world, _, (lost, going) = self._begin_gang()
+        world.answer_start(0.2, going, specs.StartOutcome.STARTED)
+        world.answer_start(0.9, lost, specs.StartOutcome.UNKNOWN)
+        worker_id = lost.worker.worker_id
+        world.report(1.0, worker_id, sent_at=0.95)
+        (withdrawn,) = _stops(world.plan(1.0))
+        world.scheduler.handle_stop_result(
+            1.1, worker_id, withdrawn.task_id, withdrawn.run, True
+        )
+        world.report(1.2, worker_id, sent_at=1.15)
+        (stop,) = _stops(world.plan(1.2))
+        assert stop.task_id == going.order.task_id
+
+    def test_a_member_lost_with_its_worker_ends_the_others(self) -> None:
+        world, _, (lost, going) = self._begin_gang()
+        for start in (lost, going):
+            world.answer_start(0.2, start, specs.StartOutcome.STARTED)
+        world.report(1.0, lost.worker.worker_id, started=2)
+        assert going.order.task_id in [
+            stop.task_id for stop in _stops(world.plan(1.0))
+        ]
+
+    def test_a_new_holder_stops_the_rest_of_an_incomplete_gang(self) -> None:
+        world, job, (ended, going) = self._begin_gang()
+        for start in (ended, going):
+            world.answer_start(0.2, start, specs.StartOutcome.STARTED)
+        order = ended.order
+        world.report(
+            1.0,
+            ended.worker.worker_id,
+            ended=[(1, order.task_id, order.run, FAILED)],
+        )
+        progress = records.decode_progress(
+            world.store_changes().puts[-1].value
+        )
+        successor = worlds.World(world.workers, term=2, reported=False)
+        successor.scheduler.load_job(
+            2.0, worlds.UNIX_AT_ZERO_S + 2, job, progress
+        )
+        (stop,) = _stops(successor.plan(2.1))
+        assert stop.task_id == going.order.task_id
+
+    def test_a_new_holder_lets_a_complete_gang_go_on(self) -> None:
+        world, job, starts = self._begin_gang()
+        for start in starts:
+            world.answer_start(0.2, start, specs.StartOutcome.STARTED)
+        progress = records.decode_progress(
+            world.store_changes().puts[-1].value
+        )
+        successor = worlds.World(world.workers, term=2, reported=False)
+        successor.scheduler.load_job(
+            2.0, worlds.UNIX_AT_ZERO_S + 2, job, progress
+        )
+        assert not _stops(successor.plan(2.1))
+
+
 def _stops(planned: list[actions.Action]) -> list[actions.Stop]:
     return [action for action in planned if isinstance(action, actions.Stop)]
