Begin no job anew after its end was forgotten

Cause: whether a job has ended is known only as long as its id is kept. After that, any sight of its row, however old, counted as a new job.

Now a notice carries the version of its row and counts only above the version up to which the holder has read the table of jobs; older ones were read from the store. A forgotten job stays known until the feed has passed the version that removed its rows, so the ids kept are those of about half a second. An entry whose write is found by a retry doesn't know the version; its notice makes the holder read the feed at once. Notices of former entries do the same.

Before: three of the new tests in test_holder.py failed on the former code (called without the version): the job was in active_by_id again after a late notice, after a notice from before the term and after a feed that had failed. Now they pass. The fourth covers the notice without a version.

Ruled out: keeping ids for longer, which bounds nothing for a frozen VM; an age limit by the record's accepted_unix_s, as clocks may jump.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -29,6 +29,11 @@
         self.archive = archives.Archive()
         self._archived_ids: set[model.JobId] = set()
         """Ended jobs whose end is stored in their own row."""
+        self._expired_ids: set[model.JobId] = set()
+        """Forgotten jobs whose rows may not be removed yet."""
+        self._removal_versions_by_id: dict[model.JobId, int] = {}
+        """Version of the store that removed the rows of a forgotten job.  A
+        reader that has not seen it may still deliver an older row."""
         self._ending_by_id: dict[model.JobId, records.JobRecord] = {}
         """Ended jobs whose end is not stored yet."""
         self._dirty: dict[model.JobId, None] = {}
@@ -48,6 +53,14 @@
             or job_id in self._ending_by_id
         )
 
+    def may_accept(self, job_id: model.JobId) -> bool:
+        """Return whether a row of the job that was read may be a new job."""
+        return not (
+            self.is_known(job_id)
+            or job_id in self._expired_ids
+            or job_id in self._removal_versions_by_id
+        )
+
     def state_of(self, job_id: model.JobId) -> specs.JobState | None:
         """Return the state to report to callers; ``None`` if unknown.
 
@@ -417,8 +430,28 @@
             if job_id in self._archived_ids and job_id not in self._dirty:
                 self._archived_ids.discard(job_id)
                 del self.ended_by_id[job_id]
+                self._expired_ids.add(job_id)
                 self.archive.add_expired(now, job_id)
 
+    def mark_removed(
+        self, job_ids: Iterable[model.JobId], version: int
+    ) -> None:
+        """Record that the rows of expired jobs are removed.
+
+        :param version: of the store after the removal.
+        """
+        for job_id in job_ids:
+            self._expired_ids.discard(job_id)
+            self._removal_versions_by_id[job_id] = version
+
+    def mark_read(self, version: int) -> None:
+        """Record that all changes of jobs up to a version were applied."""
+        self._removal_versions_by_id = {
+            job_id: removed_at
+            for job_id, removed_at in self._removal_versions_by_id.items()
+            if removed_at > version
+        }
+
     # Storing
 
     def collect_changes(
--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -10,6 +10,11 @@
 from samphirestack import model
 
 
+UNKNOWN_VERSION = 0
+"""Version of a row whose writer had no answer; also of former entries, which
+did not send it."""
+
+
 class Ping(msgspec.Struct, tag='ping', frozen=True):
     """Periodic message from an entry to the holder."""
 
@@ -38,9 +43,14 @@
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
-    """Notice that an entry stored a job."""
+    """Notice that an entry stored a job.
+
+    It may arrive long after the job has ended, if the entry was paused.
+    """
 
     row: bytes
+    version: int = UNKNOWN_VERSION
+    """Version of the row."""
 
 
 class CancelStored(msgspec.Struct, tag='cancel_stored', frozen=True):
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -166,7 +166,7 @@
         self, now: float, unix_now: float, record: records.JobRecord
     ) -> bool:
         """Add a job that was stored in this term; return whether it is new."""
-        if record.spec is None or self.jobs.is_known(record.job_id):
+        if record.spec is None or not self.jobs.may_accept(record.job_id):
             return False
         job = self._add_job(now, unix_now, record)
         if job is None:
--- a/packages/daemon/src/samphirestackd/fleet/archiver.py
+++ b/packages/daemon/src/samphirestackd/fleet/archiver.py
@@ -66,7 +66,9 @@
             removals.append(ports.Removal(records.JOBS_TABLE, job_id))
             removals.append(_cancellation_removal(job_id))
         try:
-            await self._context.store.transact([], puts, removals, batch.part)
+            version = await self._context.store.transact(
+                [], puts, removals, batch.part
+            )
         except errors.PlatformError as error:
             logs.limited_warning(
                 'jobs.archive_failed', batch.part, error.message
@@ -74,6 +76,7 @@
             self._jobs.archive.requeue_batch(clock.now(), batch)
             return False
         self._jobs.mark_archived(record.job_id for record in batch.ended)
+        self._jobs.mark_removed(batch.expired, version)
         if self._jobs.has_changes:
             self._writer.write_requested.set()
         return True
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -108,10 +108,11 @@
 class HolderAccess(Protocol):
     """Access to the holder of the term, in this process or another one."""
 
-    def announce_job(self, row: bytes) -> None:
+    def announce_job(self, row: bytes, version: int) -> None:
         """Tell the holder that a job was stored.
 
         :param row: encoded ``records.JobRecord``.
+        :param version: of the row, or ``messages.UNKNOWN_VERSION``.
         """
 
     def announce_cancellation(self, job_id: model.JobId) -> None:
@@ -357,19 +358,21 @@
         )
         row = records.encode(record)
         try:
-            await self._insert(call.job_id, row)
+            version = await self._insert(call.job_id, row)
         except errors.TransactionConflict:
             return Reply(
                 Outcome.ACCEPTED,
                 verdicts.Verdict.RAN,
                 'the job was accepted by an earlier call',
             )
-        self._holder.announce_job(row)
+        self._holder.announce_job(row, version)
         return Reply(Outcome.ACCEPTED, verdicts.Verdict.RAN)
 
-    async def _insert(self, job_id: model.JobId, row: bytes) -> None:
+    async def _insert(self, job_id: model.JobId, row: bytes) -> int:
         """Store a job, with one retry if the outcome is unknown.
 
+        Return the version of its row.
+
         The write is conditional on the absence of the row, so that the retry
         cannot store the job twice.
         """
@@ -377,14 +380,16 @@
         condition = ports.Condition(records.JOBS_TABLE, job_id, 0)
         put = ports.Put(records.JOBS_TABLE, job_id, row)
         try:
-            await self._context.store.transact([condition], [put], (), part)
+            return await self._context.store.transact(
+                [condition], [put], (), part
+            )
         except errors.OutcomeUnknown:
             try:
-                await self._context.store.transact(
+                return await self._context.store.transact(
                     [condition], [put], (), part
                 )
             except errors.TransactionConflict:
-                self._holder.announce_job(row)
+                self._holder.announce_job(row, messages.UNKNOWN_VERSION)
                 raise
             except errors.StoreUnavailable as error:
                 raise errors.OutcomeUnknown(error.message) from error
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -102,6 +102,8 @@
         self.loaded = False
         self._resign_reason = ''
         self._jobs_version = 0
+        """Version up to which all changes of jobs were applied."""
+        self._jobs_read_requested = asyncio.Event()
         self._workers_version = 0
         self._worker_entries_by_id: dict[str, specs.WorkerEntry] = {}
         self._plan_requested = asyncio.Event()
@@ -487,13 +489,20 @@
 
     # Jobs
 
-    def add_job(self, row: bytes) -> None:
+    def add_job(self, row: bytes, version: int) -> None:
         """Schedule a job that an entry stored.
 
         :param row: encoded ``records.JobRecord``; a malformed one is logged.
+        :param version: version of the row.
         """
         if not self.loaded:
             return
+        if version == messages.UNKNOWN_VERSION:
+            self._jobs_read_requested.set()
+            return
+        if version <= self._jobs_version:
+            # It was read from the store; the job may have ended since.
+            return
         try:
             record = records.decode_job(row)
         except msgspec.DecodeError as error:
@@ -531,9 +540,12 @@
             self._plan_requested.set()
 
     async def _follow_jobs(self) -> None:
-        version = self._jobs_version
         while True:
-            await asyncio.sleep(JOB_FEED_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(JOB_FEED_INTERVAL_S):
+                    await self._jobs_read_requested.wait()
+            self._jobs_read_requested.clear()
+            version = self._jobs_version
             try:
                 page = await self._context.store.feed(
                     records.JOBS_TABLE, version, 0.0
@@ -560,6 +572,8 @@
                         self._accept_job(
                             records.decode_stored_job(row.key, row.value)
                         )
+            self._jobs_version = version
+            self.scheduler.jobs.mark_read(version)
 
     def _send_starts(self, changes: actions.Changes) -> None:
         """Send the starts whose placement is stored now."""
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -475,7 +475,7 @@
         elif holder is None:
             return
         elif isinstance(message, messages.JobStored):
-            holder.add_job(message.row)
+            holder.add_job(message.row, message.version)
         elif isinstance(message, messages.CancelStored):
             holder.cancel_job(message.job_id)
         elif isinstance(message, messages.StateQuery):
@@ -545,12 +545,12 @@
 
     # edge.HolderAccess
 
-    def announce_job(self, row: bytes) -> None:
+    def announce_job(self, row: bytes, version: int) -> None:
         """Tell the holder that a job was stored."""
         if self._holder is not None:
-            self._holder.add_job(row)
+            self._holder.add_job(row, version)
         else:
-            self._connection.send(messages.JobStored(row))
+            self._connection.send(messages.JobStored(row, version))
 
     def announce_cancellation(self, job_id: model.JobId) -> None:
         """Tell the holder that the cancellation of a job was stored."""
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -55,8 +55,8 @@
     def __init__(self, has_store: bool = False) -> None:
         self.has_store = has_store
 
-    def announce_job(self, row: bytes) -> None:
-        del row
+    def announce_job(self, row: bytes, version: int) -> None:
+        del row, version
 
     def announce_cancellation(self, job_id: model.JobId) -> None:
         del job_id
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -8,6 +8,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import actions
+from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import registry_freshness
@@ -263,8 +264,8 @@
     async def test_a_bad_job_of_an_entry_is_set_aside(self) -> None:
         holder = make_holder(row_store.QuietRowStore())
         await holder._load()
-        holder.add_job(b'\xff')
-        holder.add_job(records.encode(worlds.make_job(2)))
+        holder.add_job(b'\xff', 1)
+        holder.add_job(records.encode(worlds.make_job(2)), 2)
         assert len(holder.scheduler.jobs.active_by_id) == 1
 
 
@@ -411,7 +412,8 @@
                 TIMEOUT_S,
                 'outdated entries',
             )
-            holder.add_job(records.encode(worlds.make_job(1)))
+            job = worlds.make_job(1)
+            holder.add_job(records.encode(job), store.version + 1)
             reports = workers.reports_by_id['w0']
             await waiting.until(
                 lambda: workers.reports_by_id['w0'] > reports + 5,
@@ -475,3 +477,151 @@
         worker.runs_by_key[key].throttle_percent = 30
         await holder._throttle(actions.Throttle(worker.entry, *key, 30))
         assert worker.runs_by_key[key].throttle_percent not in range(101)
+
+
+class HistoryStore(row_store.QuietRowStore):
+    """Store whose feed shows every change of the jobs, in order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.changes: list[ports.StoredRow] = []
+        self.feed_fails = False
+        self.jobs_feeds = 0
+
+    async def transact(
+        self,
+        conditions: Sequence[ports.Condition],
+        puts: Sequence[ports.Put],
+        removals: Sequence[ports.Removal] = (),
+        part: str = '',
+    ) -> int:
+        version = await super().transact(conditions, puts, removals, part)
+        self.changes.extend(
+            ports.StoredRow(put.key, put.value, version)
+            for put in puts
+            if put.table == records.JOBS_TABLE
+        )
+        self.changes.extend(
+            ports.StoredRow(removal.key, b'', version, True)
+            for removal in removals
+            if removal.table == records.JOBS_TABLE
+        )
+        return version
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        if self.feed_fails:
+            raise errors.StoreUnavailable('the feed fails')
+        if table != records.JOBS_TABLE:
+            return await super().feed(table, after, wait_s)
+        self.jobs_feeds += 1
+        rows = [row for row in self.changes if row.version > after]
+        return ports.Page(rows, self.version)
+
+
+async def store_job(
+    store: row_store.MemoryRowStore, job: records.JobRecord
+) -> int:
+    """Store a job as an entry does; return the version of its row."""
+    put = ports.Put(records.JOBS_TABLE, job.job_id, records.encode(job))
+    return await store.transact([], [put], (), records.job_part(job.job_id))
+
+
+async def store_cancellation(
+    store: row_store.MemoryRowStore, job_id: model.JobId
+) -> int:
+    """Store a cancellation as an entry does; return its version."""
+    key = job_id + records.CANCEL_SUFFIX
+    put = ports.Put(records.JOBS_TABLE, key, b'1')
+    return await store.transact([], [put], (), records.job_part(job_id))
+
+
+async def forget_job(holder: holders.Holder, job_id: model.JobId) -> None:
+    """End a job and remove its rows, as after the time for queries."""
+    now = clock.now()
+    scheduler = holder.scheduler
+    assert scheduler.cancel(now, job_id)
+    scheduler.mark_stored(now, scheduler.collect_changes())
+    ended = scheduler.jobs.archive.next_batch(now + 60.0)
+    assert ended is not None
+    assert await holder._archiver.write(ended)
+    scheduler.mark_stored(now, scheduler.collect_changes())
+    scheduler.jobs.expire_ended(now, clock.unix_now() + 1.0)
+    expired = scheduler.jobs.archive.next_batch(now + 60.0)
+    assert expired is not None
+    assert await holder._archiver.write(expired)
+
+
+class TestForgottenJobs:
+    """Guards against a job that begins anew after its end was forgotten."""
+
+    async def test_a_late_announcement_is_ignored(self) -> None:
+        store = HistoryStore()
+        job = worlds.make_job(1)
+        version = await store_job(store, job)
+        holder = make_holder(store)
+        await holder._load()
+        await forget_job(holder, job.job_id)
+        holder.add_job(records.encode(job), version)
+        assert not holder.scheduler.jobs.active_by_id
+
+    async def test_an_announcement_from_before_the_term_is_ignored(
+        self,
+    ) -> None:
+        store = HistoryStore()
+        job = worlds.make_job(1)
+        version = await store_job(store, job)
+        earlier = make_holder(store)
+        await earlier._load()
+        await forget_job(earlier, job.job_id)
+        holder = make_holder(store)
+        await holder._load()
+        holder.add_job(records.encode(job), version)
+        assert not holder.scheduler.jobs.active_by_id
+
+    async def test_a_feed_that_lagged_begins_no_job_anew(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'JOB_FEED_INTERVAL_S', 0.01)
+        store = HistoryStore()
+        holder = make_holder(store)
+        await holder._load()
+        job = worlds.make_job(1)
+        version = await store_job(store, job)
+        store.feed_fails = True
+        holder.add_job(records.encode(job), version)
+        await forget_job(holder, job.job_id)
+        store.feed_fails = False
+        following = asyncio.create_task(holder._follow_jobs())
+        try:
+            await waiting.until(
+                lambda: store.jobs_feeds >= 2, TIMEOUT_S, 'reads of the feed'
+            )
+            assert not holder.scheduler.jobs.active_by_id
+            # The feed has passed the removal: nothing is kept of the job.
+            assert holder.scheduler.jobs.may_accept(job.job_id)
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+
+    async def test_an_announcement_of_unknown_version_reads_the_feed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'JOB_FEED_INTERVAL_S', 3600.0)
+        store = HistoryStore()
+        holder = make_holder(store)
+        await holder._load()
+        job = worlds.make_job(1)
+        await store_job(store, job)
+        following = asyncio.create_task(holder._follow_jobs())
+        try:
+            holder.add_job(records.encode(job), messages.UNKNOWN_VERSION)
+            await waiting.until(
+                lambda: job.job_id in holder.scheduler.jobs.active_by_id,
+                TIMEOUT_S,
+                'the job',
+            )
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
--- a/tests/unit/fleet/test_messages.py
+++ b/tests/unit/fleet/test_messages.py
@@ -16,6 +16,12 @@
     renewal_age_s: float
 
 
+class FormerJobStored(msgspec.Struct, tag='job_stored', frozen=True):
+    """The notice of a stored job as the former version sends it."""
+
+    row: bytes
+
+
 class TestUpgrade:
     """Guards against entries of two versions that don't understand each other.
 
@@ -32,3 +38,9 @@
         data = messages.encode(messages.Pong(3, {}, 2.0, 0.1, 0.9))
         former = msgspec.msgpack.decode(data, type=FormerPong)
         assert former.term == 3
+
+    def test_a_job_of_the_former_version_is_read_from_the_store(self) -> None:
+        data = msgspec.msgpack.encode(FormerJobStored(b'row'))
+        message = messages.decode(data)
+        assert isinstance(message, messages.JobStored)
+        assert message.version == messages.UNKNOWN_VERSION
