Keep early cancellations only until their jobs have been read

Cause: a cancellation may precede its job, and nothing said when that job can no longer come.

The cancellation's row is written on the condition of the job's row, so its version is higher. A notice now carries that version, and the id is kept only until the holder has read the table of jobs up to it; then the job was read as well, or is gone. A former entry's notice has no version and is not kept: the feed shows the job and its cancellation, in this order, within half a second.

Ruled out: a limit on the number or the age of the ids, which can lose a cancellation that precedes its job while the feed fails.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -57,6 +57,8 @@
     """Notice that an entry stored the cancellation of a job."""
 
     job_id: model.JobId
+    version: int = UNKNOWN_VERSION
+    """Version of the row, above that of the job's."""
 
 
 class StateQuery(msgspec.Struct, tag='state_query', frozen=True):
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -115,8 +115,11 @@
         :param version: of the row, or ``messages.UNKNOWN_VERSION``.
         """
 
-    def announce_cancellation(self, job_id: model.JobId) -> None:
-        """Tell the holder that the cancellation of a job was stored."""
+    def announce_cancellation(self, job_id: model.JobId, version: int) -> None:
+        """Tell the holder that the cancellation of a job was stored.
+
+        :param version: version of its row.
+        """
 
     async def state_of(
         self, job_id: model.JobId, timeout_s: float
@@ -423,7 +426,7 @@
             records.JOBS_TABLE, call.job_id + records.CANCEL_SUFFIX, b'1'
         )
         try:
-            await self._context.store.transact(
+            version = await self._context.store.transact(
                 [condition], [put], (), records.job_part(call.job_id)
             )
         except errors.TransactionConflict:
@@ -431,7 +434,7 @@
             return Reply(
                 Outcome.OK, verdicts.Verdict.RAN, 'the job had already ended'
             )
-        self._holder.announce_cancellation(call.job_id)
+        self._holder.announce_cancellation(call.job_id, version)
         return Reply(Outcome.OK, verdicts.Verdict.RAN)
 
     def _owns(self, call: Call, customer_id: model.TeamId | None) -> bool:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -119,8 +119,9 @@
         self._unstored_starts: list[actions.Start] = []
         """Starts that may not be sent yet because their placement is not
         stored."""
-        self._early_cancellations: set[model.JobId] = set()
-        """Jobs that were cancelled before this process learned of them."""
+        self._early_cancellations: dict[model.JobId, int] = {}
+        """Version of the cancellation of each job that was cancelled before
+        this process learned of it."""
 
     def resign(self, reason: str) -> None:
         """Send no more orders and end, without releasing the row of the term.
@@ -519,20 +520,23 @@
             logs.limited_warning('job.bad_row', record.job_id, error)
             return
         if accepted:
-            if record.job_id in self._early_cancellations:
-                self._early_cancellations.discard(record.job_id)
-                self.cancel_job(record.job_id)
+            version = self._early_cancellations.pop(record.job_id, None)
+            if version is not None:
+                self.cancel_job(record.job_id, version)
             self._plan_requested.set()
 
-    def cancel_job(self, job_id: model.JobId) -> None:
+    def cancel_job(self, job_id: model.JobId, version: int) -> None:
         """Cancel a job whose cancellation an entry stored.
 
         If the job is not known yet, it is cancelled once it is added.
+
+        :param version: version of the cancellation's row.
         """
         if not self.loaded:
             return
         if not self.scheduler.jobs.is_known(job_id):
-            self._early_cancellations.add(job_id)
+            if version > self._jobs_version:
+                self._early_cancellations[job_id] = version
             return
         if self.scheduler.cancel(clock.now(), job_id):
             self._context.log.write('job.cancelled', job_id=job_id)
@@ -565,15 +569,26 @@
                     self.cancel_job(
                         model.JobId(
                             row.key.removesuffix(records.CANCEL_SUFFIX)
-                        )
+                        ),
+                        row.version,
                     )
                 else:
                     with self._logging_bad_row(row):
                         self._accept_job(
                             records.decode_stored_job(row.key, row.value)
                         )
-            self._jobs_version = version
-            self.scheduler.jobs.mark_read(version)
+            self._mark_jobs_read(version)
+
+    def _mark_jobs_read(self, version: int) -> None:
+        """Record that all changes of jobs up to a version were applied."""
+        self._jobs_version = version
+        self.scheduler.jobs.mark_read(version)
+        # The row of a job is older than its cancellation.
+        self._early_cancellations = {
+            job_id: cancelled_at
+            for job_id, cancelled_at in self._early_cancellations.items()
+            if cancelled_at > version
+        }
 
     def _send_starts(self, changes: actions.Changes) -> None:
         """Send the starts whose placement is stored now."""
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -477,7 +477,7 @@
         elif isinstance(message, messages.JobStored):
             holder.add_job(message.row, message.version)
         elif isinstance(message, messages.CancelStored):
-            holder.cancel_job(message.job_id)
+            holder.cancel_job(message.job_id, message.version)
         elif isinstance(message, messages.StateQuery):
             if holder.loaded:
                 self._listener.send(
@@ -552,12 +552,12 @@
         else:
             self._connection.send(messages.JobStored(row, version))
 
-    def announce_cancellation(self, job_id: model.JobId) -> None:
+    def announce_cancellation(self, job_id: model.JobId, version: int) -> None:
         """Tell the holder that the cancellation of a job was stored."""
         if self._holder is not None:
-            self._holder.cancel_job(job_id)
+            self._holder.cancel_job(job_id, version)
         else:
-            self._connection.send(messages.CancelStored(job_id))
+            self._connection.send(messages.CancelStored(job_id, version))
 
     async def state_of(
         self, job_id: model.JobId, timeout_s: float
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -58,8 +58,8 @@
     def announce_job(self, row: bytes, version: int) -> None:
         del row, version
 
-    def announce_cancellation(self, job_id: model.JobId) -> None:
-        del job_id
+    def announce_cancellation(self, job_id: model.JobId, version: int) -> None:
+        del job_id, version
 
     async def state_of(
         self, job_id: model.JobId, timeout_s: float
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -625,3 +625,44 @@
         finally:
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
+
+
+class TestEarlyCancellations:
+    """Guards against cancellations that are lost or kept for ever."""
+
+    async def test_a_cancellation_before_its_job_cancels_it(self) -> None:
+        store = HistoryStore()
+        holder = make_holder(store)
+        await holder._load()
+        job = worlds.make_job(1)
+        version = await store_job(store, job)
+        cancelled = await store_cancellation(store, job.job_id)
+        holder.cancel_job(job.job_id, cancelled)
+        holder.add_job(records.encode(job), version)
+        assert holder.scheduler.jobs.is_known(job.job_id)
+        assert not holder.scheduler.jobs.active_by_id
+
+    async def test_a_cancellation_of_a_forgotten_job_is_not_kept(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'JOB_FEED_INTERVAL_S', 0.01)
+        store = HistoryStore()
+        job = worlds.make_job(1)
+        await store_job(store, job)
+        cancelled = await store_cancellation(store, job.job_id)
+        holder = make_holder(store)
+        await holder._load()
+        holder.cancel_job(model.JobId('unknown'), cancelled)
+        assert not holder._early_cancellations
+        later = await store_cancellation(store, model.JobId('other'))
+        holder.cancel_job(model.JobId('other'), later)
+        assert holder._early_cancellations
+        following = asyncio.create_task(holder._follow_jobs())
+        try:
+            await waiting.until(
+                lambda: store.jobs_feeds >= 2, TIMEOUT_S, 'reads of the feed'
+            )
+            assert not holder._early_cancellations
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
