Keep jobs set aside when the table of jobs is read again

Callers would see finished tasks of a job run again (TWICE): a job whose progress can't be read, or can't be applied, is set aside when a holder loads the jobs, but ran from its beginning as soon as the store dropped its history and the holder read the table again, or an entry's notice of it came late.

Cause: that a job was set aside was only the absence of the job, and the next sight of its row counted as a new job.

The tracker now keeps the ids of the jobs that it set aside; they are refused like those that have ended.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -29,6 +29,8 @@
         self.archive = archives.Archive()
         self._archived_ids: set[model.JobId] = set()
         """Ended jobs whose end is stored in their own row."""
+        self._set_aside_ids: set[model.JobId] = set()
+        """Jobs that don't run in this term, as their progress is not known."""
         self._expired_ids: set[model.JobId] = set()
         """Forgotten jobs whose rows may not be removed yet."""
         self._removal_versions_by_id: dict[model.JobId, int] = {}
@@ -57,6 +59,7 @@
         """Return whether a row of the job that was read may be a new job."""
         return not (
             self.is_known(job_id)
+            or job_id in self._set_aside_ids
             or job_id in self._expired_ids
             or job_id in self._removal_versions_by_id
         )
@@ -399,10 +402,13 @@
         )
         self._dirty[job.job_id] = None
 
-    def discard(self, job: work.Job) -> None:
-        """Forget an active job without any change to its rows."""
-        self._deactivate(job)
-        self._dirty.pop(job.job_id, None)
+    def set_aside(self, job_id: model.JobId) -> None:
+        """Do not run a job in this term and leave its rows as they are."""
+        self._set_aside_ids.add(job_id)
+        job = self.active_by_id.get(job_id)
+        if job is not None:
+            self._deactivate(job)
+        self._dirty.pop(job_id, None)
 
     def _deactivate(self, job: work.Job) -> None:
         self.active_by_id.pop(job.job_id, None)
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -127,7 +127,7 @@
             self.jobs.restore_progress(now, job, progress)
         except Exception:
             # Without its progress, its finished tasks would run again.
-            self.jobs.discard(job)
+            self.jobs.set_aside(job.job_id)
             raise
         for task, run, worker_id in self.jobs.inherited_placements(job):
             self._add_inherited_run(now, task, run, worker_id)
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -189,6 +189,7 @@
                 continue
             if row.key in unreadable_ids:
                 # Without its progress, its finished tasks would run again.
+                self.scheduler.jobs.set_aside(model.JobId(row.key))
                 continue
             with self._logging_bad_row(row):
                 self.scheduler.load_job(
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -666,3 +666,40 @@
         finally:
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
+
+
+class TestJobsSetAside:
+    """Guards against finished tasks that run again without their progress."""
+
+    @pytest.mark.parametrize(
+        'progress',
+        [
+            b'\xff',
+            records.encode(records.JobProgress(done_by_step={'x': [0]})),
+        ],
+        ids=['unreadable', 'malformed keys'],
+    )
+    async def test_a_job_set_aside_stays_so_when_the_history_is_dropped(
+        self, progress: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'JOB_FEED_INTERVAL_S', 0.01)
+        store = row_store.MemoryRowStore()
+        job = worlds.make_job(1)
+        await store_job(store, job)
+        await put_rows(store, records.PROGRESS_TABLE, {job.job_id: progress})
+        holder = make_holder(store)
+        await holder._load()
+        assert not holder.scheduler.jobs.active_by_id
+        other = worlds.make_job(2)
+        await store_job(store, other)
+        following = asyncio.create_task(holder._follow_jobs())
+        try:
+            await waiting.until(
+                lambda: other.job_id in holder.scheduler.jobs.active_by_id,
+                TIMEOUT_S,
+                'the jobs read again',
+            )
+            assert job.job_id not in holder.scheduler.jobs.active_by_id
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
