Order speed limits one at a time and repeat them past late orders

Callers would see a filling task at the wrong speed for the rest of its run: slow or standing still although its worker has capacity to spare, or at full speed beside a serving task that is over its target (HARM).

Cause: the limit that was ordered last counted as the one in force. Orders may overtake each other; one without an answer may be carried out seconds later, after a newer one was accepted; and a new holder assumed 100 % for the runs of an earlier one, whatever that one had ordered.

Now each order waits for the answer to the one before. After an order without an answer, the limit is ordered again each second until no late order can replace it any more (LATE_ORDER_S). The limit of a run that this holder did not start is unknown and is ordered once. Cost: up to 13 more calls after a lost answer, and one call for each inherited filler after a takeover.

Before: four of the new tests in test_upkeep.py failed on the former code: a second order went out beside the first; after a lost order the last one was sent at 1.9 s though the lost one may act until 13.8 s; no order at all for an adopted and for a stored filler of an earlier holder. The tests' workers now answer the orders, which was not needed before.

Ruled out: a late answer of an older order, which only repeated the newer limit. A new order carries no number that a worker could compare.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -805,16 +805,19 @@
             run.lists_valid_from = now
 
     def handle_throttle_result(
-        self, action: actions.Throttle, accepted: bool
+        self, now: float, action: actions.Throttle, accepted: bool
     ) -> None:
         """Apply a worker's answer to a throttle order."""
         worker = self.workers_by_id.get(action.worker.worker_id)
-        if worker is None or accepted:
+        if worker is None:
             return
         run = worker.runs_by_key.get((action.task_id, action.run))
-        if run is not None:
-            # Differs from every valid limit, so that the order is sent again.
-            run.throttle_percent = -1
+        if run is None:
+            return
+        run.throttle_pending = False
+        if not accepted:
+            run.throttle_percent = tracking.UNKNOWN_PERCENT
+            run.throttle_unsettled_until = now + tracking.LATE_ORDER_S
 
     def handle_advice_result(
         self,
@@ -1086,8 +1089,10 @@
                 worker.filler_percent = percent
                 worker.throttle_changed_at = now
             for run in fillers:
-                if run.throttle_percent != percent:
+                if throttling.is_order_due(now, run, percent):
                     run.throttle_percent = percent
+                    run.throttle_ordered_at = now
+                    run.throttle_pending = True
                     self._pending_actions.append(
                         actions.Throttle(
                             worker.entry,
--- a/packages/core/src/samphirestack/fleet/throttling.py
+++ b/packages/core/src/samphirestack/fleet/throttling.py
@@ -20,6 +20,9 @@
 MIN_PERCENT = 0
 FULL_PERCENT = 100
 
+REPEAT_S = 1.0
+"""Interval of repeated orders while an earlier one may take effect late."""
+
 CHANGE_INTERVAL_S = 0.6
 """Minimum interval between changes; reported latencies show the effect of a
 change after about this time."""
@@ -48,3 +51,22 @@
     if pressure < SPEED_BELOW:
         return min(FULL_PERCENT, percent + UP_PERCENT)
     return percent
+
+
+def is_order_due(now: float, run: tracking.Run, percent: int) -> bool:
+    """Return whether to order the speed limit of a filler.
+
+    Orders may overtake each other, so each one waits for the answer to the
+    one before.
+
+    :param percent: speed limit that the filler should have.
+    """
+    if run.throttle_pending:
+        return False
+    if run.throttle_percent != percent:
+        return True
+    if run.throttle_ordered_at >= run.throttle_unsettled_until:
+        return False
+    return now >= min(
+        run.throttle_ordered_at + REPEAT_S, run.throttle_unsettled_until
+    )
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -22,6 +22,10 @@
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
 
+UNKNOWN_PERCENT = -1
+"""Stands for a speed limit that isn't known, which differs from all others."""
+
+
 class RunState(enum.Enum):
     """What the scheduler has heard of the start of a run.
 
@@ -102,7 +106,10 @@
         'state',
         'stop',
         'task',
+        'throttle_ordered_at',
+        'throttle_pending',
         'throttle_percent',
+        'throttle_unsettled_until',
         'worker_id',
     )
 
@@ -135,8 +142,17 @@
         self.percent = 0.0
         self.last_progress_at = now
         self.load = 0.0
-        self.throttle_percent = 100
-        """Speed limit that was ordered last; only used for fillers."""
+        self.throttle_percent = (
+            100 if state is RunState.ORDERED else UNKNOWN_PERCENT
+        )
+        """Speed limit that was ordered last; only used for fillers.  An
+        earlier holder may have set any for the runs that it started."""
+        self.throttle_ordered_at = float('-inf')
+        self.throttle_pending = False
+        """Whether a speed limit was ordered and has no answer yet."""
+        self.throttle_unsettled_until = float('-inf')
+        """Until when a speed limit that was ordered without an answer may
+        replace newer ones."""
         self.stop: StopDecision | None = None
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -879,7 +879,7 @@
             percent=action.percent,
             accepted=accepted,
         )
-        self.scheduler.handle_throttle_result(action, accepted)
+        self.scheduler.handle_throttle_result(clock.now(), action, accepted)
 
     # Advice
 
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -1,6 +1,7 @@
 """Waves of upkeep, throttling of fillers and leaving workers."""
 
 import asyncio
+import itertools
 
 from samphirestack import errors
 from samphirestack.fleet import actions
@@ -113,8 +114,17 @@
         return world
 
     def _throttle_percents(self, world: worlds.World, now: float) -> list[int]:
+        """Return the limits that are ordered; the worker accepts them."""
+        orders = self._throttle_orders(world, now)
+        for order in orders:
+            world.scheduler.handle_throttle_result(now, order, True)
+        return [order.percent for order in orders]
+
+    def _throttle_orders(
+        self, world: worlds.World, now: float
+    ) -> list[actions.Throttle]:
         return [
-            action.percent
+            action
             for action in world.plan(now)
             if isinstance(action, actions.Throttle)
         ]
@@ -143,9 +153,66 @@
             for action in world.plan(1.0)
             if isinstance(action, actions.Throttle)
         )
-        world.scheduler.handle_throttle_result(order, False)
+        world.scheduler.handle_throttle_result(1.0, order, False)
         assert self._throttle_percents(world, 1.1) == [50]
 
+    def test_an_order_waits_for_the_answer_to_the_one_before(self) -> None:
+        world = self._world()
+        self._set_tail_latency(world, 90.0)
+        (first,) = self._throttle_orders(world, 1.0)
+        self._set_tail_latency(world, 120.0)
+        assert self._throttle_orders(world, 1.7) == []
+        world.scheduler.handle_throttle_result(1.75, first, True)
+        (second,) = self._throttle_orders(world, 1.8)
+        assert second.percent == 0
+
+    def test_a_late_order_does_not_last_beyond_the_next_repeat(self) -> None:
+        world = self._world()
+        self._set_tail_latency(world, 120.0)
+        (lost,) = self._throttle_orders(world, 1.0)
+        world.scheduler.handle_throttle_result(1.8, lost, False)
+        set_at = []
+        for step in range(19, 400):
+            now = step / 10
+            for order in self._throttle_orders(world, now):
+                assert order.percent == 0
+                world.scheduler.handle_throttle_result(now, order, True)
+                set_at.append(now)
+        late_until = 1.8 + tracking.LATE_ORDER_S
+        assert late_until <= max(set_at) < late_until + 2.0
+        gaps = [later - at for at, later in itertools.pairwise(set_at)]
+        assert max(gaps) < 2.0
+        assert len(set_at) < 20
+
+    def test_a_filler_that_an_earlier_holder_slowed_down_speeds_up(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        job_id = world.accept(
+            0.0, worlds.make_job(2, [worlds.make_step(filler=True)])
+        )
+        world.report(0.1, 'a', [(f'{job_id}.0.0.0', 1)])
+        assert self._throttle_percents(world, 1.0) == [100]
+
+    def test_a_stored_filler_of_an_earlier_holder_speeds_up(self) -> None:
+        world = worlds.World([worlds.make_worker('a')], term=2)
+        job = worlds.make_job(2, [worlds.make_step(filler=True)])
+        world.scheduler.load_job(
+            0.0,
+            worlds.UNIX_AT_ZERO_S,
+            job,
+            records.JobProgress(placed_by_task={'0.0.0': (1, 'a')}),
+        )
+        world.report(0.1, 'a', [(f'{job.job_id}.0.0.0', 1)])
+        assert self._throttle_percents(world, 1.0) == [100]
+
+    def test_a_filler_that_has_just_started_needs_no_order(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        filler = worlds.make_step(filler=True)
+        world.accept(0.0, worlds.make_job(2, [filler]))
+        assert len(world.start_all(0.1)) == 1
+        assert self._throttle_percents(world, 1.0) == []
+
     def test_fillers_do_not_overcommit_processors(self) -> None:
         world = worlds.World([worlds.make_worker('a', 2000)])
         fillers = worlds.make_step(5, filler=True)
