Don't stop fillers as stalled that were ordered to stand still

Callers would see a filling task lose its work and start elsewhere after two seconds beside a busy serving task: the holder orders it to 0 %, its progress stands, and the check for stalled runs stops it, blames the worker for 6 s and avoids that worker for the task from then on.

Cause: the check compared progress without regard to the speed limit that the holder itself had ordered.

A filler is now judged only while its limit is known to be 100 %; the time in which it was slowed down doesn't count.

Before: test_a_filler_that_was_slowed_down_does_not_count_as_stalled failed on the former code with a stop ('no progress') 2 s after the limit. Its second half checks that a filler at full speed without progress is still stopped.

What remains: a filler that stalls while it is slowed down is only found once it is at full speed again.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -492,6 +492,10 @@
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
         spec = run.task.step.spec
+        if spec.filler and run.throttle_percent != throttling.FULL_PERCENT:
+            # It may stand still because it was ordered to.
+            run.last_progress_at = now
+            return
         stalled_s = max(STALL_MIN_S, STALL_ESTIMATES * spec.estimate_s)
         if (
             spec.long_running
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -213,6 +213,37 @@
         assert len(world.start_all(0.1)) == 1
         assert self._throttle_percents(world, 1.0) == []
 
+    def test_a_filler_that_was_slowed_down_does_not_count_as_stalled(
+        self,
+    ) -> None:
+        world = self._world()
+        rows = [
+            (run.task.id, run.number)
+            for worker in world.scheduler.workers_by_id.values()
+            for run in worker.runs_by_key.values()
+        ]
+        world.report(0.5, 'a', rows)
+        self._set_tail_latency(world, 120.0)
+        assert self._throttle_percents(world, 1.0) == [0]
+        for now in (3.0, 6.0, 9.0):
+            world.report(now, 'a', rows)
+            self._set_tail_latency(world, 120.0)
+            assert not self._stops(world, now)
+        self._set_tail_latency(world, 30.0)
+        for step in range(10):
+            world.report(10.0 + step, 'a', rows, percent=20.0 + step)
+            assert not self._stops(world, 10.0 + step)
+        for now in (20.0, 21.0, 22.0, 23.0):
+            world.report(now, 'a', rows, percent=29.0)
+        assert len(self._stops(world, 23.0)) == 1
+
+    def _stops(self, world: worlds.World, now: float) -> list[actions.Stop]:
+        planned = world.plan(now)
+        for one in planned:
+            if isinstance(one, actions.Throttle):
+                world.scheduler.handle_throttle_result(now, one, True)
+        return [one for one in planned if isinstance(one, actions.Stop)]
+
     def test_fillers_do_not_overcommit_processors(self) -> None:
         world = worlds.World([worlds.make_worker('a', 2000)])
         fillers = worlds.make_step(5, filler=True)
