Close machines for upkeep by name, and before their order

Cause: that a machine is closed was a flag on its worker, set at the end of a step of the waves. The flag was lost when the worker's entry expired and came back; it was set only after the orders of the same step, which take up to 2 s each without an answer; and a new holder set it only once the machines had been listed.

The scheduler now keeps the names of the closed machines and applies them to every worker, also to one that registers later. A step of the waves closes the machines before it orders any, then checks which are empty; a new holder closes them as soon as it has read the progress of the waves.

Before: the tests of TestClosedMachines failed on the former code: a worker that registered again got a start; three of three machines were open when their upkeep was ordered; a worker stayed open while no list came.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -77,6 +77,7 @@
         self.suitable_shares = advising.SuitableShares()
         self._crashes = crashes.CrashTracker()
         self.registry_freshness = registry_freshness.RegistryFreshness()
+        self._closed_machines: frozenset[str] = frozenset()
         self._last_check_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
@@ -232,12 +233,25 @@
             self._attribute_crash(now, lost)
         worker = self.workers_by_id.get(entry.worker_id)
         if worker is None:
-            self.workers_by_id[entry.worker_id] = tracking.TrackedWorker(entry)
+            worker = tracking.TrackedWorker(entry)
+            worker.closed_for_upkeep = entry.machine in self._closed_machines
+            self.workers_by_id[entry.worker_id] = worker
             return True
         self._update_entry(now, worker, entry)
         worker.registered = True
         return False
 
+    def close_machines(self, machines: Iterable[str]) -> None:
+        """Close these machines to new work, and open all others again.
+
+        It also holds for workers that register on them later.
+        """
+        self._closed_machines = frozenset(machines)
+        for worker in self.workers_by_id.values():
+            worker.closed_for_upkeep = (
+                worker.entry.machine in self._closed_machines
+            )
+
     def mark_worker_unregistered(self, worker_id: model.WorkerId) -> None:
         """Record that a worker is no longer registered."""
         worker = self.workers_by_id.get(worker_id)
@@ -261,6 +275,7 @@
             worker.free_memory += change.memory_mb
             worker.free_gpu += change.accelerators
         worker.entry = entry
+        worker.closed_for_upkeep = entry.machine in self._closed_machines
 
     def apply_report(
         self,
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -41,7 +41,6 @@
     async def run(self) -> None:
         """Execute waves until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
             for number, wave in self._context.waves().items():
                 if number not in self._wave_runs_by_number:
                     await self._start_wave(wave)
@@ -50,6 +49,7 @@
                 for run in self._wave_runs_by_number.values()
                 if not run.progress.completed
             ]
+            self._close_machines(active)
             if active and self._term.may_start_work(clock.now()):
                 try:
                     await self._advance(active)
@@ -60,6 +60,7 @@
                 except Exception as error:
                     # One wave must not end the term.
                     logs.unexpected('upkeep.failed', '', error)
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _start_wave(self, wave: upkeep.Wave) -> None:
         key = str(wave.number)
@@ -109,13 +110,11 @@
     async def _advance(self, active: list[upkeep.WaveRun]) -> None:
         sent_at = clock.now()
         states = await self._context.machines.list_machines()
-        now = clock.now()
-        workers_by_machine = upkeep.index_by_machine(
-            self._scheduler.workers_by_id
-        )
-        closed: set[str] = set()
         for run in active:
             run.record_states(sent_at, states)
+        # No work starts on a machine between its selection and its order.
+        self._close_machines(active)
+        for run in active:
             for machine in run.unconfirmed():
                 await self._begin_machine_upkeep(run, machine)
             if run.is_complete:
@@ -125,14 +124,23 @@
                     'upkeep.completed', wave=run.wave.number
                 )
                 continue
-            closed.update(run.closed_machines())
-            calls = run.begin_next(now, workers_by_machine)
+            calls = run.begin_next(
+                clock.now(),
+                upkeep.index_by_machine(self._scheduler.workers_by_id),
+            )
             if calls:
                 self._store_progress(run)
             for machine in calls:
                 await self._begin_machine_upkeep(run, machine)
-        for machine, worker in workers_by_machine.items():
-            worker.closed_for_upkeep = machine in closed
+        self._close_machines(active)
+
+    def _close_machines(self, active: list[upkeep.WaveRun]) -> None:
+        self._scheduler.close_machines(
+            machine
+            for run in active
+            if not run.progress.completed
+            for machine in run.closed_machines()
+        )
 
     async def _begin_machine_upkeep(
         self, run: upkeep.WaveRun, machine: str
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -7,6 +7,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import tracking
 from samphirestack.fleet import upkeep
@@ -15,6 +16,7 @@
 from samphirestack_testing import row_store
 from samphirestack_testing import waiting
 from samphirestackd.fleet import clock
+from samphirestackd.fleet import node_context
 from samphirestackd.fleet import waves
 from samphirestackd.fleet import writer as writers
 
@@ -303,6 +305,110 @@
         return ports.Put('status', str(number), b'')
 
 
+def make_controller(
+    context: node_context.Context, scheduler: schedulers.FleetScheduler
+) -> waves.UpkeepController:
+    """Return a controller of a holder whose term lasts for a minute."""
+    context.registry = Registry()  # type: ignore[assignment]
+    term = terms.Term(model.VmId('vm'), 'life', 'address')
+    record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
+    term.record_write(clock.now() + 60.0, record, 0)
+    writer = writers.TermWriter(context, term, scheduler, lambda one: None)
+    return waves.UpkeepController(context, term, scheduler, writer)
+
+
+class ClosedCheckingMachines(Machines):
+    """Machines that record whether work could start when they go down."""
+
+    def __init__(self, scheduler: schedulers.FleetScheduler) -> None:
+        super().__init__()
+        self._scheduler = scheduler
+        self.open_at_order: list[str] = []
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, holder: model.VmId, term: int
+    ) -> bool:
+        for worker in self._scheduler.workers_by_id.values():
+            if worker.entry.machine == machine and (
+                not worker.closed_for_upkeep
+            ):
+                self.open_at_order.append(machine)
+        self.begun.append(machine)
+        return True
+
+
+class UnlistedMachines(Machines):
+    """Machines whose list is not available."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lists = 0
+
+    async def list_machines(self) -> dict[str, upkeep.MachineState]:
+        self.lists += 1
+        raise errors.PlatformError('no answer')
+
+
+class TestClosedMachines:
+    """Guards against work that starts on a machine about to go down."""
+
+    def test_a_worker_that_registers_again_stays_closed(self) -> None:
+        entry = worlds.make_worker('a', machine='m1')
+        world = worlds.World([entry])
+        world.scheduler.close_machines({'m1'})
+        world.scheduler.set_workers(1.0, [])
+        world.plan(1.0)
+        assert not world.scheduler.workers_by_id
+        world.scheduler.update_worker(2.0, entry)
+        world.report(2.0, 'a')
+        world.accept(2.0, worlds.make_job(1))
+        assert world.plan_starts(2.1) == []
+        world.scheduler.close_machines(set())
+        assert len(world.plan_starts(2.2)) == 1
+
+    async def test_a_machine_is_closed_before_its_order(self) -> None:
+        world = worlds.World(
+            [
+                worlds.make_worker(f'w{number}', machine=f'm{number}')
+                for number in (1, 2, 3)
+            ]
+        )
+        context = worlds.make_context(row_store.MemoryRowStore())
+        machines = ClosedCheckingMachines(world.scheduler)
+        context.machines = machines
+        context.waves = lambda: {1: make_wave(max_down=3)}
+        controller = make_controller(context, world.scheduler)
+        running = asyncio.create_task(controller.run())
+        try:
+            await waiting.until(
+                lambda: len(machines.begun) == 3, 10.0, 'three orders'
+            )
+            assert not machines.open_at_order
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    async def test_a_new_holder_closes_machines_before_they_are_listed(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a', machine='m1')])
+        context = worlds.make_context(row_store.MemoryRowStore())
+        machines = UnlistedMachines()
+        context.machines = machines
+        context.waves = lambda: {1: make_wave()}
+        controller = make_controller(context, world.scheduler)
+        running = asyncio.create_task(controller.run())
+        try:
+            await waiting.until(
+                lambda: machines.lists > 1, 10.0, 'calls for a list'
+            )
+            (worker,) = world.scheduler.workers_by_id.values()
+            assert worker.closed_for_upkeep
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
 class TestUnansweredOrders:
     """Guards against a wave that waits for the answer of one machine."""
 
