Count a machine as busy while its worker's entry has expired

Cause: only registered workers were considered, so that a machine whose entry had expired counted as empty; that the machine waits for its work was overwritten by the missing entry.

A worker with runs now stands for its machine whether it is registered or not. Its runs are removed when its lease must be over, as before.

Before: test_a_busy_machine_whose_entry_expired_is_not_empty failed on the former code (m1 was ordered at 5.0 s of a deadline of 30 s).

--- a/packages/core/src/samphirestack/fleet/upkeep.py
+++ b/packages/core/src/samphirestack/fleet/upkeep.py
@@ -188,9 +188,16 @@
 def index_by_machine(
     workers_by_id: Mapping[model.WorkerId, tracking.TrackedWorker],
 ) -> dict[str, tracking.TrackedWorker]:
-    """Return the registered workers by the machine that they run on."""
-    return {
-        worker.entry.machine: worker
-        for worker in workers_by_id.values()
-        if worker.entry.machine and worker.registered
-    }
+    """Return the workers in use by the machine that they run on.
+
+    That is a worker with runs if there is one, whether it is registered or
+    not: its entry may expire while it works.
+    """
+    found: dict[str, tracking.TrackedWorker] = {}
+    for worker in workers_by_id.values():
+        machine = worker.entry.machine
+        if not machine or not (worker.registered or worker.runs_by_key):
+            continue
+        if machine not in found or worker.runs_by_key:
+            found[machine] = worker
+    return found
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -73,6 +73,16 @@
         assert run.begin_next(5.0, workers) == []
         assert run.begin_next(20.0, workers) == ['m1']
 
+    def test_a_busy_machine_whose_entry_expired_is_not_empty(self) -> None:
+        world = worlds.World([worlds.make_worker('a', machine='m1')])
+        world.accept(0.0, worlds.make_job(1))
+        world.start_all(0.1)
+        world.scheduler.set_workers(1.0, [])
+        run = make_run(make_wave())
+        workers = upkeep.index_by_machine(world.scheduler.workers_by_id)
+        assert run.begin_next(5.0, workers) == []
+        assert run.begin_next(20.0, workers) == ['m1']
+
     def test_completion_requires_all_remaining_machines(self) -> None:
         run = make_run(make_wave(3))
         run.begin_next(0.0, {})
