Don't take a refused repeat for the answer to an unanswered upkeep

Callers would see a wave run late, and tasks that last moved away from a machine that has had its upkeep: an order without an answer had begun the upkeep, its repeat was refused (the platform limits the rate of such calls, and is at times unavailable), and the machine counted as not begun. It was closed again, and ordered again once it was empty. After a takeover the new holder repeated all orders of the wave at once, which brings such refusals about. Each order that was refused and made again also added the machine to the stored progress, without a bound.

Cause: a refusal says that this order did nothing; it was taken to say that none did. Which orders had been acknowledged was not stored.

A machine with an order that had no answer now stays ordered, and counts as down, until an order is acknowledged. Acknowledged machines are stored with the progress, so that a new holder repeats only the others; progress of former holders has none and is read as before.

Before: the four new tests of TestWaves failed on the former code (run without the call of mark_unanswered): unconfirmed() was empty after the refusal, in the same term and after a takeover; progress.begun was ['m1', 'm1', 'm1']; a new holder repeated an acknowledged order.

Ruled out by reading: more machines down than max_down by such a refusal; the machine stays among the first ones in the order of the wave, and only those are ordered.

--- a/packages/core/src/samphirestack/fleet/upkeep.py
+++ b/packages/core/src/samphirestack/fleet/upkeep.py
@@ -55,6 +55,8 @@
     begun: list[str] = []
     """Machines whose upkeep may have begun."""
     completed: bool = False
+    acknowledged: list[str] = []
+    """Machines whose upkeep the platform has acknowledged."""
 
 
 class WaveRun:
@@ -78,8 +80,10 @@
         self._ordered_at_by_machine: dict[str, float] = dict.fromkeys(
             self.progress.begun, received_at
         )
-        self._confirmed: set[str] = set()
-        """Machines whose upkeep the platform has acknowledged."""
+        self._confirmed = set(self.progress.acknowledged)
+        self._unanswered = set(self.progress.begun) - self._confirmed
+        """Machines with an order that had no answer: their upkeep may have
+        begun, whatever the answer to a later order is."""
         self._returned: set[str] = set()
         """Machines that are up again after their upkeep."""
         self._missing_since: dict[str, float] = {}
@@ -117,11 +121,17 @@
 
     def mark_acknowledged(self, machine: str) -> None:
         """Record that the platform began the upkeep, now or earlier."""
-        self._confirmed.add(machine)
+        if machine not in self._confirmed:
+            self._confirmed.add(machine)
+            self.progress.acknowledged.append(machine)
+
+    def mark_unanswered(self, machine: str) -> None:
+        """Record that an order had no answer."""
+        self._unanswered.add(machine)
 
     def mark_refused(self, machine: str) -> None:
-        """Record that the platform did not begin the upkeep."""
-        if machine not in self._confirmed:
+        """Record that the platform did not begin the upkeep by an order."""
+        if machine not in self._confirmed and machine not in self._unanswered:
             self._ordered_at_by_machine.pop(machine, None)
 
     @property
@@ -175,7 +185,8 @@
             empty = worker is None or not worker.runs_by_key
             if empty or self._must_begin(now, len(remaining)):
                 self._ordered_at_by_machine[machine] = now
-                self.progress.begun.append(machine)
+                if machine not in self.progress.begun:
+                    self.progress.begun.append(machine)
                 result.append(machine)
         return result
 
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -157,6 +157,7 @@
         except errors.PlatformError as error:
             # The upkeep may have begun.  The order is repeated, and the other
             # machines don't wait for its answer.
+            run.mark_unanswered(machine)
             logs.limited_warning('upkeep.no_answer', machine, error.message)
             return
         self._context.log.write(
@@ -167,5 +168,6 @@
         )
         if begun:
             run.mark_acknowledged(machine)
+            self._store_progress(run)
         else:
             run.mark_refused(machine)
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -83,6 +83,43 @@
         assert run.begin_next(5.0, workers) == []
         assert run.begin_next(20.0, workers) == ['m1']
 
+    def test_a_refused_repeat_does_not_undo_an_unanswered_order(self) -> None:
+        run = make_run(make_wave())
+        run.begin_next(0.0, {})
+        run.mark_unanswered('m1')
+        run.mark_refused('m1')
+        workers = workers_with_a_run('m1')
+        assert run.unconfirmed() == ['m1']
+        assert run.begin_next(1.0, workers) == []
+        run.mark_acknowledged('m1')
+        run.record_states(5.0, {'m1': UP, 'm2': UP, 'm3': UP})
+        assert run.closed_machines() == ['m2', 'm3']
+
+    def test_a_refused_repeat_does_not_undo_an_order_of_a_predecessor(
+        self,
+    ) -> None:
+        run = make_run(make_wave(), upkeep.WaveProgress(['m1']))
+        run.mark_refused('m1')
+        assert run.unconfirmed() == ['m1']
+
+    def test_a_refused_order_is_made_again(self) -> None:
+        run = make_run(make_wave())
+        for now in range(3):
+            assert run.begin_next(float(now), {}) == ['m1']
+            run.mark_refused('m1')
+        assert run.unconfirmed() == []
+        assert run.progress.begun == ['m1']
+
+    def test_a_new_holder_does_not_repeat_acknowledged_orders(self) -> None:
+        former = make_run(make_wave())
+        former.begin_next(0.0, {})
+        former.mark_acknowledged('m1')
+        run = make_run(make_wave(), former.progress)
+        assert run.unconfirmed() == []
+        assert run.begin_next(0.5, {}) == []
+        run.record_states(5.0, {'m1': UP, 'm2': UP, 'm3': UP})
+        assert run.begin_next(5.0, {}) == ['m2']
+
     def test_completion_requires_all_remaining_machines(self) -> None:
         run = make_run(make_wave(3))
         run.begin_next(0.0, {})
