Keep a final job row when an older update is still pending

Callers saw, or would see, a job that was answered `cancelled` go back to `running`, and the next leader would start its tasks again.

Cause: when a scan read a row that another writer had made final (the leader of an earlier term still writes final states), `record_version` only noted its version. The update that was pending since before, with the state `running`, was then written under that version, over the final state.

`record_version` now compares a final row with the pending update as the read after a conflict does: the update is dropped and the scheduler gets the final row. The rows of a batch are selected after the reads, since a scan can drop an update meanwhile.

Ruled out: a write in flight under the older version, which the table refuses.

--- a/packages/daemon/src/samphirestackd/controllers/job_writes.py
+++ b/packages/daemon/src/samphirestackd/controllers/job_writes.py
@@ -61,9 +61,15 @@
         return len(self._updates_by_id)
 
     def record_version(self, record: model.JobRecord, version: int) -> None:
-        """Store the version of a row that was read."""
+        """Store the version of a row that was read.
+
+        A final row supersedes an update that is not written yet.
+        """
         job_id = record.job.job_id
-        if record.state.is_final and job_id not in self._updates_by_id:
+        if record.state.is_final:
+            update = self._updates_by_id.get(job_id)
+            if update is not None:
+                self._compare(job_id, update, record, version)
             self._versions_by_id.pop(job_id, None)
             return
         known = self._versions_by_id.get(job_id, 0)
@@ -111,10 +117,15 @@
 
     async def _write_batch(self) -> None:
         batch = list(self._updates_by_id.items())[:WRITES_PER_TRANSACTION]
-        known = [item for item in batch if item[0] in self._versions_by_id]
         for job_id, update in batch:
             if job_id not in self._versions_by_id:
                 await self._read_back(job_id, update)
+        known = [
+            (job_id, update)
+            for job_id, update in batch
+            if job_id in self._versions_by_id
+            and self._updates_by_id.get(job_id) is update
+        ]
         if not known:
             return
         try:
@@ -150,14 +161,24 @@
             self._context.events.record('jobs.malformed', key=row.key)
             self._discard(job_id, update)
             return
+        self._compare(job_id, update, record, row.version)
+
+    def _compare(
+        self,
+        job_id: model.JobId,
+        update: _Update,
+        record: model.JobRecord,
+        version: int,
+    ) -> None:
+        """Decide from a row that was read what becomes of its update."""
         if record == update.record:
-            self._on_saved(job_id, update, row.version)
+            self._on_saved(job_id, update, version)
         elif record.state.is_final:
             self._discard(job_id, update)
             if update.term == self._term:
                 self._callbacks.superseded(record)
         else:
-            self._versions_by_id[job_id] = row.version
+            self._versions_by_id[job_id] = version
 
     def _on_saved(
         self, job_id: model.JobId, update: _Update, version: int
--- a/tests/unit/daemon/test_task_controllers.py
+++ b/tests/unit/daemon/test_task_controllers.py
@@ -20,6 +20,7 @@
 from samphirestack_testing import entry_world
 from samphirestack_testing import fakes
 from samphirestackd import context as contexts
+from samphirestackd.controllers import job_writes
 from samphirestackd.controllers import tasks
 from samphirestackd.controllers import worker_link
 from samphirestackd import interfaces
@@ -257,6 +258,38 @@
             assert row.dispatched == {0: 1}
 
 
+class TestJobWriter:
+    """Updates never change a row that another writer has made final."""
+
+    async def test_update_does_not_overwrite_a_final_row_that_was_read(
+        self,
+    ) -> None:
+        """Guards against a cancelled job that the next leader starts again."""
+        context, table = entry_world.World().context, Table()
+        superseded: list[model.JobRecord] = []
+        writer = job_writes.JobWriter(
+            msgspec.structs.replace(context, table=table),
+            job_writes.WriteCallbacks(lambda _: None, superseded.append),
+        )
+        job = model.Job(
+            'j1', 'work', 'a', model.JobKind.BATCH, 1, SMALL, 1.0, True,
+            entry_world.ZONE, 0.0,
+        )  # fmt: skip
+        key = f'{entry_world.ZONE}/j1'
+        writer.record_version(model.JobRecord(job), 1)
+        writer.enqueue(model.JobRecord(job, model.JobState.RUNNING))
+        final = model.JobRecord(job, model.JobState.CANCELLED)
+        row = platform.Row(key, model.job_to_row(final), 2)
+        table.rows['jobs', key] = row
+        writer.record_version(final, 2)
+        running = asyncio.create_task(writer.run())
+        await writer.flush()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert table.rows['jobs', key] == row
+        assert superseded == [final]
+
+
 class TestWorkers:
     """Leases are renewed, lapse and are claimed by the documented rules."""
 
