Carry the failure of a gang over to the next leader

Callers saw, or would see, a gang of which a task had failed for good go on: after a change of the zone leader its other tasks ran until they ended by themselves, or were started again one by one, and the job ended late.

Cause: that the others are stopped was kept only in the `removal_reason` of each task. The row has the failed task in `ended`, but the state `running`, and the next leader queued or adopted the others as those of a sound gang. Within a term the same happened to a member that came back to the queue after the failure: checkpointed, or its start had no effect.

`JobEntry.is_failed_gang` derives the decision from `ended`, which is stored. A failed gang that would be queued, or whose task is found running, cancels its other tasks by the same path as at the failure itself. Members of a gang that is not idempotent are left running as before; this now includes members that wait for the report of their worker, which the former code took out of the job, so that they were stopped as strays once they were listed.

Five tests in TestFailedGang. Before: no stop for the member that runs; a start of g/1 where none may be; `running` in place of `failed` twice.

--- a/packages/core/src/samphirestack/internal/leader/task_outcomes.py
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -178,8 +178,14 @@
         """Stop the running tasks of a gang, and queue it when none runs.
 
         Started tasks of a gang that is not idempotent are never stopped;
-        its other tasks are started in addition to them.
+        its other tasks are started in addition to them.  A gang of which a
+        task has failed is not queued; its other tasks are cancelled.
         """
+        if entry.is_failed_gang:
+            self._cancel_gang(now, entry)
+            self.mark_changed(entry)
+            self._finish_if_done(entry)
+            return
         for task in entry.committed():
             if task.phase is task_state.Phase.PREPARED:
                 self._uncommit(now, task)
@@ -296,11 +302,17 @@
         entry: task_state.JobEntry,
         keep_started: bool,
     ) -> None:
-        """End the uncommitted tasks of a job and stop the committed ones."""
+        """End the uncommitted tasks of a job and stop the committed ones.
+
+        :param keep_started: whether tasks that run, or that may run on a
+            worker that has not reported, go on.
+        """
         entry.gang_queued = False
         for task in list(entry.tasks_by_index.values()):
             if task.phase is task_state.Phase.PREPARED:
                 self._uncommit(now, task)
+            if keep_started and task.phase is task_state.Phase.HELD:
+                continue
             if not task.is_committed:
                 task.phase = task_state.Phase.ENDED
                 entry.tasks_by_index.pop(task.index, None)
--- a/packages/core/src/samphirestack/internal/leader/task_reconciler.py
+++ b/packages/core/src/samphirestack/internal/leader/task_reconciler.py
@@ -216,7 +216,7 @@
         if entry.state is model.JobState.WAITING:
             entry.state = model.JobState.RUNNING
             self._outcomes.mark_changed(entry)
-        if was_queued:
+        if was_queued or entry.is_failed_gang:
             entry.gang_queued = False
             self._outcomes.requeue_gang(now, entry)
 
--- a/packages/core/src/samphirestack/internal/leader/task_state.py
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -226,6 +226,11 @@
         """Whether its tasks run until the job is cancelled."""
         return self.job.kind is model.JobKind.SERVICE
 
+    @property
+    def is_failed_gang(self) -> bool:
+        """Whether a task of the gang has failed, so that no other starts."""
+        return self.is_gang and model.TaskState.FAILED in self.ended.values()
+
     def committed(self) -> list[Task]:
         """Return the tasks that hold resources of workers."""
         return [t for t in self.tasks_by_index.values() if t.is_committed]
--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -180,6 +180,83 @@
         ]
 
 
+class TestFailedGang:
+    """No member of a gang goes on or starts after one has failed."""
+
+    def _failed(
+        self, idempotent: bool = True, count: int = 2
+    ) -> model.JobRecord:
+        record = _ready(1).submit(
+            'g', count, kind=model.JobKind.GANG, idempotent=idempotent
+        )
+        return msgspec.structs.replace(
+            record,
+            state=model.JobState.RUNNING,
+            failed=1,
+            reason='task 0 failed',
+            ended={0: model.TaskState.FAILED},
+            dispatched={} if idempotent else dict.fromkeys(range(count), 1),
+        )
+
+    def test_next_leader_stops_the_member_that_still_runs(self) -> None:
+        """Guards against a stop that only the former leader knew of."""
+        zone = Zone(1)
+        zone.scheduler.job_changed(0.0, self._failed())
+        start = _running_start('g/1', HALF)
+        zone.report_tasks(0.0, 'w0', start)
+        assert zone.scheduler.plan(1.0) == [actions.StopTask('w0', 'g/1')]
+        zone.event(1.5, start, 1, 'stopped')
+        (update,) = zone.scheduler.pop_updates(2.0)
+        assert update.state is model.JobState.FAILED
+
+    def test_next_leader_starts_no_member_again(self) -> None:
+        """Guards against a failed gang of which a part starts anew."""
+        zone = _ready(1)
+        zone.scheduler.job_changed(0.0, self._failed())
+        assert not zone.plan(1.0)
+        (update,) = zone.scheduler.pop_updates(1.0)
+        assert update.state is model.JobState.FAILED
+
+    def test_member_that_is_checkpointed_is_not_queued_again(self) -> None:
+        """Guards against a start after the failure of another member."""
+        zone = Zone(1)
+        zone.scheduler.job_changed(0.0, self._failed(idempotent=False))
+        start = _running_start('g/1', HALF)
+        zone.report_tasks(0.0, 'w0', start)
+        zone.event(1.0, start, 1, 'checkpointed')
+        assert not zone.plan(2.0)
+        (update,) = zone.scheduler.pop_updates(2.0)
+        assert update.state is model.JobState.FAILED
+
+    def test_member_that_is_found_later_is_not_stopped(self) -> None:
+        """Guards against losing work that can't be started again."""
+        zone = Zone(2)
+        zone.scheduler.job_changed(
+            0.0, self._failed(idempotent=False, count=3)
+        )
+        zone.report_tasks(0.0, 'w0', _running_start('g/1', HALF))
+        zone.plan(1.0)
+        zone.report_tasks(2.0, 'w1', _running_start('g/2', HALF))
+        assert zone.scheduler.plan(3.0) == []
+
+    def test_member_whose_start_had_no_effect_is_not_queued_again(
+        self,
+    ) -> None:
+        """Guards against a start after the failure of another member."""
+        zone = _ready(1)
+        zone.submit('g', 2, kind=model.JobKind.GANG, idempotent=False)
+        zone.plan(0.0)
+        for update in zone.scheduler.pop_updates(0.0):
+            zone.scheduler.update_saved(0.0, update)
+        failing, other = zone.plan(0.0)
+        zone.accept(0.0, failing)
+        zone.event(1.0, failing, 1, 'failed')
+        zone.scheduler.start_failed(2.0, 'w0', other.task.task_id, 1, False)
+        zone.plan(2.0)
+        (update,) = zone.scheduler.pop_updates(2.0)
+        assert update.state is model.JobState.FAILED
+
+
 class TestRows:
     """Rows count once, and impossible or retired work fails."""
 
