Acknowledge a cancelled job only once its row is final

Callers saw, or would see, `202` for the DELETE of a job that then ran on: the entry sent the cancellation to the leader of the zone and answered after one second, whatever the row said. The cancellation was then in the memory of that leader only, or nowhere, and lost if the leader ended or was replaced before its write, or if the messages were lost.

The entry still asks the leader first, since the leader writes the rows of a wave in batches. If the row is not final after that second, the entry writes `cancelled` itself under the version that it read, and tells the leader to read the row; a result that is written meanwhile is kept. If the table doesn't confirm it, the caller gets `outcome_unknown` in place of `202`. Without a leader the answer is `no_leader`, as before.

Tests before: `running` in place of `cancelled` if the leader doesn't act; `running` returned in place of the `succeeded` that was stored; no error when the table doesn't confirm. A leader that acts in time still costs no write of the entry (a test that passed before as well). Not measured: the writes of a wave while the leader of the zone is slow.

--- a/packages/daemon/src/samphirestackd/dispatch/jobs.py
+++ b/packages/daemon/src/samphirestackd/dispatch/jobs.py
@@ -12,6 +12,7 @@
 
 from samphirestack import configuration
 from samphirestack import errors
+from samphirestack.internal.leader import task_intake
 from samphirestack.internal import messages
 from samphirestack import model
 from samphirestack import platform
@@ -81,18 +82,8 @@
         :raises errors.NotFound: the team has no such job.
         :raises errors.StoreUnavailable: the table does not answer.
         """
-        for zone in self._zones_to_search(job_id):
-            row = await self._read(zone, job_id)
-            if row is None:
-                continue
-            record = _decode_record(row)
-            if record is None:
-                raise errors.SamphireError(
-                    f'the row of job {job_id!r} cannot be decoded'
-                )
-            if team is None or record.job.team == team:
-                return record
-        raise errors.NotFound(f'job {job_id[:128]!r} does not exist')
+        _, record = await self._find_row(job_id, team)
+        return record
 
     async def wait(
         self, job_id: model.JobId, team: model.TeamId, timeout_s: float
@@ -118,10 +109,14 @@
     async def cancel(
         self, job_id: model.JobId, team: model.TeamId | None
     ) -> model.JobRecord:
-        """Ask the leader of the home zone to cancel a job.
+        """Cancel a job and return its final row.
+
+        The leader of the home zone is asked first, since it writes the rows
+        of a wave of cancellations in batches.  This entry writes the row if
+        the leader has not done so in time.
 
-        :returns: the row, which may not be final yet.
         :raises errors.NoLeader: the leader could not be reached.
+        :raises errors.OutcomeUnknown: the job may have been cancelled.
         """
         sent = False
         for _ in range(CANCEL_ATTEMPTS):
@@ -137,7 +132,17 @@
                 f'the leader of zone {zone!r}, the home of job {job_id!r}, '
                 'could not be reached; the job was not cancelled'
             )
-        return await self.find(job_id, team)
+        for _ in range(WRITE_ATTEMPTS):
+            row, record = await self._find_row(job_id, team)
+            if record.state.is_final:
+                return record
+            await self._write_cancelled(row, record)
+        record = await self.find(job_id, team)
+        if record.state.is_final:
+            return record
+        raise errors.OutcomeUnknown(
+            f'the table did not confirm that job {job_id!r} is cancelled'
+        )
 
     async def scan(self, zone: model.ZoneId) -> list[model.JobRecord]:
         """Return the readable rows of all jobs whose home is a zone.
@@ -151,6 +156,41 @@
         records = (_decode_record(row) for row in rows)
         return [record for record in records if record is not None]
 
+    async def _find_row(
+        self, job_id: model.JobId, team: model.TeamId | None
+    ) -> tuple[platform.Row, model.JobRecord]:
+        for zone in self._zones_to_search(job_id):
+            row = await self._read(zone, job_id)
+            if row is None:
+                continue
+            record = _decode_record(row)
+            if record is None:
+                raise errors.SamphireError(
+                    f'the row of job {job_id!r} cannot be decoded'
+                )
+            if team is None or record.job.team == team:
+                return row, record
+        raise errors.NotFound(f'job {job_id[:128]!r} does not exist')
+
+    async def _write_cancelled(
+        self, row: platform.Row, record: model.JobRecord
+    ) -> None:
+        """Try to make a row final; the caller reads what became of it."""
+        cancelled = msgspec.structs.replace(
+            record,
+            state=model.JobState.CANCELLED,
+            reason=task_intake.CANCELLED,
+        )
+        value = model.job_to_row(cancelled)
+        write = platform.Write(TABLE, row.key, row.version, value)
+        try:
+            await self._context.table.transact([write])
+        except (errors.TransactionConflict, errors.OutcomeUnknown):
+            return
+        self._send_to_leader(
+            record.job.home_zone, messages.JobWork(record.job.job_id)
+        )
+
     def _new_job(self, request: JobRequest) -> model.Job:
         current = self._context.view.current
         team = current.teams_by_id.get(request.team)
