Send a throttle again until its worker has confirmed it

Operators saw, or would see, a team above its lowered slice whose tasks were never throttled, and callers a task that stayed at a quarter of its processors after the slice was raised again.

Cause: a change of the throttle was one call. `pop_actions` dropped it from its list when it was handed out, so that a call without an answer, or one to a worker that was silent at that moment, was never repeated; the task was noted as throttled, or as not throttled, all the same. Stops and checkpoints are repeated until the task has ended.

The wanted throttle is now kept until the worker has confirmed that percentage, is sent again every 2 s, and waits while the worker is not reachable.

Tests before, with the confirmations left out: no second call in two tests, and a call to the silent worker in the third. What remains: a throttle that arrives after a later lift was confirmed, and tasks that the next leader finds throttled, since no report names the throttle.

--- a/packages/core/src/samphirestack/internal/leader/task_preemption.py
+++ b/packages/core/src/samphirestack/internal/leader/task_preemption.py
@@ -18,8 +18,8 @@
 SLICE_CHECK_INTERVAL_S = 1.0
 """Time between checks for teams that exceed their slices."""
 
-REMOVAL_RETRY_S = 2.0
-"""Time after which a stop or checkpoint without effect is sent again."""
+ORDER_RETRY_S = 2.0
+"""Time after which a call without effect on a task is sent again."""
 
 
 class Preemption:
@@ -36,7 +36,8 @@
         self._planner = planner
         self._next_worker = 0
         self._reserving_gang: str | None = None
-        self._throttle_changes: list[task_state.Task] = []
+        self._throttle_changes_by_identity: dict[int, task_state.Task] = {}
+        """Tasks whose worker has not confirmed the wanted throttle."""
         self._throttled_by_identity: dict[int, task_state.Task] = {}
         self._slices_checked_at = -task_state.NEVER_S
 
@@ -55,7 +56,7 @@
             worker_id = task.worker_id
             if (
                 worker_id is None
-                or now < task.removal_asked_at + REMOVAL_RETRY_S
+                or now < task.removal_asked_at + ORDER_RETRY_S
             ):
                 continue
             if not self._pool.workers_by_id[worker_id].reachable:
@@ -67,16 +68,37 @@
                 else actions.StopTask
             )
             due.append(kind(worker_id, task.task_id))
-        for task in self._throttle_changes:
-            if task.worker_id is not None:
-                due.append(
-                    actions.ThrottleTask(
-                        task.worker_id,
-                        task.task_id,
-                        preemption.THROTTLE_PERCENT if task.throttled else 100,
-                    )
+        return due + self._throttle_actions(now)
+
+    def confirm_throttle(self, action: actions.ThrottleTask) -> None:
+        """Record that a worker has applied a throttle."""
+        worker = self._pool.workers_by_id.get(action.worker_id)
+        if worker is None:
+            return
+        task = worker.tasks_by_id.get(action.task_id)
+        if task is not None and action.percent == _throttle_percent(task):
+            self._throttle_changes_by_identity.pop(id(task), None)
+
+    def _throttle_actions(self, now: float) -> list[actions.Action]:
+        due: list[actions.Action] = []
+        for key, task in list(self._throttle_changes_by_identity.items()):
+            worker_id = task.worker_id
+            running = task.phase is task_state.Phase.RUNNING
+            if worker_id is None or not running:
+                del self._throttle_changes_by_identity[key]
+                continue
+            retry_at = task.throttle_asked_at + ORDER_RETRY_S
+            if (
+                now < retry_at
+                or not self._pool.workers_by_id[worker_id].reachable
+            ):
+                continue
+            task.throttle_asked_at = now
+            due.append(
+                actions.ThrottleTask(
+                    worker_id, task.task_id, _throttle_percent(task)
                 )
-        self._throttle_changes.clear()
+            )
         return due
 
     def _make_room_for_task(
@@ -254,9 +276,8 @@
         over = self._pool.teams_over_slice()
         for task in list(self._throttled_by_identity.values()):
             if task.team not in over:
-                task.throttled = False
                 del self._throttled_by_identity[id(task)]
-                self._throttle_changes.append(task)
+                self._set_throttled(task, False)
         for team, excess in over.items():
             tasks_by_id = self._running_tasks_of(team)
             steps = preemption.plan_reduction(
@@ -290,9 +311,17 @@
                 method is preemption.Method.CHECKPOINT,
             )
         elif not task.throttled:
-            task.throttled = True
             self._throttled_by_identity[id(task)] = task
-            self._throttle_changes.append(task)
+            self._set_throttled(task, True)
+
+    def _set_throttled(self, task: task_state.Task, throttled: bool) -> None:
+        task.throttled = throttled
+        task.throttle_asked_at = -task_state.NEVER_S
+        self._throttle_changes_by_identity[id(task)] = task
+
+
+def _throttle_percent(task: task_state.Task) -> int:
+    return preemption.THROTTLE_PERCENT if task.throttled else 100
 
 
 def _is_urgent(entry: task_state.JobEntry) -> bool:
--- a/packages/core/src/samphirestack/internal/leader/task_state.py
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -123,6 +123,7 @@
         'start_unconfirmed',
         'task_id',
         'team',
+        'throttle_asked_at',
         'throttled',
         'worker_id',
     )
@@ -163,6 +164,7 @@
         self.removal_asked_at = 0.0
         self.backfill_until: float | None = None
         self.throttled = False
+        self.throttle_asked_at = -NEVER_S
 
     @property
     def is_committed(self) -> bool:
--- a/packages/core/src/samphirestack/internal/leader/tasks.py
+++ b/packages/core/src/samphirestack/internal/leader/tasks.py
@@ -256,6 +256,10 @@
         )
         self._starts.record_outcome(now, worker_id, task_id, attempt, outcome)
 
+    def throttle_confirmed(self, action: actions.ThrottleTask) -> None:
+        """Record that a throttle was applied; others are sent again."""
+        self._preemption.confirm_throttle(action)
+
     def workers_to_query(self, now: float) -> list[model.WorkerId]:
         """Return the workers whose list of tasks should be read now."""
         return [
--- a/packages/daemon/src/samphirestackd/controllers/workers.py
+++ b/packages/daemon/src/samphirestackd/controllers/workers.py
@@ -133,12 +133,16 @@
             return
         try:
             async with self._call_slots:
-                if self._may_act(term):
-                    await _call_agent(link, action)
+                if not self._may_act(term):
+                    return
+                await _call_agent(link, action)
         except errors.SamphireError as error:
-            # The scheduler repeats the action until an event or a task list
-            # shows that the task has ended.
+            # The scheduler repeats the action until it is confirmed, or an
+            # event or a task list shows that the task has ended.
             self._record_failure(action, error)
+            return
+        if isinstance(action, actions.ThrottleTask) and self._term is term:
+            self._scheduler.throttle_confirmed(action)
 
     async def _start_task(
         self, term: interfaces.Term | None, action: actions.StartTask
--- a/packages/testing/src/samphirestack_testing/task_world.py
+++ b/packages/testing/src/samphirestack_testing/task_world.py
@@ -194,6 +194,7 @@
             self._start(now, action)
             return
         if isinstance(action, actions.ThrottleTask):
+            self.scheduler.throttle_confirmed(action)
             return
         method = agent.stop
         if isinstance(action, actions.CheckpointTask):
--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -382,6 +382,54 @@
         assert len(zone.plan(1.5)) == (2 if kind == 'gang' else 1)
 
 
+class TestThrottling:
+    """A changed throttle is sent until its worker has confirmed it."""
+
+    def _running(self) -> tuple[Zone, actions.StartTask]:
+        zone = _ready(1)
+        zone.submit('once', idempotent=False)
+        zone.plan(0.0)
+        for update in zone.scheduler.pop_updates(0.0):
+            zone.scheduler.update_saved(0.0, update)
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        return zone, start
+
+    def test_unconfirmed_throttle_is_sent_again(self) -> None:
+        """Guards against a team that stays above its lowered slice."""
+        zone, _ = self._running()
+        zone.ledger.running_by_team['t'] = 0
+        (first,) = zone.scheduler.plan(2.0)
+        assert isinstance(first, actions.ThrottleTask)
+        assert zone.scheduler.plan(2.1) == []
+        assert zone.scheduler.plan(5.0) == [first]
+        zone.scheduler.throttle_confirmed(first)
+        assert zone.scheduler.plan(10.0) == []
+
+    def test_throttle_is_lifted_once_the_worker_is_back(self) -> None:
+        """Guards against a task that stays throttled after the reason."""
+        zone, start = self._running()
+        zone.ledger.running_by_team['t'] = 0
+        (throttle,) = zone.scheduler.plan(2.0)
+        zone.scheduler.throttle_confirmed(throttle)
+        zone.scheduler.worker_unreachable(3.0, 'w0')
+        zone.ledger.running_by_team.clear()
+        assert zone.scheduler.plan(4.0) == []
+        zone.report_tasks(5.0, 'w0', start)
+        lift = msgspec.structs.replace(throttle, percent=100)
+        assert zone.scheduler.plan(6.0) == [lift]
+
+    def test_confirmation_of_an_earlier_throttle_is_not_enough(self) -> None:
+        """Guards against a lift that a late answer cancels."""
+        zone, _ = self._running()
+        zone.ledger.running_by_team['t'] = 0
+        (throttle,) = zone.scheduler.plan(2.0)
+        zone.ledger.running_by_team.clear()
+        (lift,) = zone.scheduler.plan(4.0)
+        zone.scheduler.throttle_confirmed(throttle)
+        assert zone.scheduler.plan(7.0) == [lift]
+
+
 class TestLostTasks:
     """Guards against a task that is lost with each worker that starts it."""
 
