Order an upkeep only after its record is stored

If the holder is lost right after an order, the next one doesn't know that the upkeep may have begun, contrary to docs/platform.md ("begun upkeeps are stored before the call"). And while writes fail, each step of a wave added its rows to the next transaction again, up to more rows than one may hold, which the store would refuse for ever.

Cause: the record was put into a list for a later transaction, and the order followed at once.

TermWriter.store returns an event that is set once the rows are stored; the order waits for it. Of each row only the newest waits for the next transaction.

Before: both tests of TestStoredProgress failed on the former code: m1 and m2 were ordered while the store refused every write, and one write held the row upkeep/1 twice. The controller's tests now run the writer as well, as orders depend on it; their checks are the same.

Not shown: a rule that this broke. By reading, the next holder orders the same machines first.

--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -93,19 +93,18 @@
         if not run.progress.completed:
             self._store_progress(run)
 
-    def _store_progress(self, run: upkeep.WaveRun) -> None:
+    def _store_progress(self, run: upkeep.WaveRun) -> asyncio.Event:
+        """Store the progress; return an event that is set once it is."""
         number = run.wave.number
-        self._writer.extra_puts.append(
-            ports.Put(
-                records.UPKEEP_TABLE,
-                str(number),
-                msgspec.msgpack.encode(run.progress),
-            )
+        progress = ports.Put(
+            records.UPKEEP_TABLE,
+            str(number),
+            msgspec.msgpack.encode(run.progress),
         )
-        self._writer.extra_puts.append(
-            self._context.registry.wave_status(number, run.progress.completed)
+        status = self._context.registry.wave_status(
+            number, run.progress.completed
         )
-        self._writer.write_requested.set()
+        return self._writer.store([progress, status])
 
     async def _advance(self, active: list[upkeep.WaveRun]) -> None:
         sent_at = clock.now()
@@ -129,7 +128,7 @@
                 upkeep.index_by_machine(self._scheduler.workers_by_id),
             )
             if calls:
-                self._store_progress(run)
+                await self._store_progress(run).wait()
             for machine in calls:
                 await self._begin_machine_upkeep(run, machine)
         self._close_machines(active)
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -48,8 +49,10 @@
         self._scheduler = scheduler
         self._on_stored = on_stored
         self._releasing = False
-        self.extra_puts: list[ports.Put] = []
-        """Rows other than those of jobs for the next transaction; a few."""
+        self._extra_puts_by_key: dict[tuple[str, str], ports.Put] = {}
+        """Rows other than those of jobs for the next transaction, by table
+        and key; a few."""
+        self._extra_puts_stored = asyncio.Event()
         self.write_requested = asyncio.Event()
         self.failing_since: float | None = None
         """When renewals began to fail; ``None`` while they succeed."""
@@ -70,11 +73,14 @@
                 pass
             self.write_requested.clear()
             changes = self._scheduler.collect_changes()
-            extra_puts = tuple(self.extra_puts)
-            self.extra_puts.clear()
+            extra_puts = tuple(self._extra_puts_by_key.values())
+            extra_puts_stored = self._extra_puts_stored
+            self._extra_puts_by_key = {}
+            self._extra_puts_stored = asyncio.Event()
             await self._write(
                 changes, self._term.renewal_record(self._releasing), extra_puts
             )
+            extra_puts_stored.set()
             self._on_stored(changes)
             if self._releasing:
                 raise TermLost('this process released the term')
@@ -82,6 +88,16 @@
                 self.write_requested.set()
             await asyncio.sleep(BATCH_INTERVAL_S)
 
+    def store(self, puts: Iterable[ports.Put]) -> asyncio.Event:
+        """Add rows to the next transaction; newer ones replace older ones.
+
+        :return: set once they are stored.
+        """
+        for put in puts:
+            self._extra_puts_by_key[put.table, put.key] = put
+        self.write_requested.set()
+        return self._extra_puts_stored
+
     def release(self) -> None:
         """Release the term, so that another entry can take over at once."""
         self._releasing = True
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -1,8 +1,11 @@
 """Waves of upkeep, throttling of fillers and leaving workers."""
 
 import asyncio
+from collections.abc import Sequence
 import itertools
 
+import msgspec
+
 from samphirestack import errors
 from samphirestack.fleet import actions
 from samphirestack.fleet import ports
@@ -352,16 +355,34 @@
         return ports.Put('status', str(number), b'')
 
 
-def make_controller(
-    context: node_context.Context, scheduler: schedulers.FleetScheduler
-) -> waves.UpkeepController:
-    """Return a controller of a holder whose term lasts for a minute."""
-    context.registry = Registry()  # type: ignore[assignment]
-    term = terms.Term(model.VmId('vm'), 'life', 'address')
-    record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
-    term.record_write(clock.now() + 60.0, record, 0)
-    writer = writers.TermWriter(context, term, scheduler, lambda one: None)
-    return waves.UpkeepController(context, term, scheduler, writer)
+class RunningController:
+    """Runs waves and writes to the store in a term that lasts."""
+
+    def __init__(
+        self,
+        context: node_context.Context,
+        scheduler: schedulers.FleetScheduler,
+    ) -> None:
+        context.registry = Registry()  # type: ignore[assignment]
+        term = terms.Term(model.VmId('vm'), 'life', 'address')
+        record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
+        term.record_write(clock.now() + 60.0, record, 0)
+        writer = writers.TermWriter(context, term, scheduler, lambda one: None)
+        controller = waves.UpkeepController(context, term, scheduler, writer)
+        self._tasks = [
+            asyncio.create_task(writer.run()),
+            asyncio.create_task(controller.run()),
+        ]
+
+    async def __aenter__(self) -> None:
+        return None
+
+    async def __aexit__(self, *error: object) -> None:
+        # A task that failed did so before the test ended it.
+        assert not any(task.done() for task in self._tasks)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
 class ClosedCheckingMachines(Machines):
@@ -424,16 +445,11 @@
         machines = ClosedCheckingMachines(world.scheduler)
         context.machines = machines
         context.waves = lambda: {1: make_wave(max_down=3)}
-        controller = make_controller(context, world.scheduler)
-        running = asyncio.create_task(controller.run())
-        try:
+        async with RunningController(context, world.scheduler):
             await waiting.until(
                 lambda: len(machines.begun) == 3, 10.0, 'three orders'
             )
             assert not machines.open_at_order
-        finally:
-            running.cancel()
-            await asyncio.gather(running, return_exceptions=True)
 
     async def test_a_new_holder_closes_machines_before_they_are_listed(
         self,
@@ -443,17 +459,12 @@
         machines = UnlistedMachines()
         context.machines = machines
         context.waves = lambda: {1: make_wave()}
-        controller = make_controller(context, world.scheduler)
-        running = asyncio.create_task(controller.run())
-        try:
+        async with RunningController(context, world.scheduler):
             await waiting.until(
                 lambda: machines.lists > 1, 10.0, 'calls for a list'
             )
             (worker,) = world.scheduler.workers_by_id.values()
             assert worker.closed_for_upkeep
-        finally:
-            running.cancel()
-            await asyncio.gather(running, return_exceptions=True)
 
 
 class TestUnansweredOrders:
@@ -463,21 +474,80 @@
         context = worlds.make_context(row_store.MemoryRowStore())
         machines = Machines()
         context.machines = machines
-        context.registry = Registry()  # type: ignore[assignment]
         context.waves = lambda: {1: make_wave(max_down=2)}
+        async with RunningController(context, worlds.World([]).scheduler):
+            await waiting.until(
+                lambda: machines.begun == ['m2'], 10.0, 'the order for m2'
+            )
+
+
+class RefusingStore(row_store.MemoryRowStore):
+    """Store that refuses writes for a while."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refuses_writes = True
+        self.refused: list[list[str]] = []
+        """Keys of the rows of each refused write."""
+
+    async def transact(
+        self,
+        conditions: Sequence[ports.Condition],
+        puts: Sequence[ports.Put],
+        removals: Sequence[ports.Removal] = (),
+        part: str = '',
+    ) -> int:
+        if self.refuses_writes:
+            self.refused.append([f'{put.table}/{put.key}' for put in puts])
+            raise errors.StoreUnavailable('refused')
+        return await super().transact(conditions, puts, removals, part)
+
+
+class TestStoredProgress:
+    """Guards against an upkeep that the next holder does not know of."""
+
+    async def test_no_order_is_sent_before_its_record_is_stored(self) -> None:
+        store = RefusingStore()
+        context = worlds.make_context(store)
+        machines = ClosedCheckingMachines(worlds.World([]).scheduler)
+        context.machines = machines
+        context.waves = lambda: {1: make_wave(max_down=2)}
+        async with RunningController(context, worlds.World([]).scheduler):
+            await waiting.until(
+                lambda: len(store.refused) > 5, 10.0, 'refused writes'
+            )
+            assert machines.begun == []
+            store.refuses_writes = False
+            await waiting.until(
+                lambda: machines.begun == ['m1', 'm2'], 10.0, 'two orders'
+            )
+            key = (records.UPKEEP_TABLE, records.HOLDER_PART, '1')
+            progress = msgspec.msgpack.decode(
+                store.rows_by_key[key][0], type=upkeep.WaveProgress
+            )
+            assert progress.begun == ['m1', 'm2']
+
+    async def test_a_write_holds_each_row_once(self) -> None:
+        store = RefusingStore()
+        context = worlds.make_context(store)
         term = terms.Term(model.VmId('vm'), 'life', 'address')
         record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
-        term.record_write(clock.now() + 60.0, record, 0)
-        scheduler = worlds.World([]).scheduler
-        writer = writers.TermWriter(context, term, scheduler, lambda one: None)
-        running = asyncio.create_task(
-            waves.UpkeepController(context, term, scheduler, writer).run()
+        term.record_write(clock.now(), record, 0)
+        writer = writers.TermWriter(
+            context, term, worlds.World([]).scheduler, lambda one: None
         )
+        for value in (b'1', b'2'):
+            writer.store([ports.Put(records.UPKEEP_TABLE, '1', value)])
+        running = asyncio.create_task(writer.run())
         try:
+            await waiting.until(lambda: bool(store.refused), 10.0, 'a write')
+            assert store.refused[0].count('upkeep/1') == 1
+            store.refuses_writes = False
+            key = (records.UPKEEP_TABLE, records.HOLDER_PART, '1')
             await waiting.until(
-                lambda: machines.begun == ['m2'], 10.0, 'the order for m2'
+                lambda: key in store.rows_by_key, 10.0, 'the row'
             )
-            assert not running.done()
+            assert store.rows_by_key[key][0] == b'2'
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
