Count the deadline of a wave from its receipt also after a takeover

Callers (the operator) would see a wave finish late after a change of the holder: each holder counted the deadline from the start of its own term, and waited for busy machines as if the whole time were left.

Cause: when the wave was requested was known only to the holder's run of it.

Each process notes when it first read a wave in the operator's rows, which all entries follow; a holder counts from there. A repeated read doesn't change the time, another content of the row does. The moment after which a listed machine counts as back is still counted from the start of the term.

Before: test_a_new_holder_counts_from_the_receipt_of_the_wave failed on the former code: with 5 s of 60 s left, the busy machine was not ordered in three steps. test_a_list_from_before_the_takeover_is_not_a_return guards the second time, which had been the same one.

Besides, the waves are copied before their progress is read, during which the feed may add one; that would have ended the term.

What remains: a process that started after the request counts from its start. Ruled out: a stored Unix time, as clocks may jump.

--- a/packages/core/src/samphirestack/fleet/upkeep.py
+++ b/packages/core/src/samphirestack/fleet/upkeep.py
@@ -41,6 +41,13 @@
     max_down: int
 
 
+class ReceivedWave(msgspec.Struct, frozen=True):
+    """A wave and when this process learned of it."""
+
+    wave: Wave
+    received_at: float
+
+
 class MachineState(enum.Enum):
     """State of a machine as the platform reports it."""
 
@@ -62,8 +69,10 @@
 class WaveRun:
     """Execution of a wave by the holder of the term.
 
-    :param received_at: when this holder learned of the wave.
+    :param received_at: when this process learned of the wave.
     :param upkeep_s: time that a machine is down.
+    :param held_since: when this holder began with the wave; when it learned
+        of it by default.
     """
 
     def __init__(
@@ -72,13 +81,15 @@
         received_at: float,
         upkeep_s: float,
         progress: WaveProgress | None = None,
+        held_since: float | None = None,
     ) -> None:
         self.wave = wave
         self.progress = progress or WaveProgress()
         self._received_at = received_at
         self._upkeep_s = upkeep_s
         self._ordered_at_by_machine: dict[str, float] = dict.fromkeys(
-            self.progress.begun, received_at
+            self.progress.begun,
+            received_at if held_since is None else held_since,
         )
         self._confirmed = set(self.progress.acknowledged)
         self._unanswered = set(self.progress.begun) - self._confirmed
--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -31,7 +31,7 @@
         self._store = store
         self._registry = registry
         self.configuration: specs.FleetConfiguration | None = None
-        self.waves_by_number: dict[int, upkeep.Wave] = {}
+        self.waves_by_number: dict[int, upkeep.ReceivedWave] = {}
         self.answered_at = float('-inf')
         """Time of the last answer of the store."""
         self.on_store_recovered: Callable[[], None] = lambda: None
@@ -103,7 +103,11 @@
     def _apply_row(self, row: ports.StoredRow) -> None:
         wave = self._registry.wave(row)
         if wave is not None:
-            self.waves_by_number[wave.number] = wave
+            known = self.waves_by_number.get(wave.number)
+            if known is None or known.wave != wave:
+                self.waves_by_number[wave.number] = upkeep.ReceivedWave(
+                    wave, clock.now()
+                )
             return
         found = self._registry.configuration(row)
         if found is None:
--- a/packages/daemon/src/samphirestackd/fleet/node_context.py
+++ b/packages/daemon/src/samphirestackd/fleet/node_context.py
@@ -65,4 +65,4 @@
     log: decision_log.DecisionLog
     metrics: metrics.Metrics
     configuration: Callable[[], specs.FleetConfiguration | None]
-    waves: Callable[[], dict[int, upkeep.Wave]]
+    waves: Callable[[], dict[int, upkeep.ReceivedWave]]
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -41,9 +41,9 @@
     async def run(self) -> None:
         """Execute waves until cancelled."""
         while True:
-            for number, wave in self._context.waves().items():
+            for number, received in list(self._context.waves().items()):
                 if number not in self._wave_runs_by_number:
-                    await self._start_wave(wave)
+                    await self._start_wave(received)
             active = [
                 run
                 for run in self._wave_runs_by_number.values()
@@ -62,7 +62,8 @@
                     logs.unexpected('upkeep.failed', '', error)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def _start_wave(self, wave: upkeep.Wave) -> None:
+    async def _start_wave(self, received: upkeep.ReceivedWave) -> None:
+        wave = received.wave
         key = str(wave.number)
         try:
             page = await self._context.store.read(
@@ -80,7 +81,11 @@
                 # already begun.
                 logs.limited_warning('upkeep.bad_row', key, error)
         run = upkeep.WaveRun(
-            wave, clock.now(), self._context.bounds.upkeep_s, progress
+            wave,
+            received.received_at,
+            self._context.bounds.upkeep_s,
+            progress,
+            clock.now(),
         )
         self._wave_runs_by_number[wave.number] = run
         self._context.log.write(
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
 from samphirestack_testing import fleet_world as worlds
 from samphirestack_testing import row_store
 from samphirestack_testing import waiting
+from samphirestackd.fleet import clock
 from samphirestackd.fleet import configuration_feed
 
 TIMEOUT_S = 10.0
@@ -98,3 +101,28 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class WaveRegistry(Registry):
+    """Registry whose rows hold the deadline of a wave."""
+
+    def wave(self, row: ports.StoredRow) -> upkeep.Wave | None:
+        return upkeep.Wave(1, ('m1',), float(row.value), 1)
+
+
+class TestWaves:
+    """Guards against a deadline that moves with each read of the wave."""
+
+    def test_a_wave_keeps_the_time_of_its_receipt(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        feed = configuration_feed.ConfigurationFeed(
+            row_store.MemoryRowStore(),
+            WaveRegistry(),  # type: ignore[arg-type]
+        )
+        received = []
+        for now, deadline in ((1.0, b'30'), (5.0, b'30'), (9.0, b'60')):
+            monkeypatch.setattr(clock, 'now', lambda now=now: now)
+            feed._apply([ports.StoredRow('wave/1', deadline, 1)])
+            received.append(feed.waves_by_number[1].received_at)
+        assert received == [1.0, 1.0, 9.0]
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -31,6 +31,10 @@
     return upkeep.Wave(1, ('m1', 'm2', 'm3'), deadline_s, max_down)
 
 
+def receive(wave: upkeep.Wave, age_s: float = 0.0) -> upkeep.ReceivedWave:
+    return upkeep.ReceivedWave(wave, clock.now() - age_s)
+
+
 def make_run(
     wave: upkeep.Wave, progress: upkeep.WaveProgress | None = None
 ) -> upkeep.WaveRun:
@@ -123,6 +127,14 @@
         run.record_states(5.0, {'m1': UP, 'm2': UP, 'm3': UP})
         assert run.begin_next(5.0, {}) == ['m2']
 
+    def test_a_list_from_before_the_takeover_is_not_a_return(self) -> None:
+        progress = upkeep.WaveProgress(['m1'], acknowledged=['m1'])
+        run = upkeep.WaveRun(make_wave(), 0.0, 2.0, progress, 20.0)
+        run.record_states(20.5, {'m1': UP, 'm2': UP, 'm3': UP})
+        assert run.begin_next(20.5, {}) == []
+        run.record_states(21.5, {'m1': UP, 'm2': UP, 'm3': UP})
+        assert run.begin_next(21.5, {}) == ['m2']
+
     def test_completion_requires_all_remaining_machines(self) -> None:
         run = make_run(make_wave(3))
         run.begin_next(0.0, {})
@@ -335,8 +347,10 @@
 
     def __init__(self) -> None:
         self.begun: list[str] = []
+        self.lists = 0
 
     async def list_machines(self) -> dict[str, upkeep.MachineState]:
+        self.lists += 1
         return dict.fromkeys(('m1', 'm2', 'm3'), UP)
 
     async def begin_upkeep(
@@ -408,10 +422,6 @@
 class UnlistedMachines(Machines):
     """Machines whose list is not available."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self.lists = 0
-
     async def list_machines(self) -> dict[str, upkeep.MachineState]:
         self.lists += 1
         raise errors.PlatformError('no answer')
@@ -444,7 +454,7 @@
         context = worlds.make_context(row_store.MemoryRowStore())
         machines = ClosedCheckingMachines(world.scheduler)
         context.machines = machines
-        context.waves = lambda: {1: make_wave(max_down=3)}
+        context.waves = lambda: {1: receive(make_wave(max_down=3))}
         async with RunningController(context, world.scheduler):
             await waiting.until(
                 lambda: len(machines.begun) == 3, 10.0, 'three orders'
@@ -458,7 +468,7 @@
         context = worlds.make_context(row_store.MemoryRowStore())
         machines = UnlistedMachines()
         context.machines = machines
-        context.waves = lambda: {1: make_wave()}
+        context.waves = lambda: {1: receive(make_wave())}
         async with RunningController(context, world.scheduler):
             await waiting.until(
                 lambda: machines.lists > 1, 10.0, 'calls for a list'
@@ -474,7 +484,7 @@
         context = worlds.make_context(row_store.MemoryRowStore())
         machines = Machines()
         context.machines = machines
-        context.waves = lambda: {1: make_wave(max_down=2)}
+        context.waves = lambda: {1: receive(make_wave(max_down=2))}
         async with RunningController(context, worlds.World([]).scheduler):
             await waiting.until(
                 lambda: machines.begun == ['m2'], 10.0, 'the order for m2'
@@ -511,7 +521,7 @@
         context = worlds.make_context(store)
         machines = ClosedCheckingMachines(worlds.World([]).scheduler)
         context.machines = machines
-        context.waves = lambda: {1: make_wave(max_down=2)}
+        context.waves = lambda: {1: receive(make_wave(max_down=2))}
         async with RunningController(context, worlds.World([]).scheduler):
             await waiting.until(
                 lambda: len(store.refused) > 5, 10.0, 'refused writes'
@@ -551,3 +561,26 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class TestDeadline:
+    """Guards against a wave that is late because the holder changed."""
+
+    async def test_a_new_holder_counts_from_the_receipt_of_the_wave(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a', machine='m1')])
+        world.accept(0.0, worlds.make_job(1))
+        world.start_all(0.1)
+        context = worlds.make_context(row_store.MemoryRowStore())
+        machines = ClosedCheckingMachines(world.scheduler)
+        context.machines = machines
+        wave = receive(make_wave(deadline_s=60.0), 55.0)
+        context.waves = lambda: {1: wave}
+        async with RunningController(context, world.scheduler):
+            await waiting.until(
+                lambda: machines.lists > 2 or bool(machines.begun),
+                10.0,
+                'an order or three steps without one',
+            )
+            assert machines.begun == ['m1']
