Count a machine as back only after the last order of its upkeep

Callers (the platform) would see one upkeep more begin than max_count allows (LIMIT): an order had no answer and did nothing, its repeat began the upkeep, and a list of machines from just before the repeat still showed the machine as up. As the first order was seconds ago, the machine counted as back, and the next one was taken down.

Cause: the time of an order was that of the first one, which a list must be newer than by SETTLE_S.

Each order that is sent sets the time.

Before: test_a_list_from_before_a_repeated_order_is_not_a_return failed on the former code (without the call of mark_sent): m2 was ordered 0.6 s after the repeat for m1.

--- a/packages/core/src/samphirestack/fleet/upkeep.py
+++ b/packages/core/src/samphirestack/fleet/upkeep.py
@@ -130,6 +130,10 @@
             ):
                 self._returned.add(machine)
 
+    def mark_sent(self, now: float, machine: str) -> None:
+        """Record that an order is about to be sent, also a repeated one."""
+        self._ordered_at_by_machine[machine] = now
+
     def mark_acknowledged(self, machine: str) -> None:
         """Record that the platform began the upkeep, now or earlier."""
         if machine not in self._confirmed:
--- a/packages/daemon/src/samphirestackd/fleet/waves.py
+++ b/packages/daemon/src/samphirestackd/fleet/waves.py
@@ -151,6 +151,7 @@
     ) -> None:
         if not self._term.may_start_work(clock.now()):
             return
+        run.mark_sent(clock.now(), machine)
         try:
             begun = await self._context.machines.begin_upkeep(
                 machine,
--- a/tests/unit/fleet/test_upkeep.py
+++ b/tests/unit/fleet/test_upkeep.py
@@ -135,6 +135,18 @@
         run.record_states(21.5, {'m1': UP, 'm2': UP, 'm3': UP})
         assert run.begin_next(21.5, {}) == ['m2']
 
+    def test_a_list_from_before_a_repeated_order_is_not_a_return(self) -> None:
+        run = make_run(make_wave())
+        run.begin_next(0.0, {})
+        run.mark_unanswered('m1')
+        run.record_states(5.0, {'m1': UP, 'm2': UP, 'm3': UP})
+        run.mark_sent(5.1, 'm1')
+        run.mark_acknowledged('m1')
+        run.record_states(5.6, {'m1': UP, 'm2': UP, 'm3': UP})
+        assert run.begin_next(5.7, {}) == []
+        run.record_states(6.2, {'m1': DOWN, 'm2': UP, 'm3': UP})
+        assert run.begin_next(6.3, {}) == []
+
     def test_completion_requires_all_remaining_machines(self) -> None:
         run = make_run(make_wave(3))
         run.begin_next(0.0, {})
