Let a holder resign while it still loads the jobs

Callers would see no task start for longer than needed: a holder that the store refuses, while it answers other entries, gives up its term after 0.4 s; but not if it was still reading the jobs, which it repeats until the store answers. Its supervisor had ended with the decision and didn't repeat it, and the others waited until the term was no longer renewed.

Cause: the decision was a variable that only the loop of plans read, and that loop begins after loading.

A task of its own waits for the resignation from the start of the term.

Before: test_a_holder_that_is_still_loading_resigns failed on the former code by its time-out of 10 s.

--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -101,6 +101,7 @@
         )
         self.loaded = False
         self._resign_reason = ''
+        self._resigned = asyncio.Event()
         self._jobs_version = 0
         """Version up to which all changes of jobs were applied."""
         self._jobs_read_requested = asyncio.Event()
@@ -129,7 +130,7 @@
         This is for a holder that cannot write to the store.
         """
         self._resign_reason = reason
-        self._plan_requested.set()
+        self._resigned.set()
 
     async def run(self) -> None:
         """Schedule until the term is lost.
@@ -137,7 +138,10 @@
         :raises writers.TermLost: this process no longer holds the term.
         """
         writer = asyncio.create_task(self.writer.run())
-        others = [asyncio.create_task(self._load_and_run())]
+        others = [
+            asyncio.create_task(self._load_and_run()),
+            asyncio.create_task(self._await_resignation()),
+        ]
         try:
             done, _ = await asyncio.wait(
                 [writer, *others], return_when=asyncio.FIRST_COMPLETED
@@ -151,6 +155,10 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _await_resignation(self) -> None:
+        await self._resigned.wait()
+        raise writers.TermLost(self._resign_reason)
+
     async def _load_and_run(self) -> None:
         await self._load()
         async with asyncio.TaskGroup() as group:
@@ -662,8 +670,6 @@
                 raise writers.TermLost(
                     'a worker rejected a call because of a newer term'
                 )
-            if self._resign_reason:
-                raise writers.TermLost(self._resign_reason)
             if self._term.may_start_work(now):
                 for action in self.scheduler.plan(now, self.advice_callers):
                     self._execute(action)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -20,6 +20,7 @@
 from samphirestack_testing import waiting
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import holder as holders
+from samphirestackd.fleet import writer as writers
 
 WORKERS = ('w0', 'w1')
 TIMEOUT_S = 10.0
@@ -703,3 +704,30 @@
         finally:
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
+
+
+class UnreadableStore(row_store.QuietRowStore):
+    """Store that takes writes and answers no reads."""
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        del table, first, end, part
+        raise errors.StoreUnavailable('no answer')
+
+
+class TestResigning:
+    """Guards against a holder that gives up its term and keeps it."""
+
+    async def test_a_holder_that_is_still_loading_resigns(self) -> None:
+        holder = make_holder(UnreadableStore())
+        running = asyncio.create_task(holder.run())
+        try:
+            await asyncio.sleep(0)
+            holder.resign('only other entries reach the store')
+            with pytest.raises(writers.TermLost, match='other entries'):
+                async with asyncio.timeout(TIMEOUT_S):
+                    await running
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
