Test of a second run of a gang whose first run succeeded

A gang's worker falls silent, its lease expires and the gang starts elsewhere. The silent worker returns with the end 'done'. The job completes, and its second run goes on to its end: _complete_task stops other runs only of steps without gang, and _end_job stops nothing when a job completes. 44.60 run 41 ends done on a, silent since 40.60 48.09 run 42 begins on b; 50.74 the end of the job is stored (completed) 56.00 run 42 is on b, state CONFIRMED, no stop sent

No rule of the platform names it: the lease lapsed before the end was heard.

--- a/tests/unit/fleet/test_stop_decisions.py
+++ b/tests/unit/fleet/test_stop_decisions.py
@@ -80,6 +80,31 @@
         assert _stopped_when_listed_early(world, start, outcome) == set()
 
 
+class TestRunsOfAGangThatIsDone:
+    """Guards against a second run of a gang that goes on for nothing."""
+
+    def test_it_is_stopped_when_the_silent_first_run_had_succeeded(
+        self,
+    ) -> None:
+        world = _world_of_two(worlds.make_queue())
+        world.accept(0.0, worlds.make_job(1, [worlds.make_step(gang=True)]))
+        (first,) = world.start_all(0.1)
+        silent = first.worker.worker_id
+        world.scheduler.mark_worker_silent(0.2, silent)
+        (second,) = world.start_all(10.0)
+        world.report(
+            10.1,
+            silent,
+            ended=[(1, first.order.task_id, first.order.run, DONE)],
+        )
+        order = second.order
+        running = [(order.task_id, order.run)]
+        world.report(10.2, second.worker.worker_id, running)
+        assert (second.worker.worker_id, *running[0]) in _stopped_runs(
+            world.plan(10.3)
+        )
+
+
 def _world_of_two(queue: specs.Queue) -> worlds.World:
     return worlds.World(
         [worlds.make_worker('a'), worlds.make_worker('b')],
@@ -134,6 +159,12 @@
     world.answer_start(after + 0.2, start, outcome)
     world.report(after + 0.3, worker_id, running, started=started)
     planned += world.plan(after + 0.4)
+    return _stopped_runs(planned)
+
+
+def _stopped_runs(
+    planned: list[actions.Action],
+) -> set[tuple[model.WorkerId, model.TaskId, specs.RunNumber]]:
     return {
         (action.worker.worker_id, action.task_id, action.run)
         for action in planned
