Stop the later runs of a gang whose earlier run succeeded

Callers would see a gang run, or even start, after its job was shown as completed: its worker fell silent, its lease lapsed and the gang started elsewhere; then the silent worker came back with the end done. Cause: the stop of other runs left out gangs, and the end of a completed job stops nothing. Now runs with another number are stopped, whether they were sent or not.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -578,7 +578,7 @@
         is_primary = run.is_primary if run else False
         if row.reason is specs.EndReason.DONE:
             self.quarantine.record_success(worker.entry.worker_id)
-            self._complete_task(now, task)
+            self._complete_task(now, task, row.run)
             return
         if row.reason is specs.EndReason.FAILED:
             self._record_task_failure(now, worker, task, row.run)
@@ -589,19 +589,33 @@
                 task.checkpoint = row.checkpoint
             self._requeue(now, task)
 
-    def _complete_task(self, now: float, task: work.Task) -> None:
+    def _complete_task(
+        self, now: float, task: work.Task, run_number: int
+    ) -> None:
         tasks = task.step.tasks if task.step.spec.gang else [task]
         for member in tasks:
             self.jobs.complete_task(now, member)
-        if not task.step.spec.gang:
-            self._stop_other_runs(now, task)
+        self._stop_other_runs(now, task, run_number)
         job = task.step.job
         if self.jobs.is_complete(job):
             self._end_job(job, specs.JobState.COMPLETED, now)
 
-    def _stop_other_runs(self, now: float, task: work.Task) -> None:
+    def _stop_other_runs(
+        self, now: float, task: work.Task, run_number: int
+    ) -> None:
+        """Stop the runs that the success of a run makes superfluous.
+
+        The members of a gang with the same run number succeed together.
+        """
+        gang = task.step.spec.gang
         for worker, run in self._runs_of_job(task.step.job):
-            if run.task is task:
+            if gang:
+                is_other = (
+                    run.task.step is task.step and run.number != run_number
+                )
+            else:
+                is_other = run.task is task
+            if is_other:
                 self._stop_run(worker, run, now, 'another run succeeded')
 
     def _record_task_failure(
