Don't count failures of a task that is done

Callers would see a job as failed although each of its tasks could succeed: a run that was superseded by an earlier one's success, and failed before its stop, counted as an attempt of the task.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -630,7 +630,7 @@
         if self.quarantine.record_failure(now, worker_id, job.job_id):
             worker.avoid_until = now + quarantine.FIRST_PAUSE_S
         task.failed_worker_ids.add(worker_id)
-        if task.step.spec.long_running:
+        if task.step.spec.long_running or task.state is work.TaskState.DONE:
             return
         attempts = self.jobs.record_failure(task, run_number)
         if attempts >= job.queue.max_attempts:
