Show a job as running once a report lists a run of it

Callers would see a job as waiting while its tasks run, and the number of waiting jobs was too high: only the answer of a start made a job running, and it is ignored after a report has listed the run.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -485,6 +485,7 @@
             )
         run.state = tracking.RunState.CONFIRMED
         run.lists_valid_from = now
+        self.jobs.mark_running(run.task.step.job)
         self._send_due_stop(now, worker, run)
         run.started_at = min(run.started_at, now)
         if (
