Adopt no run from a report that a newer one has overtaken

Callers would see a task start late: a report that was requested before the end of a run, and handled after it, made the scheduler track the run again until the next report. Such a report adopts nothing now.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -316,6 +316,7 @@
                 worker.lease_deadline_ms,
                 report.clock_ms + self._max_lease_s * 1000,
             )
+        known_end = worker.last_handled_end
         for row in report.ended:
             if row.number > worker.last_handled_end:
                 worker.last_handled_end = row.number
@@ -334,6 +335,8 @@
             )
         if report.ends_complete:
             self._settle_unlisted_runs(now, sent_at, worker, listed)
+        if worker.last_handled_end > known_end:
+            worker.last_end_at = now
         worker.has_reported = True
 
     def _settle_unlisted_runs(
@@ -474,7 +477,7 @@
         key = (row.task_id, row.run)
         run = worker.runs_by_key.get(key)
         if run is None:
-            run = self._adopt_run(now, worker, row)
+            run = self._adopt_run(now, sent_at, worker, row)
             if run is None:
                 return
         if run.state is tracking.RunState.ORDERED:
@@ -524,13 +527,20 @@
         self._stop_run(worker, run, now, 'no progress')
 
     def _adopt_run(
-        self, now: float, worker: tracking.TrackedWorker, row: specs.RunningRow
+        self,
+        now: float,
+        sent_at: float,
+        worker: tracking.TrackedWorker,
+        row: specs.RunningRow,
     ) -> tracking.Run | None:
         """Track a listed run that an earlier holder of the term started.
 
         A run of a job that is not active, or of a task that is placed or
         done already, is stopped.
         """
+        if sent_at < worker.last_end_at:
+            # The run may have ended since; the next report tells.
+            return None
         task = self.jobs.find_task(row.task_id)
         if task is None:
             key = (row.task_id, row.run)
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -190,6 +190,8 @@
         """When the worker's clock was read, on the scheduler's clock."""
         self.last_answer_at = float('-inf')
         """When the worker last answered a call."""
+        self.last_end_at = float('-inf')
+        """When a report with new ends was last applied."""
         self.probation_run_count = 0
         self.late_orders_end_at = float('inf')
         """Since its restart, when no run of an order to the process before
