Send a stop anew to the next process of a worker in each case

Answers of an earlier process counted for the next one: a late one, one before an incomplete first report, and for a run that the new process lists, whose next stop waited 3 s. A task could start elsewhere while an order may still start it there. Shown on the scheduler alone: on the platform an order names the process.

Not covered: an answer of the earlier process that comes after the order to the next one was sent.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -382,6 +382,9 @@
         worker.last_acknowledged_end = 0
         worker.unstored_ends.clear()
         worker.reset_clock(now, self._max_lease_s)
+        for run in worker.runs_by_key.values():
+            if run.stop is not None:
+                run.stop.forget_orders()
         listed = _listed_runs(report) if report else set()
         if report is not None and not report.ends_complete:
             # Runs of the new process may have ended beyond the list.
@@ -410,8 +413,6 @@
                 # The order may still reach the restarted worker.
                 run.state = tracking.RunState.UNCERTAIN
                 run.lists_valid_from = now
-                if run.stop is not None:
-                    run.stop.forget_orders()
             else:
                 self._remove_lost_run(now, worker, run)
 
@@ -842,7 +843,7 @@
         run = worker.runs_by_key.get((task_id, run_number))
         if run is None or run.stop is None:
             return
-        if accepted:
+        if accepted and run.stop.is_ordered:
             run.stop.is_accepted = True
             # A list requested from now on that doesn't contain the run
             # proves that it is over or will never start.
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -68,6 +68,11 @@
         self.is_reported = False
         """Whether operators were told that the stop is overdue."""
 
+    @property
+    def is_ordered(self) -> bool:
+        """Return whether this process of the worker was sent an order."""
+        return self.sent_at > float('-inf')
+
     def is_order_due(self, now: float) -> bool:
         """Return whether to send a stop order, for the first time or again."""
         interval_s = STOP_OVERDUE_S if self.is_accepted else STOP_RETRY_S
