--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -43,6 +43,9 @@
 """A run without progress for STALL_MIN_S, and for this many times its
 estimated run time, is stopped and started on another worker."""
 
+GANG_INCOMPLETE = 'gang is incomplete'
+"""Reason to stop the members of a gang that go on without the others."""
+
 STALL_PAUSE_S = 6.0
 """Pause in placing work on a worker on which a run stalled."""
 
@@ -587,7 +590,6 @@
         if task is None or task.step.job.state in specs.ENDED_STATES:
             return
         task.last_run_number = max(task.last_run_number, row.run)
-        is_primary = run.is_primary if run else False
         if row.reason is specs.EndReason.DONE:
             self.quarantine.record_success(worker.entry.worker_id)
             self._complete_task(now, task, row.run)
@@ -596,10 +598,14 @@
             self._record_task_failure(now, worker, task, row.run)
         if task.step.job.state in specs.ENDED_STATES:
             return
-        if is_primary and task.placed_run_number == row.run:
+        if (
+            run is not None
+            and run.is_primary
+            and task.placed_run_number == row.run
+        ):
             if row.checkpoint:
                 task.checkpoint = row.checkpoint
-            self._requeue(now, task)
+            self._requeue(now, run)
 
     def _complete_task(
         self, now: float, task: work.Task, run_number: int
@@ -662,14 +668,17 @@
             and task.state is work.TaskState.PLACED
             and task.placed_run_number == run.number
         ):
-            self._requeue(now, task)
+            self._requeue(now, run)
 
-    def _requeue(self, now: float, task: work.Task) -> None:
-        """Queue a placed task again; a gang starts anew as a whole."""
-        run_number = task.placed_run_number
-        self.jobs.requeue(task)
-        if task.step.spec.gang:
-            self._stop_gang(now, task.step, run_number)
+    def _requeue(self, now: float, run: tracking.Run) -> None:
+        """Queue the task of a run again; a gang starts anew as a whole."""
+        step = run.task.step
+        self.jobs.requeue(run.task)
+        # The others are stopped already if this run was stopped with them.
+        if step.spec.gang and (
+            run.stop is None or run.stop.reason != GANG_INCOMPLETE
+        ):
+            self._stop_gang(now, step, run.number)
 
     def _add_run(
         self, worker: tracking.TrackedWorker, run: tracking.Run
@@ -713,7 +722,7 @@
         """
         for worker, run in self._runs_of_job(step.job):
             if run.task.step is step and run_number in (None, run.number):
-                self._stop_run(worker, run, now, 'gang is incomplete')
+                self._stop_run(worker, run, now, GANG_INCOMPLETE)
 
     def _stop_run(
         self,
@@ -748,6 +757,7 @@
         if (
             stop is None
             or run.state is tracking.RunState.ORDERED
+            or not worker.entry.address
             or not stop.is_order_due(now)
         ):
             return
--- a/tests/unit/fleet/test_stop_reports.py
+++ b/tests/unit/fleet/test_stop_reports.py
@@ -1,6 +1,7 @@
 """Reports to operators about runs that are to be stopped."""
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
 from samphirestack import model
@@ -68,6 +69,20 @@
         assert not _overdue(world.plan(0.7 + OVERDUE_S))
 
 
+class TestWorkersWithoutAnAddress:
+    """Guards against stop orders that can't be sent, repeated each second."""
+
+    def test_a_stop_waits_until_the_worker_registers(self) -> None:
+        world = worlds.World([], term=2)
+        job = worlds.make_job(1)
+        progress = records.JobProgress(placed_by_task={'0.0.0': (1, 'a')})
+        world.scheduler.load_job(0.0, worlds.UNIX_AT_ZERO_S, job, progress)
+        world.scheduler.cancel(0.0, job.job_id)
+        assert not _stops(world.plan(0.0) + world.plan(2.0))
+        world.scheduler.set_workers(3.0, [worlds.make_worker('a')])
+        assert len(_stops(world.plan(3.0))) == 1
+
+
 class TestEarlyReports:
     """Guards against starts that a report confirms without a trace."""
 
@@ -92,6 +107,10 @@
         ]
 
 
+def _stops(planned: list[actions.Action]) -> list[actions.Stop]:
+    return [action for action in planned if isinstance(action, actions.Stop)]
+
+
 def _decided(
     planned: list[actions.Action],
 ) -> list[tuple[model.TaskId, str, bool]]:
