Give up a task of the older interface that is lost five times in a row

Cause: `max_attempts` bounds failed attempts only; a loss always queued the task again. Losses in a row are now counted, and after `MAX_LOSSES` the task fails with its reason. An end that the worker reports clears the count, a stop leaves it as it is, a start that certainly had no effect doesn't count, and services are always started again.

Two new tests hold what must not count; they pass before as well. What remains: unlike the fleet scheduler this doesn't tell the task that crashed a worker from others that were on it, and the count, as that of failures, starts anew with each leader. A start without an answer that no list shows counts as a loss, since a worker that crashes at once gives no answer either.

--- a/packages/core/src/samphirestack/internal/leader/task_outcomes.py
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -15,6 +15,10 @@
 MAX_EARLY_ENDS = 50_000
 """Ends of tasks that are kept until their job rows are read."""
 
+MAX_LOSSES = 5
+"""Attempts lost one after the other after which a task is given up, since it
+may end each worker that starts it.  Services are always started again."""
+
 FIRST_RETRY_DELAY_S = 0.2
 """Delay before the first retry of a failed task; doubles per failure."""
 
@@ -102,6 +106,10 @@
         entry = task.job
         if entry is None:
             return
+        if state is model.TaskState.LOST:
+            task.losses += 1
+        elif state is not model.TaskState.STOPPED:
+            task.losses = 0
         if entry.state.is_final:
             self.end_task(now, task, state, reason)
         elif state is model.TaskState.SUCCEEDED and not entry.is_service:
@@ -132,6 +140,9 @@
                 f'{reason}; the job is not idempotent, so it is not started '
                 f'again',
             )
+        elif task.losses >= MAX_LOSSES and not entry.is_service:
+            why = f'task {task.index} was lost {task.losses} times: {reason}'
+            self.end_task(now, task, model.TaskState.FAILED, why)
         else:
             self.requeue(now, task, 0.0)
 
@@ -139,6 +150,12 @@
         self, now: float, task: task_state.Task, reason: str
     ) -> None:
         """Release a committed task that does not run; handle its loss."""
+        started = task.phase is not task_state.Phase.PREPARED
+        if started and task.removal_reason is None:
+            task.losses += 1
+        self._release(now, task, reason)
+
+    def _release(self, now: float, task: task_state.Task, reason: str) -> None:
         cancelled = task.removal_reason is task_state.RemovalReason.CANCEL
         self._uncommit(now, task)
         if cancelled and task.job is not None:
@@ -151,7 +168,7 @@
         if task.phase is not task_state.Phase.PREPARED:
             task.attempt -= 1
             task.may_have_run = False
-        self.release_task(now, task, '')
+        self._release(now, task, '')
 
     def postpone_placement(
         self, now: float, task: task_state.Task, delay_s: float
--- a/packages/core/src/samphirestack/internal/leader/task_state.py
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -111,6 +111,7 @@
         'failures',
         'index',
         'job',
+        'losses',
         'may_have_run',
         'missing_at_event',
         'need',
@@ -145,6 +146,8 @@
         self.worker_id: model.WorkerId | None = None
         self.attempt = 0
         self.failures = 0
+        self.losses = 0
+        """Consecutive attempts that were lost without a result."""
         self.avoid: set[model.WorkerId] = set()
         self.may_have_run = False
         self.not_before = 0.0
--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -446,3 +446,22 @@
                 zone.report_tasks(now + 2.0, 'w0', start, asked_at=now + 2.0)
                 zone.report_tasks(now + 5.0, 'w0', asked_at=now + 5.0)
         assert 1 < count <= 5
+
+    @pytest.mark.parametrize('state', ['checkpointed', 'stopped'])
+    def test_other_ends_do_not_count(self, state: str) -> None:
+        """Guards against giving up a task that no worker was lost with."""
+        zone = _ready(1)
+        zone.submit('a')
+        for number in range(8):
+            (start,) = zone.plan(float(number))
+            zone.accept(float(number), start)
+            zone.event(number + 0.5, start, number + 1, state)
+
+    def test_service_is_not_given_up(self) -> None:
+        """Guards against a service that ends without a cancellation."""
+        zone = _ready(1)
+        zone.submit('a', kind=model.JobKind.SERVICE)
+        for number in range(8):
+            (start,) = zone.plan(float(number))
+            zone.accept(float(number), start)
+            zone.event(number + 0.5, start, number + 1, 'lost')
