Don't reserve for a gang the room freed for an urgent task

Callers saw, or would see, an urgent task wait up to 15 s longer although another task had been stopped for it, while the room stayed empty.

Cause: room freed by preemption is reserved for the urgent task. The reservation of the next gang was then computed from the free room and the expected ends of the worker alone, and took the same room. Each of the two kept the other from starting until the first one expired.

The reservation of a gang now takes room reserved for others as used.

The new test failed before: no start in place of `urgent`.

--- a/packages/core/src/samphirestack/internal/leader/task_planner.py
+++ b/packages/core/src/samphirestack/internal/leader/task_planner.py
@@ -108,6 +108,13 @@
         """Return all reservations."""
         return tuple(self._reservations.values())
 
+    def reserved_on(self, worker_id: model.WorkerId) -> model.Resources:
+        """Return the room that is reserved on a worker."""
+        reserved = model.Resources()
+        for reservation in self._reservations_by_worker.get(worker_id, ()):
+            reserved += reservation.needs_by_worker[worker_id]
+        return reserved
+
     def release_reservation(self, holder: str) -> None:
         """Remove the reservation of a holder, if there is one."""
         old = self._reservations.pop(holder, None)
--- a/packages/core/src/samphirestack/internal/leader/task_preemption.py
+++ b/packages/core/src/samphirestack/internal/leader/task_preemption.py
@@ -196,6 +196,7 @@
     def _worker_loads(
         self, now: float, may_preempt: bool
     ) -> Iterator[gangs.WorkerLoad]:
+        """Return the loads of usable workers, with reserved room as used."""
         for worker_id, worker in self._pool.workers_by_id.items():
             state = self._pool.index.state(worker_id)
             if not state.usable:
@@ -206,7 +207,8 @@
                 )
                 for task in worker.tasks_by_id.values()
             )
-            yield gangs.WorkerLoad(worker_id, state.free, expected_ends)
+            free = state.free - self._planner.reserved_on(worker_id)
+            yield gangs.WorkerLoad(worker_id, free, expected_ends)
 
     def _ends_at(
         self, now: float, task: task_state.Task, may_preempt: bool
--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -352,6 +352,20 @@
         zone.event(1.5, start, 1, 'stopped')
         assert [s.task.job_id for s in zone.plan(1.5)] == ['urgent']
 
+    def test_gang_does_not_reserve_room_freed_for_urgent_work(self) -> None:
+        """Guards against reservations that block each other until a TTL."""
+        zone = _ready(1)
+        zone.submit('patient', resources=WHOLE)
+        (start,) = zone.plan(0.0)
+        zone.accept(0.0, start)
+        gang = model.JobKind.GANG
+        zone.submit('gang', now=1.0, kind=gang, resources=WHOLE)
+        zone.submit('urgent', now=1.0, queue='urgent')
+        stop = actions.StopTask('w0', start.task.task_id)
+        assert zone.scheduler.plan(1.0) == [stop]
+        zone.event(1.5, start, 1, 'stopped')
+        assert [s.task.job_id for s in zone.plan(1.5)] == ['urgent']
+
     def test_started_work_that_is_not_idempotent_is_not_preempted(
         self,
     ) -> None:
