--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -54,12 +54,16 @@
 
     def __init__(self, has_store: bool = False) -> None:
         self.has_store = has_store
+        self.job_versions: list[int] = []
+        self.cancellation_versions: list[int] = []
 
     def announce_job(self, row: bytes, version: int) -> None:
-        del row, version
+        del row
+        self.job_versions.append(version)
 
     def announce_cancellation(self, job_id: model.JobId, version: int) -> None:
-        del job_id, version
+        del job_id
+        self.cancellation_versions.append(version)
 
     async def state_of(
         self, job_id: model.JobId, timeout_s: float
@@ -79,6 +83,7 @@
     store: FailingStore | row_store.MemoryRowStore,
     age_s: float = 0.0,
     holder_has_store: bool = False,
+    holder: NoHolder | None = None,
 ) -> tuple[edge.Edge, configuration_feed.ConfigurationFeed]:
     context = worlds.make_context(store)  # type: ignore[arg-type]
     feed = configuration_feed.ConfigurationFeed(store, None)  # type: ignore[arg-type]
@@ -93,12 +98,8 @@
     feed.confirmed_at = clock.now() - age_s
     feed.answered_at = clock.now()
     spec = specs.JobSpec('payload', (worlds.make_step(),))
-    return (
-        edge.Edge(
-            context, feed, NoHolder(holder_has_store), lambda body: spec
-        ),
-        feed,
-    )
+    holder = holder or NoHolder(holder_has_store)
+    return edge.Edge(context, feed, holder, lambda body: spec), feed
 
 
 def make_call(method: str = 'POST', key: str = 'key') -> edge.Call:
@@ -213,3 +214,44 @@
             (part, JOB),
             (part, JOB + records.CANCEL_SUFFIX),
         }
+
+
+class AppliedWithoutAnswer(row_store.MemoryRowStore):
+    """Store whose first write is applied without an answer."""
+
+    async def transact(
+        self,
+        conditions: Sequence[ports.Condition],
+        puts: Sequence[ports.Put],
+        removals: Sequence[ports.Removal] = (),
+        part: str = '',
+    ) -> int:
+        version = await super().transact(conditions, puts, removals, part)
+        if self.transactions == 1:
+            raise errors.OutcomeUnknown('no answer')
+        return version
+
+
+class TestAnnouncements:
+    """Guards against notices that the holder takes for outdated ones."""
+
+    async def test_they_carry_the_version_of_their_row(self) -> None:
+        store = row_store.MemoryRowStore()
+        await store.transact([], [ports.Put('other', 'key', b'')])
+        holder = NoHolder()
+        entry, _ = make_edge(store, holder=holder)
+        await entry.handle(make_call())
+        await entry.handle(make_call('DELETE'))
+        part = records.job_part(JOB)
+        row = store.rows_by_key[records.JOBS_TABLE, part, JOB]
+        cancel_key = JOB + records.CANCEL_SUFFIX
+        cancellation = store.rows_by_key[records.JOBS_TABLE, part, cancel_key]
+        assert holder.job_versions == [row[1]]
+        assert holder.cancellation_versions == [cancellation[1]]
+
+    async def test_a_job_found_by_a_retry_is_announced(self) -> None:
+        holder = NoHolder()
+        entry, _ = make_edge(AppliedWithoutAnswer(), holder=holder)
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.ACCEPTED
+        assert holder.job_versions == [messages.UNKNOWN_VERSION]
