Property test of stops: failures that end a job early, prompt takeovers

Cause: trials with faults put into a mended scratch copy of the scheduler. Of eight, four passed unseen: jobs that failed had no other run going, as all tasks ended at once, and no takeover followed a cancellation closely.

Change: only the first task of a job fails, after a tenth of its run time; a cancellation may be followed by a takeover at once; 200 examples.

--- a/tests/property/test_stop_decisions.py
+++ b/tests/property/test_stop_decisions.py
@@ -86,6 +86,11 @@
     def gang(self) -> tuple[str, int]:
         return self.task.rpartition('.')[0], self.number
 
+    @property
+    def work_s(self) -> float:
+        share = 0.1 if self.reason is Reason.FAILED else 1.0
+        return share * self.step.estimate_s
+
     def percent(self, now: float) -> float:
         if self.is_stuck:
             return 1.0
@@ -194,7 +199,7 @@
 
     record: records.JobRecord
     failing_runs: int
-    """Runs of each task that fail before one succeeds."""
+    """Runs of its first task that fail, early, before one succeeds."""
     cancelled: bool = False
     over_at: float = float('inf')
     """When it was cancelled or its end was stored."""
@@ -619,9 +624,7 @@
         job = self.jobs_by_id[task.split('.')[0]]
         step = job.step
         starts = self.starts_by_task.setdefault(task, [])
-        fails = len(starts) < job.failing_runs
-        if step.gang:
-            fails = fails and task.endswith('.0')
+        fails = len(starts) < job.failing_runs and task.endswith('.0')
         starts.append(self.now)
         run = Run(task, number, step, self.now, float('inf'), Reason.DONE)
         if fails:
@@ -629,7 +632,7 @@
         if not step.gang and not step.long_running:
             run.is_stuck, worker.sticks = worker.sticks, False
         if not (step.gang or step.long_running or run.is_stuck):
-            run.ends_at = self.now + step.estimate_s
+            run.ends_at = self.now + run.work_s
         worker.running[run.key] = run
 
     def _run_gangs(self) -> None:
@@ -651,12 +654,7 @@
             elif len(members) == size:
                 self.begun_gangs.add(gang)
                 for _, run in members:
-                    run.ends_at = min(
-                        run.ends_at,
-                        self.now
-                        + run.step.estimate_s
-                        * (0.5 if run.reason is Reason.FAILED else 1.0),
-                    )
+                    run.ends_at = min(run.ends_at, self.now + run.work_s)
             else:
                 for worker, run in members:
                     if self.now - run.started_at > GANG_TIMEOUT_S:
@@ -757,11 +755,20 @@
         )
         self.fleet.run(seconds)
 
-    @stateful.rule(kind=kinds, count=counts, after_s=st.floats(0.0, 0.8))
-    def submit_and_cancel(self, kind: str, count: int, after_s: float) -> None:
+    @stateful.rule(
+        kind=kinds,
+        count=counts,
+        after_s=st.floats(0.0, 0.8),
+        takes_over=st.booleans(),
+    )
+    def submit_and_cancel(
+        self, kind: str, count: int, after_s: float, takes_over: bool
+    ) -> None:
         job_id = self.fleet.submit(make_step(kind, count, 20.0))
         self.fleet.run(after_s)
         self.fleet.cancel(job_id)
+        if takes_over:
+            self.fleet.take_over()
 
     @stateful.precondition(lambda self: self.fleet.unfinished_jobs())
     @stateful.rule(data=st.data(), seconds=pauses)
@@ -833,7 +840,7 @@
 
 TestStopsAmongFaults = StopsAmongFaults.TestCase
 TestStopsAmongFaults.settings = hypothesis.settings(
-    max_examples=100,
+    max_examples=200,
     stateful_step_count=15,
     # Shrinking would replay the whole run many times.
     phases=[hypothesis.Phase.generate],
