--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -44,3 +44,19 @@
         second = workers.Run('t', 2, 'w-1', first.ended_at + 1.0)
         found = soak._findings_of_task('t', [first, second])
         assert len(found) == (0 if lapses else 1)
+
+    @pytest.mark.parametrize(
+        ('ended_at', 'is_found'),
+        [(13.3, False), (13.5, True), (None, True)],
+    )
+    def test_a_run_that_nobody_stops_is_found_after_the_bounds(
+        self, ended_at: float | None, is_found: bool
+    ) -> None:
+        job = soak.Job('j', {}, cancelled_at=2.0)
+        run = workers.Run('j.0.0.0', 1, 'w-0', 1.0, ended_at=ended_at)
+        found = soak.unstopped(job, [run], calm_since=7.0)
+        assert bool(found) == is_found
+
+    def test_a_run_of_a_job_that_was_not_cancelled_goes_on(self) -> None:
+        run = workers.Run('j.0.0.0', 1, 'w-0', 1.0)
+        assert not soak.unstopped(soak.Job('j', {}), [run], calm_since=7.0)
