--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -20,6 +20,7 @@
 from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
+from samphirestack.fleet import stops
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import throttling
 from samphirestack.fleet import tracking
@@ -549,7 +550,7 @@
         if task is None:
             key = (row.task_id, row.run)
             ordered_at = worker.unknown_runs.get(key, float('-inf'))
-            if now - ordered_at > tracking.STOP_RETRY_S:
+            if now - ordered_at > stops.STOP_RETRY_S:
                 worker.unknown_runs[key] = now
                 self._pending_actions.append(
                     actions.Stop(
@@ -733,7 +734,7 @@
     ) -> None:
         if run.stop is not None:
             return
-        run.stop = tracking.StopDecision(now, reason)
+        run.stop = stops.StopDecision(now, reason)
         self._send_due_stop(now, worker, run)
         self._pending_actions.append(
             actions.ReportStopDecided(
@@ -750,8 +751,8 @@
     ) -> None:
         """Send a stop order if one is due.
 
-        While the start order is unanswered, the worker might receive it after
-        the stop order.
+        It waits for the answer of the start, which could otherwise reach the
+        worker after it.
         """
         stop = run.stop
         if (
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -4,20 +4,13 @@
 import enum
 
 from samphirestack.fleet import specs
+from samphirestack.fleet import stops
 from samphirestack.fleet import work
 from samphirestack import model
 
 LATE_ORDER_S = 12.0
 """An order without an answer may be carried out this much later."""
 
-STOP_RETRY_S = 1.0
-"""Interval between stop orders while the worker does not answer."""
-
-STOP_OVERDUE_S = 3.0
-"""Time after which a run that was to be stopped should have ended.  Operators
-are told that it goes on, and an accepted stop order is repeated.  Workers stop
-a run within about a second."""
-
 MAX_CLOCK_DRIFT = 0.03
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
@@ -30,7 +23,7 @@
     """What the scheduler has heard of the start of a run.
 
     Whether the run is to be stopped is a decision, which nothing that is heard
-    revokes; see ``StopDecision``.
+    revokes; see ``stops.StopDecision``.
     """
 
     ORDERED = 'ordered'
@@ -41,58 +34,6 @@
     """The worker accepted the start order or listed the run."""
 
 
-class StopDecision:
-    """Decision to stop a run, which is in force until the run is over.
-
-    The run holds its resources until its end.
-    """
-
-    __slots__ = (
-        'decided_at',
-        'is_accepted',
-        'is_reported',
-        'orders',
-        'reason',
-        'sent_at',
-    )
-
-    def __init__(self, now: float, reason: str) -> None:
-        self.decided_at = now
-        self.reason = reason
-        self.sent_at = float('-inf')
-        """When the last stop order to this process of the worker was sent."""
-        self.orders = 0
-        """Number of stop orders sent."""
-        self.is_accepted = False
-        """Whether this process of the worker accepted a stop order."""
-        self.is_reported = False
-        """Whether operators were told that the stop is overdue."""
-
-    @property
-    def is_ordered(self) -> bool:
-        """Return whether this process of the worker was sent an order."""
-        return self.sent_at > float('-inf')
-
-    def is_order_due(self, now: float) -> bool:
-        """Return whether to send a stop order, for the first time or again."""
-        interval_s = STOP_OVERDUE_S if self.is_accepted else STOP_RETRY_S
-        return now - self.sent_at > interval_s
-
-    def record_order(self, now: float) -> None:
-        """Record that a stop order is sent."""
-        self.sent_at = now
-        self.orders += 1
-
-    def forget_orders(self) -> None:
-        """Send the order anew, to the next process of the worker."""
-        self.sent_at = float('-inf')
-        self.is_accepted = False
-
-    def is_overdue(self, now: float) -> bool:
-        """Return whether the run should have ended long ago."""
-        return now - self.decided_at > STOP_OVERDUE_S
-
-
 class Run:
     """A run that uses, or may use, resources of a worker."""
 
@@ -158,7 +99,7 @@
         self.throttle_unsettled_until = float('-inf')
         """Until when a speed limit that was ordered without an answer may
         replace newer ones."""
-        self.stop: StopDecision | None = None
+        self.stop: stops.StopDecision | None = None
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
         surplus run of a task that is placed or done already."""
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -5,6 +5,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack.fleet import stops
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import tracking
 from samphirestack import model
@@ -539,7 +540,7 @@
         running = [(order.task_id, order.run)]
         world.report(1.0, 'a', running)
         assert not _stops(world.plan(1.0))
-        late = 0.3 + tracking.STOP_OVERDUE_S
+        late = 0.3 + stops.STOP_OVERDUE_S
         world.report(late, 'a', running)
         (again,) = _stops(world.plan(late))
         assert (again.task_id, again.run) == running[0]
--- a/tests/unit/fleet/test_stop_reports.py
+++ b/tests/unit/fleet/test_stop_reports.py
@@ -3,11 +3,11 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
-from samphirestack.fleet import tracking
+from samphirestack.fleet import stops
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 
-OVERDUE_S = tracking.STOP_OVERDUE_S
+OVERDUE_S = stops.STOP_OVERDUE_S
 
 
 class TestDecidedStops:
