Bound the open and the remembered occurrences of a scheduled job

Cause: all occurrences of a scheduled job whose time had come began at once. The row of progress listed each complete occurrence, so that it outgrew the store's limit for rows in the end.

Change: 1,000 occurrences or 20,000 tasks of a job are open at once, the next one begins when one completes; of the complete ones the newest 100 are listed, of the others only the number. An occurrence that is worth nothing any more waits behind other work, as a plain job does.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -4,6 +4,7 @@
 
 from samphirestack.fleet import archive as archives
 from samphirestack.fleet import crashes
+from samphirestack.fleet import occurrences
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
@@ -127,10 +128,7 @@
     def begin_due_occurrences(self, now: float) -> None:
         """Begin the occurrences of scheduled jobs that are due."""
         for job in list(self._scheduled.values()):
-            while (
-                job.next_occurrence < job.occurrence_count
-                and job.due_at(job.next_occurrence) <= now
-            ):
+            while occurrences.may_begin(now, job):
                 self._begin_occurrence(now, job)
             if job.next_occurrence >= job.occurrence_count:
                 self._scheduled.pop(job.job_id, None)
@@ -153,11 +151,13 @@
     ) -> None:
         """Apply progress that an earlier holder of the term stored."""
         job.progress = progress
-        while job.next_occurrence < job.occurrence_count and any(
-            int(key.split('.')[0]) >= job.next_occurrence
-            for key in progress.done_by_step
-        ):
+        for completed in occurrences.skip_completed(job):
+            self.ready_steps.pop(completed.id, None)
+        while job.next_occurrence <= occurrences.last_begun(job):
             self._begin_occurrence(now, job)
+        # The completed occurrences that were begun first took the places of
+        # those that are due.
+        self.begin_due_occurrences(now)
         if progress.done_by_step or progress.placed_by_task:
             job.state = specs.JobState.RUNNING
         for key, numbers in progress.failed_runs_by_task.items():
@@ -293,9 +293,8 @@
     def _complete_step(self, now: float, step: work.StepRun) -> None:
         job = step.job
         others = [
-            other
-            for other in job.steps_by_key.values()
-            if other.occurrence == step.occurrence
+            job.steps_by_key[step.occurrence, number]
+            for number in range(len(job.spec.steps))
         ]
         for other in others:
             if step.number in other.pending_dependencies:
@@ -303,7 +302,7 @@
                 if not other.pending_dependencies:
                     self._make_ready(now, other)
         if all(other.is_done for other in others):
-            job.occurrences_done += 1
+            occurrences.record_completed(job, step.occurrence)
 
     def record_failure(self, task: work.Task, run_number: int) -> int:
         """Record a failed run; return the number of failed attempts so far.
--- a/packages/core/src/samphirestack/fleet/ordering.py
+++ b/packages/core/src/samphirestack/fleet/ordering.py
@@ -54,7 +54,9 @@
     """Return the sort key of a waiting step."""
     job = step.job
     urgent = job.queue.priority == URGENT_PRIORITY
-    if job.spec.repetitions or job.is_long_running:
-        return (StepClass.IN_TIME, 0 if urgent else 1, latest_start(step))
     step_class = classify(now, step)
+    if job.is_long_running or (
+        job.spec.repetitions and step_class is not StepClass.WORTHLESS
+    ):
+        step_class = StepClass.IN_TIME
     return (step_class, 0 if urgent else 1, latest_start(step))
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -69,6 +69,9 @@
     """Run number and worker of each task that may be on a worker, by
     ``OCCURRENCE.STEP.INDEX``.  It is stored before the order is sent, so a
     run that is missing here was never ordered."""
+    completed_before: decoding.Count = 0
+    """Number of the first occurrences that are complete and about which the
+    other fields say nothing any more."""
     ended: JobRecord | None = None
     """Short row of the ended job, until it replaces the job's own row."""
 
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -194,7 +194,9 @@
         self.progress = records.JobProgress()
         self.steps_by_key: dict[tuple[int, int], StepRun] = {}
         self.next_occurrence = 0
-        self.occurrences_done = 0
+        self.completed_occurrences: set[int] = set()
+        """Numbers of complete occurrences from ``progress.completed_before``
+        on."""
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
         self.remaining_s_by_step = _remaining_times(self.spec, self.queue)
@@ -205,6 +207,11 @@
         """Return how many times the steps run."""
         return max(1, self.spec.repetitions)
 
+    @property
+    def occurrences_done(self) -> int:
+        """Return how many occurrences are complete."""
+        return self.progress.completed_before + len(self.completed_occurrences)
+
     @property
     def is_long_running(self) -> bool:
         """Return whether the job runs until it is cancelled."""
