Keep the rows of very wide jobs within the store's limit

Cause: the row of progress named each placed task by itself. Nothing bounded the size of a transaction either, nor that of a submitted job's own row.

Change: above half of the limit, progress is grouped by step, run and worker, with ranges of indexes; smaller progress is written as before, so that older entries read it. 10,000 tasks of a job are placed at once. A transaction takes 500 KB of rows. A job whose own row is above the limit is refused with 413 before anything is stored.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -6,6 +6,7 @@
 from samphirestack.fleet import crashes
 from samphirestack.fleet import occurrences
 from samphirestack.fleet import ports
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import work
@@ -15,6 +16,10 @@
 """Rows of jobs in one write.  A transaction holds 100 entries, of which the
 row of the term takes two and waves of upkeep a few."""
 
+MAX_BYTES = 500_000
+"""Size of the rows in one write from which the others wait for the next one.
+A transaction holds 1 MB in the encoding of the platform."""
+
 
 class JobTracker:
     """Active and ended jobs.
@@ -473,9 +478,12 @@
         puts: list[ports.Put] = []
         removals: list[ports.Removal] = []
         job_ids = []
+        size = 0
         for job_id in list(self._dirty):
             if len(puts) + len(removals) >= MAX_ENTRIES - 2:
                 break
+            if size >= MAX_BYTES:
+                break
             del self._dirty[job_id]
             job_ids.append(job_id)
             ending = self._ending_by_id.get(job_id)
@@ -490,13 +498,9 @@
                 continue
             job = self.active_by_id.get(job_id)
             if job is not None:
-                puts.append(
-                    ports.Put(
-                        records.PROGRESS_TABLE,
-                        job_id,
-                        records.encode(job.progress),
-                    )
-                )
+                row = progress_rows.encode(job.progress)
+                size += len(row)
+                puts.append(ports.Put(records.PROGRESS_TABLE, job_id, row))
             elif job_id in self._archived_ids:
                 removals.append(ports.Removal(records.PROGRESS_TABLE, job_id))
         return tuple(puts), tuple(removals), tuple(job_ids)
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -20,6 +20,7 @@
 from samphirestack.fleet import ordering
 from samphirestack.fleet import packing
 from samphirestack.fleet import ports
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
@@ -483,9 +484,10 @@
     def _headroom(self, step: work.StepRun) -> int:
         customers = self._fleet.configuration.customers_by_id
         customer_id = step.job.customer_id
-        return self._fleet.usage.headroom(
+        headroom = self._fleet.usage.headroom(
             customers.get(customer_id), step.spec.size, customer_id
         )
+        return min(headroom, progress_rows.placeable(step.job.progress))
 
     def _place_gang(
         self, step: work.StepRun, candidates: list[packing.Candidate]
--- /dev/null
+++ b/packages/core/src/samphirestack/fleet/progress_rows.py
@@ -0,0 +1,156 @@
+"""Rows of progress within the store's limit for rows.
+
+Progress is written out task by task, which older entries also read.  This
+answers jobs of thousands of tasks, whose progress would exceed the limit that
+way: they are grouped by step, run and worker, as ranges of indexes.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from samphirestack.fleet import records
+
+MAX_PLAIN_BYTES = records.MAX_ROW_BYTES // 2
+"""Size from which progress is grouped."""
+
+MAX_PLACED_TASKS = 10_000
+"""Tasks of a job that may be on workers at once.  The row names each of them,
+in four bytes if they are spread over hundreds of workers."""
+
+
+def encode(progress: records.JobProgress) -> bytes:
+    """Return the row of a job's progress."""
+    row = records.encode(progress)
+    if len(row) <= MAX_PLAIN_BYTES:
+        return row
+    return records.encode(_group(progress))
+
+
+def placeable(progress: records.JobProgress) -> int:
+    """Return how many more tasks of a job may be placed."""
+    return MAX_PLACED_TASKS - len(progress.placed_by_task)
+
+
+def decode(data: bytes) -> records.JobProgress:
+    """Read the row of a job's progress.
+
+    :raises msgspec.DecodeError: the bytes are no such row.
+    """
+    progress = records.decode_progress(data)
+    if progress.grouped is None:
+        return progress
+    return _ungroup(progress, progress.grouped)
+
+
+def _group(progress: records.JobProgress) -> records.JobProgress:
+    done = {
+        step: list(_gaps(indexes))
+        for step, indexes in progress.done_by_step.items()
+    }
+    failed: dict[str, dict[int, list[int]]] = {}
+    for key, runs in progress.failed_runs_by_task.items():
+        step, index = _split(key)
+        for run in runs:
+            failed.setdefault(step, {}).setdefault(run, []).append(index)
+    placed: dict[str, dict[str, dict[int, list[int]]]] = {}
+    for key, (run, worker_id) in progress.placed_by_task.items():
+        step, index = _split(key)
+        runs_by_step = placed.setdefault(worker_id, {})
+        runs_by_step.setdefault(step, {}).setdefault(run, []).append(index)
+    return msgspec.structs.replace(
+        progress,
+        done_by_step={},
+        failed_runs_by_task={},
+        placed_by_task={},
+        grouped=records.GroupedProgress(
+            done,
+            _with_gaps(failed),
+            {
+                worker_id: _with_gaps(runs_by_step)
+                for worker_id, runs_by_step in placed.items()
+            },
+        ),
+    )
+
+
+def _ungroup(
+    progress: records.JobProgress, grouped: records.GroupedProgress
+) -> records.JobProgress:
+    failed: dict[str, list[int]] = {}
+    for step, run, index in _tasks(grouped.failed_by_step):
+        failed.setdefault(f'{step}.{index}', []).append(run)
+    placed = {
+        f'{step}.{index}': (run, worker_id)
+        for worker_id, runs_by_step in grouped.placed_by_worker_id.items()
+        for step, run, index in _tasks(runs_by_step)
+    }
+    done = {
+        step: list(_indexes(gaps))
+        for step, gaps in grouped.done_by_step.items()
+    }
+    return msgspec.structs.replace(
+        progress,
+        done_by_step=done,
+        failed_runs_by_task=failed,
+        placed_by_task=placed,
+        grouped=None,
+    )
+
+
+def _tasks(
+    runs_by_step: dict[str, dict[int, list[int]]],
+) -> Iterator[tuple[str, int, int]]:
+    """Yield step, run and index of each task."""
+    for step, gaps_by_run in runs_by_step.items():
+        for run, gaps in gaps_by_run.items():
+            for index in _indexes(gaps):
+                yield step, run, index
+
+
+def _with_gaps(
+    runs_by_step: dict[str, dict[int, list[int]]],
+) -> dict[str, dict[int, list[int]]]:
+    return {
+        step: {
+            run: list(_gaps(indexes))
+            for run, indexes in indexes_by_run.items()
+        }
+        for step, indexes_by_run in runs_by_step.items()
+    }
+
+
+def _split(key: str) -> tuple[str, int]:
+    """Return ``OCCURRENCE.STEP`` and the index of a task's key."""
+    step, _, index = key.rpartition('.')
+    return step, int(index)
+
+
+def _gaps(indexes: Iterable[int]) -> Iterator[int]:
+    """Yield by turns how many indexes are missing and how many follow."""
+    end = start = 0
+    for index in sorted(indexes):
+        if index == end and end > start:
+            end += 1
+            continue
+        if end > start:
+            yield end - start
+        yield index - end
+        start, end = index, index + 1
+    if end > start:
+        yield end - start
+
+
+def _indexes(gaps: list[int]) -> Iterator[int]:
+    """Yield the indexes of which ``_gaps`` made the gaps.
+
+    :raises msgspec.ValidationError: there are more than a step can have.
+    """
+    position = 0
+    if sum(gaps) > records.MAX_ROW_BYTES:
+        raise msgspec.ValidationError('an index is out of range')
+    for missing, following in zip(gaps[::2], gaps[1::2], strict=False):
+        position += missing
+        yield from range(position, position + following)
+        position += following
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -19,6 +19,9 @@
 """Suffix of the key of a cancellation, after the key of its job."""
 
 
+MAX_ROW_BYTES = 65_536
+"""Limit of the platform's store for the value of a row."""
+
 JOB_PARTS = 64
 """Parts of the table of jobs.  A part handles 300 transactions per second, and
 5 while the store is 60 times slower.  At 70 jobs per second, and twice that
@@ -56,6 +59,22 @@
     """Whether the task may have caused it, as far as is known."""
 
 
+class GroupedProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of a job of very many tasks; see ``progress_rows``.
+
+    The indexes of tasks are written as gaps: by turns how many are missing
+    and how many follow.
+    """
+
+    done_by_step: dict[str, list[decoding.Count]]
+    failed_by_step: dict[str, dict[decoding.Count, list[decoding.Count]]]
+    """Gaps by ``OCCURRENCE.STEP`` and number of the run."""
+    placed_by_worker_id: dict[
+        str, dict[str, dict[decoding.Count, list[decoding.Count]]]
+    ]
+    """Gaps by worker, ``OCCURRENCE.STEP`` and number of the run."""
+
+
 class JobProgress(msgspec.Struct, omit_defaults=True):
     """Progress of a job as the holder of the term stores it."""
 
@@ -72,6 +91,9 @@
     completed_before: decoding.Count = 0
     """Number of the first occurrences that are complete and about which the
     other fields say nothing any more."""
+    grouped: GroupedProgress | None = None
+    """Takes the place of the first three fields in the row of a job of very
+    many tasks."""
     ended: JobRecord | None = None
     """Short row of the ended job, until it replaces the job's own row."""
 
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -9,6 +9,7 @@
 from samphirestack import errors
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -360,6 +361,12 @@
             spec,
         )
         row = records.encode(record)
+        if len(row) > records.MAX_ROW_BYTES:
+            return _not_run(
+                Outcome.TOO_LARGE,
+                f'the job takes {len(row)} bytes in the store, but may take '
+                f'{records.MAX_ROW_BYTES} at most',
+            )
         try:
             version = await self._insert(call.job_id, row)
         except errors.TransactionConflict:
@@ -469,7 +476,7 @@
         )
         if not page.rows:
             return specs.JobState.QUEUED
-        progress = records.decode_progress(page.rows[0].value)
+        progress = progress_rows.decode(page.rows[0].value)
         if progress.ended is not None and progress.ended.ended_as is not None:
             return progress.ended.ended_as
         return specs.JobState.RUNNING
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -11,6 +11,7 @@
 from samphirestack.fleet import messages
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
@@ -182,7 +183,7 @@
         unreadable_ids = {row.key for row in rows}
         for row in rows:
             with self._logging_bad_row(row):
-                progress_by_id[row.key] = records.decode_progress(row.value)
+                progress_by_id[row.key] = progress_rows.decode(row.value)
                 unreadable_ids.discard(row.key)
         rows, self._jobs_version = await self._read_jobs()
         now = clock.now()
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -84,6 +84,7 @@
     age_s: float = 0.0,
     holder_has_store: bool = False,
     holder: NoHolder | None = None,
+    spec: specs.JobSpec | None = None,
 ) -> tuple[edge.Edge, configuration_feed.ConfigurationFeed]:
     context = worlds.make_context(store)  # type: ignore[arg-type]
     feed = configuration_feed.ConfigurationFeed(store, None)  # type: ignore[arg-type]
@@ -97,9 +98,9 @@
     )
     feed.confirmed_at = clock.now() - age_s
     feed.answered_at = clock.now()
-    spec = specs.JobSpec('payload', (worlds.make_step(),))
+    decoded = spec or specs.JobSpec('payload', (worlds.make_step(),))
     holder = holder or NoHolder(holder_has_store)
-    return edge.Edge(context, feed, holder, lambda body: spec), feed
+    return edge.Edge(context, feed, holder, lambda body: decoded), feed
 
 
 def make_call(method: str = 'POST', key: str = 'key') -> edge.Call:
@@ -255,3 +256,19 @@
         reply = await entry.handle(make_call())
         assert reply.outcome is edge.Outcome.ACCEPTED
         assert holder.job_versions == [messages.UNKNOWN_VERSION]
+
+
+class TestWideJobs:
+    """Guards against a job that is stored over and over in vain."""
+
+    async def test_a_job_above_the_limit_of_rows_is_refused(self) -> None:
+        steps = tuple(
+            worlds.make_step(after=tuple(range(number)))
+            for number in range(400)
+        )
+        store = FailingStore(errors.OutcomeUnknown)
+        entry, _ = make_edge(store, spec=specs.JobSpec('payload', steps))
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.TOO_LARGE
+        assert reply.verdict is verdicts.Verdict.NOT_RUN
+        assert store.calls == 0
