Hand urgent submissions over to the holder where the store refuses the entry

Cause: while the store turns some entries away, an urgent job that comes to one of them is refused at once and starts anew at another entry; with a write that has no answer it waits for two timeouts and then ends as unknown. An urgent job has a few tenths of a second in all.

Change: the entry hands it over to the holder of the term, which serves it with its own keys and its own condition that the job is new. A holder says in its pongs that it takes submissions, so that former versions get none.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -40,6 +40,8 @@
     """Time since the holder last renewed the term in the store."""
     ping_interval_s: float = pacing.MIN_PING_INTERVAL_S
     """Interval of the entry's pings from now on."""
+    serves_submissions: bool = False
+    """Whether the holder takes a ``SubmissionRequest``."""
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
@@ -76,6 +78,29 @@
     customer_id: model.TeamId | None
 
 
+class SubmissionRequest(msgspec.Struct, tag='submission', frozen=True):
+    """A submission that an entry can't store itself."""
+
+    number: int
+    method: str
+    host: str
+    path: str
+    key: str
+    body: bytes
+
+
+class SubmissionReply(msgspec.Struct, tag='submission_reply', frozen=True):
+    """Reply to a submission that was handed over."""
+
+    number: int
+    outcome: str
+    """Value of the outcome of the call."""
+    verdict: str
+    """Value of the ``verdict.Verdict``."""
+    detail: str
+    retry_after_s: float | None
+
+
 class AdviceRequest(msgspec.Struct, tag='advice_request', frozen=True):
     """Request of the holder that an entry calls the advice service."""
 
@@ -110,6 +135,8 @@
     | CancelStored
     | StateQuery
     | StateReply
+    | SubmissionRequest
+    | SubmissionReply
     | AdviceRequest
     | AdviceReply
     | TakeOver
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -8,6 +8,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import messages
+from samphirestack.fleet import ordering
 from samphirestack.fleet import ports
 from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
@@ -66,6 +67,8 @@
     customer_id: model.TeamId = model.TeamId('')
     job_id: model.JobId = model.JobId('')
     operation: Operation = Operation.WAITING
+    handed_over: bool = False
+    """Whether another entry handed the call over to this one."""
 
 
 class Outcome(enum.Enum):
@@ -136,6 +139,15 @@
     def reaches_store(self, now: float) -> bool:
         """Return whether a holder elsewhere recently wrote to the store."""
 
+    def takes_submissions(self, now: float) -> bool:
+        """Return whether submissions may be handed over to the holder."""
+
+    async def submit(self, call: Call) -> Reply | None:
+        """Hand a submission over to the holder.
+
+        :return: its reply, or ``None`` if nothing was sent.
+        """
+
 
 def _not_run(outcome: Outcome, detail: str) -> Reply:
     return Reply(outcome, verdicts.Verdict.NOT_RUN, detail)
@@ -287,7 +299,7 @@
     async def _run(self, call: Call) -> Reply:
         needs_store = call.operation in (Operation.SUBMIT, Operation.CANCEL)
         if needs_store and self._is_store_unreachable():
-            return self._refuse(call, 'the store is unreachable')
+            return await self._hand_over(call, 'the store is unreachable')
         try:
             if call.operation is Operation.SUBMIT:
                 return await self._submit(call)
@@ -297,13 +309,10 @@
                 return await self._state(call)
         except errors.StoreUnavailable as error:
             self._store_failed_at = clock.now()
-            return self._refuse(call, error.message)
+            return await self._hand_over(call, error.message)
         except errors.OutcomeUnknown as error:
             self._store_failed_at = clock.now()
-            self._unknown_job_ids[call.job_id] = None
-            if len(self._unknown_job_ids) > MAX_UNKNOWN_JOBS:
-                del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
-            return _unknown(error.message)
+            return await self._find_outcome(call, error.message)
         except msgspec.DecodeError as error:
             logs.limited_warning('job.bad_row', call.job_id, error)
             return self._refuse(call, 'the stored job cannot be read')
@@ -321,6 +330,50 @@
             else RETRY_ANY_ENTRY_S,
         )
 
+    def _unknown_outcome(self, call: Call, detail: str) -> Reply:
+        self._unknown_job_ids[call.job_id] = None
+        if len(self._unknown_job_ids) > MAX_UNKNOWN_JOBS:
+            del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
+        return _unknown(detail)
+
+    def _may_hand_over(self, call: Call) -> bool:
+        """Return whether the holder may serve a call that this entry can't."""
+        assert call.queue is not None
+        return (
+            not call.handed_over
+            and call.operation is Operation.SUBMIT
+            and call.queue.priority == ordering.URGENT_PRIORITY
+            and self._holder.takes_submissions(clock.now())
+        )
+
+    async def _hand_over(self, call: Call, detail: str) -> Reply:
+        """Let the holder serve a call, or refuse it.
+
+        :param detail: why this entry can't serve it, which had no effect.
+        """
+        reply = None
+        if self._may_hand_over(call):
+            reply = await self._holder.submit(call)
+        if reply is None:
+            return self._refuse(call, detail)
+        if reply.outcome is Outcome.UNKNOWN:
+            return self._unknown_outcome(call, reply.detail)
+        if reply.outcome is Outcome.UNAVAILABLE:
+            return self._refuse(call, reply.detail)
+        return reply
+
+    async def _find_outcome(self, call: Call, detail: str) -> Reply:
+        """Let the holder store a job whose storing has an unknown outcome.
+
+        Both writes are conditional on the absence of the row, so that only
+        one of them takes effect.
+        """
+        if self._may_hand_over(call):
+            reply = await self._holder.submit(call)
+            if reply is not None and reply.outcome is Outcome.ACCEPTED:
+                return reply
+        return self._unknown_outcome(call, detail)
+
     def _refuse(self, call: Call, detail: str) -> Reply:
         """Refuse a call that had no effect.
 
@@ -368,7 +421,7 @@
                 f'{records.MAX_ROW_BYTES} at most',
             )
         try:
-            version = await self._insert(call.job_id, row)
+            version = await self._insert(call, row)
         except errors.TransactionConflict:
             return Reply(
                 Outcome.ACCEPTED,
@@ -378,14 +431,16 @@
         self._holder.announce_job(row, version)
         return Reply(Outcome.ACCEPTED, verdicts.Verdict.RAN)
 
-    async def _insert(self, job_id: model.JobId, row: bytes) -> int:
+    async def _insert(self, call: Call, row: bytes) -> int:
         """Store a job, with one retry if the outcome is unknown.
 
-        Return the version of its row.
+        Return the version of its row.  The holder repeats the write of a job
+        that may be handed over.
 
         The write is conditional on the absence of the row, so that the retry
         cannot store the job twice.
         """
+        job_id = call.job_id
         part = records.job_part(job_id)
         condition = ports.Condition(records.JOBS_TABLE, job_id, 0)
         put = ports.Put(records.JOBS_TABLE, job_id, row)
@@ -394,6 +449,8 @@
                 [condition], [put], (), part
             )
         except errors.OutcomeUnknown:
+            if self._may_hand_over(call):
+                raise
             try:
                 return await self._context.store.transact(
                     [condition], [put], (), part
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -17,6 +17,11 @@
             'samphirestack_fleet_calls_total',
             'Calls of clients by operation and status.',
         )
+        self.handed_over = self._counter(
+            'samphirestack_fleet_handed_over_total',
+            'Submissions that entries without the store handed over to this '
+            'holder, by outcome.',
+        )
         self.orders = self._counter(
             'samphirestack_fleet_orders_total',
             'Orders to workers by kind and outcome.',
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -1,6 +1,8 @@
 """A process of the fleet daemon: an entry that can hold the term."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import hashlib
 import os
@@ -17,6 +19,8 @@
 from samphirestack import model
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import configuration_feed
+from samphirestackd.fleet import edge
+from samphirestackd.fleet import handover
 from samphirestackd.fleet import holder as holders
 from samphirestackd.fleet import link
 from samphirestackd.fleet import node_context
@@ -117,6 +121,9 @@
         """Earliest next claim, after a term that ended by an unexpected
         error."""
         self._stopping = False
+        self._handover = handover.Sender(self._connection.send)
+        self._holder_serves_submissions = False
+        self._submissions: handover.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
 
     @property
@@ -145,6 +152,17 @@
         if self._holder is not None:
             self._holder.writer.release()
 
+    def serve_submissions(
+        self, serve: Callable[[edge.Call], Awaitable[edge.Reply]]
+    ) -> None:
+        """Serve what entries hand over while this process holds the term.
+
+        :param serve: handles a call as if a client had sent it here.
+        """
+        self._submissions = handover.Server(
+            self._context, serve, self._listener.send
+        )
+
     # The term
 
     async def _poll_term(self) -> None:
@@ -470,6 +488,7 @@
                     self.term.best_strength,
                     self.term.renewal_age(clock.now()),
                     pacing.ping_interval_s(len(self._pings_by_identity)),
+                    self._submissions is not None,
                 ),
             )
         elif holder is None:
@@ -484,6 +503,9 @@
                     identity,
                     _state_reply(holder, message.number, message.job_id),
                 )
+        elif isinstance(message, messages.SubmissionRequest):
+            if self._submissions is not None:
+                self._submissions.handle_request(identity, message)
         elif isinstance(message, messages.AdviceReply):
             holder.handle_advice_reply(message)
 
@@ -496,6 +518,7 @@
                 message.ping_interval_s
             )
             self._holder_renewed_at = clock.now() - message.renewal_age_s
+            self._holder_serves_submissions = message.serves_submissions
             record = self.term.record
             if record is not None:
                 self._last_reply = (record.life, clock.now())
@@ -506,6 +529,8 @@
             waiter = self._state_waiters.get(message.number)
             if waiter is not None and not waiter.done():
                 waiter.set_result(message)
+        elif isinstance(message, messages.SubmissionReply):
+            self._handover.handle_reply(message)
         elif isinstance(message, messages.AdviceRequest):
             task = asyncio.create_task(self._advise(message))
             self._calls.add(task)
@@ -600,6 +625,18 @@
             and now - self._holder_renewed_at < terms.ORDER_LEASE_S
         )
 
+    def takes_submissions(self, now: float) -> bool:
+        """Return whether a holder elsewhere serves submissions."""
+        return (
+            self._holder_serves_submissions
+            and self._connection.is_alive
+            and self.reaches_store(now)
+        )
+
+    async def submit(self, call: edge.Call) -> edge.Reply | None:
+        """Hand a submission over to the holder."""
+        return await self._handover.submit(call)
+
 
 def _state_reply(
     holder: holders.Holder, number: int, job_id: model.JobId
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -78,6 +78,14 @@
         del now
         return self.has_store
 
+    def takes_submissions(self, now: float) -> bool:
+        del now
+        return False
+
+    async def submit(self, call: edge.Call) -> edge.Reply | None:
+        del call
+        return None
+
 
 def make_edge(
     store: FailingStore | row_store.MemoryRowStore,
