Show and cancel a job without a key only at its own open queue

Change: without a key, the path must be that of the queue to which the job was submitted. The holder's reply names the queue; that of a former holder, which doesn't, is replaced by a read of the store. Tests of TestOpenQueues; the first failed before.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -83,13 +83,12 @@
         job = self.active_by_id.get(job_id)
         return job.state if job else None
 
-    def customer_of(self, job_id: model.JobId) -> model.TeamId | None:
-        """Return the customer of a job; ``None`` if the job is unknown."""
+    def record_of(self, job_id: model.JobId) -> records.JobRecord | None:
+        """Return the row of a job; ``None`` if the job is unknown."""
         job = self.active_by_id.get(job_id)
         if job is not None:
-            return job.customer_id
-        record = self.ended_by_id.get(job_id) or self._ending_by_id.get(job_id)
-        return record.customer_id if record else None
+            return job.record
+        return self.ended_by_id.get(job_id) or self._ending_by_id.get(job_id)
 
     def waiting_by_queue(self) -> dict[model.QueueId, int]:
         """Return the number of queued jobs of each queue that has any."""
--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -76,6 +76,11 @@
     number: int
     state: specs.JobState | None
     customer_id: model.TeamId | None
+    host: str | None = None
+    """Host of the queue to which the job was submitted; absent in replies of
+    former holders."""
+    prefix: str | None = None
+    """Its prefix of paths."""
 
 
 class SubmissionRequest(msgspec.Struct, tag='submission', frozen=True):
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -157,6 +157,28 @@
     return Reply(Outcome.UNKNOWN, verdicts.Verdict.MAY_HAVE_RUN, detail)
 
 
+def _may_access(
+    call: Call, customer_id: model.TeamId | None, host: str, prefix: str
+) -> bool:
+    """Return whether a caller may see and cancel a job.
+
+    A caller without a key, at a queue that is open to all, may do so at the
+    path at which the job was submitted.
+
+    :param customer_id: customer of the job, if it has one.
+    :param host: of the job's queue, as the prefix.
+    """
+    if call.customer_id:
+        return not customer_id or call.customer_id == customer_id
+    return call.host == host and call.path.startswith(prefix)
+
+
+def _may_access_record(call: Call, record: records.JobRecord) -> bool:
+    return _may_access(
+        call, record.customer_id, record.queue.host, record.queue.prefix
+    )
+
+
 class Edge:
     """Handles the calls of clients at one entry.
 
@@ -479,7 +501,7 @@
 
     async def _cancel(self, call: Call) -> Reply:
         found = await self._read_job(call.job_id)
-        if found is None or not self._owns(call, found[0].customer_id):
+        if found is None or not _may_access_record(call, found[0]):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
         if found[0].ended_as is not None:
             return Reply(
@@ -501,17 +523,17 @@
         self._holder.announce_cancellation(call.job_id, version)
         return Reply(Outcome.OK, verdicts.Verdict.RAN)
 
-    def _owns(self, call: Call, customer_id: model.TeamId | None) -> bool:
-        return (
-            not call.customer_id
-            or not customer_id
-            or (call.customer_id == customer_id)
-        )
-
     async def _state(self, call: Call) -> Reply:
         reply = await self._holder.state_of(call.job_id, QUERY_TIMEOUT_S)
-        if reply is not None and reply.state is not None:
-            if not self._owns(call, reply.customer_id):
+        if (
+            reply is not None
+            and reply.state is not None
+            and reply.host is not None
+            and reply.prefix is not None
+        ):
+            if not _may_access(
+                call, reply.customer_id, reply.host, reply.prefix
+            ):
                 return _not_run(Outcome.NO_JOB, 'there is no such job')
             return Reply(Outcome.OK, verdicts.Verdict.RAN, state=reply.state)
         if self._is_store_unreachable():
@@ -519,7 +541,7 @@
                 'the state is unknown while the store is unreachable'
             )
         found = await self._read_job(call.job_id)
-        if found is None or not self._owns(call, found[0].customer_id):
+        if found is None or not _may_access_record(call, found[0]):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
         state = found[0].ended_as or await self._stored_state(call.job_id)
         return Reply(
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -642,8 +642,15 @@
     holder: holders.Holder, number: int, job_id: model.JobId
 ) -> messages.StateReply:
     jobs = holder.scheduler.jobs
+    record = jobs.record_of(job_id)
+    if record is None:
+        return messages.StateReply(number, None, None)
     return messages.StateReply(
-        number, jobs.state_of(job_id), jobs.customer_of(job_id)
+        number,
+        jobs.state_of(job_id),
+        record.customer_id,
+        record.queue.host,
+        record.queue.prefix,
     )
 
 
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -280,3 +280,50 @@
         assert reply.outcome is edge.Outcome.TOO_LARGE
         assert reply.verdict is verdicts.Verdict.NOT_RUN
         assert store.calls == 0
+
+
+class TestOpenQueues:
+    """Guards against callers without a key who reach the jobs of others."""
+
+    def _make(
+        self, submitted_to: str
+    ) -> tuple[edge.Edge, row_store.MemoryRowStore]:
+        """Return an entry with an open queue and a stored job.
+
+        :param submitted_to: queue of the job.
+        """
+        store = row_store.MemoryRowStore()
+        entry, feed = make_edge(store)
+        queues = [worlds.make_queue(open_to_all=True), worlds.make_queue('r')]
+        feed.configuration = specs.FleetConfiguration(
+            1, queues, [], [], {'key': model.TeamId('team')}, 10_000
+        )
+        record = records.JobRecord(
+            model.JobId(JOB),
+            worlds.make_queue(submitted_to),
+            model.TeamId('team'),
+            clock.unix_now(),
+            specs.JobSpec('payload', (worlds.make_step(),)),
+        )
+        store.rows_by_key[records.JOBS_TABLE, records.job_part(JOB), JOB] = (
+            records.encode(record),
+            1,
+        )
+        return entry, store
+
+    async def test_a_job_of_another_queue_is_unknown(self) -> None:
+        entry, store = self._make('r')
+        for method in ('GET', 'DELETE'):
+            reply = await entry.handle(make_call(method, key=''))
+            assert reply.outcome is edge.Outcome.NO_JOB
+        assert store.transactions == 0
+
+    async def test_a_job_of_the_open_queue_is_shown(self) -> None:
+        entry, _ = self._make('q')
+        reply = await entry.handle(make_call('GET', key=''))
+        assert reply.state is specs.JobState.QUEUED
+
+    async def test_the_key_of_the_job_still_works(self) -> None:
+        entry, _ = self._make('r')
+        reply = await entry.handle(make_call('GET'))
+        assert reply.state is specs.JobState.QUEUED
