Hand no submissions over while the holder's own writes are slow

Change: the holder's pongs say how long its last write took; above 0.1 s the entry makes its own second attempt as before.

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -40,8 +40,9 @@
     """Time since the holder last renewed the term in the store."""
     ping_interval_s: float = pacing.MIN_PING_INTERVAL_S
     """Interval of the entry's pings from now on."""
-    serves_submissions: bool = False
-    """Whether the holder takes a ``SubmissionRequest``."""
+    write_s: float | None = None
+    """How long the holder's last write to the store took.  Absent if it takes
+    no ``SubmissionRequest``, as former holders."""
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
--- a/packages/daemon/src/samphirestackd/fleet/handover.py
+++ b/packages/daemon/src/samphirestackd/fleet/handover.py
@@ -30,6 +30,20 @@
 holder without an answer is repeated once within it."""
 
 
+MAX_WRITE_S = 0.1
+"""A holder whose writes take longer can't store a job sooner than this entry:
+the store is slow for both."""
+
+
+def is_holder_fast(write_s: float | None) -> bool:
+    """Return whether a holder stores a submission sooner than a retry would.
+
+    :param write_s: how long its last write took; ``None`` if it takes no
+        submissions.
+    """
+    return write_s is not None and write_s <= MAX_WRITE_S
+
+
 class Sender:
     """Hands submissions over and awaits the replies.
 
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -122,7 +122,8 @@
         error."""
         self._stopping = False
         self._handover = handover.Sender(self._connection.send)
-        self._holder_serves_submissions = False
+        self._holder_write_s: float | None = None
+        """How long the last write of a holder elsewhere took."""
         self._submissions: handover.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -488,7 +489,7 @@
                     self.term.best_strength,
                     self.term.renewal_age(clock.now()),
                     pacing.ping_interval_s(len(self._pings_by_identity)),
-                    self._submissions is not None,
+                    holder.writer.last_write_s if self._submissions else None,
                 ),
             )
         elif holder is None:
@@ -518,7 +519,7 @@
                 message.ping_interval_s
             )
             self._holder_renewed_at = clock.now() - message.renewal_age_s
-            self._holder_serves_submissions = message.serves_submissions
+            self._holder_write_s = message.write_s
             record = self.term.record
             if record is not None:
                 self._last_reply = (record.life, clock.now())
@@ -628,9 +629,9 @@
     def takes_submissions(self, now: float) -> bool:
         """Return whether a holder elsewhere serves submissions."""
         return (
-            self._holder_serves_submissions
-            and self._connection.is_alive
+            self._connection.is_alive
             and self.reaches_store(now)
+            and handover.is_holder_fast(self._holder_write_s)
         )
 
     async def submit(self, call: edge.Call) -> edge.Reply | None:
--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -54,6 +54,8 @@
         and key; a few."""
         self._extra_puts_stored = asyncio.Event()
         self.write_requested = asyncio.Event()
+        self.last_write_s = float('inf')
+        """How long the last successful write took."""
         self.failing_since: float | None = None
         """When renewals began to fail; ``None`` while they succeed."""
         self.refused_since: float | None = None
@@ -126,6 +128,7 @@
                     changes.removals,
                 )
                 self._term.record_write(sent_at, record, version)
+                self.last_write_s = clock.now() - sent_at
                 self._record_success()
                 return
             except errors.TransactionConflict:
--- a/tests/unit/fleet/test_handover.py
+++ b/tests/unit/fleet/test_handover.py
@@ -206,6 +206,17 @@
         assert local.announced == 0
 
 
+class TestSlowStore:
+    """Guards against a holder that is loaded while the store is slow."""
+
+    def test_a_holder_with_slow_writes_gets_no_submissions(self) -> None:
+        assert handover.is_holder_fast(0.01)
+        assert not handover.is_holder_fast(0.2)
+
+    def test_a_holder_of_a_former_version_gets_none(self) -> None:
+        assert not handover.is_holder_fast(None)
+
+
 class TestSender:
     """Guards against submissions without a true reply."""
 
