Take a crash as proved only by a worker that has answered

Cause: an entry of another writer that names the machine of a worker and a later start counted as proof that the worker had crashed.

Change: the process of an entry proves an earlier crash once its worker has answered in this term; nobody answers for a foreign entry, since calls name the worker. A worker that restarts under its own id is known already.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -232,10 +232,9 @@
         Its cost doesn't depend on the number of workers, all of which renew
         their entries every few heartbeats.
         """
-        lost = self._crashes.record_process(entry)
-        if lost is not None:
-            self._attribute_crash(now, lost)
         worker = self.workers_by_id.get(entry.worker_id)
+        if worker is not None and worker.has_reported:
+            self._record_process(now, entry)
         if worker is None:
             worker = tracking.TrackedWorker(entry)
             worker.closed_for_upkeep = entry.machine in self._closed_machines
@@ -245,6 +244,16 @@
         worker.registered = True
         return False
 
+    def _record_process(self, now: float, entry: specs.WorkerEntry) -> None:
+        """Record the process of an entry, which may prove an earlier crash.
+
+        Only a worker that has answered proves anything: any writer can name
+        the machine of another worker in an entry of its own.
+        """
+        lost = self._crashes.record_process(entry)
+        if lost is not None:
+            self._attribute_crash(now, lost)
+
     def close_machines(self, machines: Iterable[str]) -> None:
         """Close these machines to new work, and open all others again.
 
@@ -341,7 +350,9 @@
             self._settle_unlisted_runs(now, sent_at, worker, listed)
         if worker.last_handled_end > known_end:
             worker.last_end_at = now
-        worker.has_reported = True
+        if not worker.has_reported:
+            worker.has_reported = True
+            self._record_process(now, worker.entry)
 
     def _settle_unlisted_runs(
         self,
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -282,6 +282,28 @@
         assert not task.crashes_by_run
         assert fleet.state(job_id) is specs.JobState.RUNNING
 
+    def test_an_entry_without_a_worker_behind_it_proves_nothing(self) -> None:
+        fleet = Fleet(2)
+        fleet.world.accept(0.0, worlds.make_job(1))
+        (start,) = fleet.world.start_all(1.0)
+        cut_off = start.worker
+        scheduler = fleet.scheduler
+        scheduler.record_lease_deadline(
+            cut_off.worker_id,
+            scheduler.lease_deadline(1.0, cut_off.worker_id),
+        )
+        fleet.silence(1.5, cut_off.worker_id)
+        scheduler.update_worker(
+            2.0,
+            worlds.make_worker(
+                'foreign',
+                machine=cut_off.machine,
+                started=int((worlds.UNIX_AT_ZERO_S + 1.0) * 1000),
+            ),
+        )
+        assert fleet.world.plan_starts(3.0) == []
+        assert len(fleet.world.plan_starts(8.0)) == 1
+
     def test_a_crash_that_is_proved_after_the_lease_counts(self) -> None:
         fleet = Fleet(3)
         job_id = fleet.world.accept(0.0, worlds.make_job(1))
