Refuse a submission at once where the holder has given the term up

Change: it refuses at once, which is true, and an entry that hears that the holder gives up hands nothing over until it knows the next one.

--- a/packages/daemon/src/samphirestackd/fleet/handover.py
+++ b/packages/daemon/src/samphirestackd/fleet/handover.py
@@ -117,26 +117,46 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def handle_request(
-        self, identity: bytes, message: messages.SubmissionRequest
+        self,
+        identity: bytes,
+        message: messages.SubmissionRequest,
+        holds_term: bool,
     ) -> None:
-        """Serve a submission and send the reply once it is known."""
+        """Serve a submission and send the reply once it is known.
+
+        :param holds_term: whether this process holds the term.  Otherwise it
+            refuses, so that the entry doesn't wait in vain.
+        """
+        if not holds_term:
+            self._refuse(identity, message, 'another entry holds the term')
+            return
         if len(self._tasks) >= MAX_SERVED:
             logs.limited_warning('handover.refused', '', 'too many at once')
-            self._send(
-                identity,
-                messages.SubmissionReply(
-                    message.number,
-                    edge.Outcome.UNAVAILABLE.value,
-                    verdicts.Verdict.NOT_RUN.value,
-                    'the holder serves too many submissions',
-                    edge.RETRY_ANY_ENTRY_S,
-                ),
+            self._refuse(
+                identity, message, 'the holder serves too many submissions'
             )
             return
         task = asyncio.create_task(self._answer(identity, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _refuse(
+        self,
+        identity: bytes,
+        message: messages.SubmissionRequest,
+        detail: str,
+    ) -> None:
+        self._send(
+            identity,
+            messages.SubmissionReply(
+                message.number,
+                edge.Outcome.UNAVAILABLE.value,
+                verdicts.Verdict.NOT_RUN.value,
+                detail,
+                edge.RETRY_ANY_ENTRY_S,
+            ),
+        )
+
     async def _answer(
         self, identity: bytes, message: messages.SubmissionRequest
     ) -> None:
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -492,6 +492,11 @@
                     holder.writer.last_write_s if self._submissions else None,
                 ),
             )
+        elif isinstance(message, messages.SubmissionRequest):
+            if self._submissions is not None:
+                self._submissions.handle_request(
+                    identity, message, holder is not None
+                )
         elif holder is None:
             return
         elif isinstance(message, messages.JobStored):
@@ -504,9 +509,6 @@
                     identity,
                     _state_reply(holder, message.number, message.job_id),
                 )
-        elif isinstance(message, messages.SubmissionRequest):
-            if self._submissions is not None:
-                self._submissions.handle_request(identity, message)
         elif isinstance(message, messages.AdviceReply):
             holder.handle_advice_reply(message)
 
@@ -537,6 +539,7 @@
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
         elif isinstance(message, messages.TakeOver):
+            self._holder_write_s = None
             self.term.mark_process_dead(message.life)
             self._poll_requested.set()
             self._check_requested.set()
--- a/tests/unit/fleet/test_handover.py
+++ b/tests/unit/fleet/test_handover.py
@@ -287,10 +287,30 @@
             1, 'POST', 'host', '/', 'key', b''
         )
         for _ in range(handover.MAX_SERVED + 1):
-            server.handle_request(b'e', request)
+            server.handle_request(b'e', request, True)
         refusal = sent.get_nowait()
         assert isinstance(refusal, messages.SubmissionReply)
         assert refusal.verdict == verdicts.Verdict.NOT_RUN.value
         release.set()
         for _ in range(handover.MAX_SERVED):
             await sent.get()
+
+    async def test_a_process_without_the_term_refuses_at_once(self) -> None:
+        sent: list[messages.Message] = []
+
+        async def serve(call: edge.Call) -> edge.Reply:
+            raise AssertionError(call)
+
+        server = handover.Server(
+            worlds.make_context(row_store.MemoryRowStore()),
+            serve,
+            lambda identity, message: sent.append(message),
+        )
+        server.handle_request(
+            b'e',
+            messages.SubmissionRequest(1, 'POST', 'host', '/', 'key', b''),
+            False,
+        )
+        (refusal,) = sent
+        assert isinstance(refusal, messages.SubmissionReply)
+        assert refusal.verdict == verdicts.Verdict.NOT_RUN.value
