Don't quarantine workers for failures of services that had been at work

Cause: each failure of a long-running task counted against its worker, and none of its runs ever counted as a success, since it never ends so.

Change: a long-running task that is at work is a success of its worker, and its failure afterwards says nothing against it. A worker on which no task gets to work is closed as before.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -515,7 +515,10 @@
             if not crashes.had_repeated_crashes(run.task):
                 worker.end_probation(run)
         if row.percent != run.percent:
+            served_before = _serves(run)
             run.percent = row.percent
+            if _serves(run) and not served_before:
+                self.quarantine.record_success(worker.entry.worker_id)
             run.last_progress_at = now
         else:
             self._stop_if_stalled(now, worker, run)
@@ -607,7 +610,9 @@
             self._complete_task(now, task, row.run)
             return
         if row.reason is specs.EndReason.FAILED:
-            self._record_task_failure(now, worker, task, row.run)
+            self._record_task_failure(
+                now, worker, task, row.run, run is not None and _serves(run)
+            )
         if task.step.job.state in specs.ENDED_STATES:
             return
         if (
@@ -654,10 +659,18 @@
         worker: tracking.TrackedWorker,
         task: work.Task,
         run_number: int,
+        had_served: bool,
     ) -> None:
+        """Record that a run failed.
+
+        :param had_served: whether a long-running task was at work.  Its
+            failure says nothing against the worker.
+        """
         job = task.step.job
         worker_id = worker.entry.worker_id
-        if self.quarantine.record_failure(now, worker_id, job.job_id):
+        if not had_served and self.quarantine.record_failure(
+            now, worker_id, job.job_id
+        ):
             worker.avoid_until = now + quarantine.FIRST_PAUSE_S
         task.failed_worker_ids.add(worker_id)
         if task.step.spec.long_running or task.state is work.TaskState.DONE:
@@ -1232,6 +1245,11 @@
     return running | {(row.task_id, row.run) for row in report.ended}
 
 
+def _serves(run: tracking.Run) -> bool:
+    """Return whether a run of a long-running task is at work."""
+    return run.task.step.spec.long_running and run.percent >= READY_PERCENT
+
+
 def _has_left(worker: tracking.TrackedWorker) -> bool:
     """Return whether a worker that ends does so as announced."""
     return worker.is_draining or worker.closed_for_upkeep
--- a/tests/unit/fleet/test_scheduler.py
+++ b/tests/unit/fleet/test_scheduler.py
@@ -429,6 +429,41 @@
         assert len(world.plan_starts(30.0)) == 1
 
 
+class TestQuarantineByServices:
+    """Guards against services whose failures over time close all workers."""
+
+    def _fail_in_turn(self, served: bool) -> list[actions.Start]:
+        """Let tasks of three services fail and return what starts then."""
+        world = worlds.World([worlds.make_worker('w')])
+        step = worlds.make_step(long_running=True)
+        for number in range(3):
+            world.accept(0.0, worlds.make_job(number, [step]))
+        starts = world.start_all(0.1)
+        keys = [(start.order.task_id, start.order.run) for start in starts]
+        for position, (task_id, run) in enumerate(keys):
+            now = 20.0 * (position + 1)
+            world.report(
+                now,
+                'w',
+                keys[position:],
+                percent=100.0 if served else 0.0,
+            )
+            world.report(
+                now + 1.0,
+                'w',
+                keys[position + 1 :],
+                [(position + 1, task_id, run, FAILED)],
+                percent=100.0 if served else 0.0,
+            )
+        return world.plan_starts(61.5)
+
+    def test_failures_of_tasks_at_work_close_no_worker(self) -> None:
+        assert len(self._fail_in_turn(served=True)) == 3
+
+    def test_a_worker_on_which_no_task_gets_to_work_is_closed(self) -> None:
+        assert self._fail_in_turn(served=False) == []
+
+
 class TestGangs:
     """Guards against members of a gang that run alone."""
 
