Start nothing in a zone that the operator has evacuated

Cause: no part of the fleet daemon knew the operator's row for the evacuation of a zone, and work went on starting there.

Change: the feed of the operator's table keeps the evacuated zones; a full read also ends those whose row is gone. The planner leaves out the workers of these zones, and a start that is planned or waits to be sent is withdrawn. No start is sent while a request as old as the bound in the settings could be unknown. Work with checkpoints that would last beyond the drain time, a gang as a whole, and long-running tasks within their disruption budget move to other zones; the rest ends where it is. Workers that report that they are cold are chosen last.

--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -12,6 +12,13 @@
 from samphirestack.fleet import tracking
 
 
+OTHER_RACK_SCORE = 10.0
+"""Score of a worker that is far from the data of a step."""
+
+COLD_SCORE = 100.0
+"""Score of a cold worker, which only takes what fits nowhere else."""
+
+
 class Candidate:
     """A worker with its free capacity during one planning round."""
 
@@ -21,13 +28,18 @@
         'free_filler_cpu',
         'free_gpu',
         'free_memory',
+        'is_cold',
         'is_fit_for_probation',
         'reserved_until',
         'worker',
     )
 
-    def __init__(self, worker: tracking.TrackedWorker) -> None:
+    def __init__(
+        self, worker: tracking.TrackedWorker, is_cold: bool = False
+    ) -> None:
         self.worker = worker
+        self.is_cold = is_cold
+        """Whether the worker is still slow after its start."""
         self.free_cpu = worker.free_cpu
         self.free_memory = worker.free_memory
         self.free_gpu = worker.free_gpu
@@ -74,7 +86,7 @@
     def leftover_score(self, spec: specs.StepSpec) -> float:
         """Return a score of the capacity left after one task.
 
-        The tightest fit has the lowest score.
+        The tightest fit has the lowest score; cold workers come last.
         """
         capacity = self.worker.entry.capacity
         cpu = (self.free_cpu - spec.size.millicores) / max(
@@ -83,7 +95,7 @@
         memory = (self.free_memory - spec.size.memory_mb) / max(
             1, capacity.memory_mb
         )
-        return cpu + 0.5 * memory
+        return cpu + 0.5 * memory + COLD_SCORE * self.is_cold
 
 
 def choose_one(
@@ -97,7 +109,7 @@
             continue
         score = candidate.leftover_score(spec)
         if spec.data_rack and candidate.worker.entry.rack != spec.data_rack:
-            score += 10.0
+            score += OTHER_RACK_SCORE
         if score < best_score:
             best = candidate
             best_score = score
@@ -115,6 +127,7 @@
     for candidate in candidates:
         by_rack.setdefault(candidate.worker.entry.rack, []).append(candidate)
     groups = list(by_rack.values())
+    groups.sort(key=_has_cold_worker)
     if spec.data_rack in by_rack:
         groups.sort(key=lambda group: group is not by_rack[spec.data_rack])
     if spec.single_rack:
@@ -126,6 +139,10 @@
     return _fit_gang(spec, candidates, count)
 
 
+def _has_cold_worker(group: list[Candidate]) -> bool:
+    return any(candidate.is_cold for candidate in group)
+
+
 def _fit_gang(
     spec: specs.StepSpec, candidates: list[Candidate], count: int
 ) -> list[Candidate] | None:
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -15,6 +15,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import evacuation
 from samphirestack.fleet import forecast
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import ordering
@@ -108,6 +109,7 @@
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
     registry_freshness: registry_freshness.RegistryFreshness
+    evacuations: evacuation.Evacuations
 
     def record_placement(
         self,
@@ -161,14 +163,20 @@
             model.ServiceId, dict[model.WorkerId, packing.Candidate]
         ] = {}
         capacities_known = fleet.registry_freshness.permits_starts(now)
+        if not fleet.evacuations.permits_starts(now):
+            return
         for worker_id, worker in fleet.workers_by_id.items():
+            if fleet.evacuations.covers(worker.entry.zone):
+                continue
             if _is_usable(now, worker, fleet.quarantine) and (
                 capacities_known
                 or fleet.configuration.enforces_capacity(worker.entry.service)
             ):
                 self._candidates_by_service.setdefault(
                     worker.entry.service, {}
-                )[worker_id] = packing.Candidate(worker)
+                )[worker_id] = packing.Candidate(
+                    worker, worker.cold_until > now
+                )
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
         for step in steps:
@@ -245,7 +253,7 @@
         if result is None:
             result = sorted(
                 self._candidates_by_service.get(service, {}).values(),
-                key=lambda candidate: -candidate.free_cpu,
+                key=lambda candidate: (candidate.is_cold, -candidate.free_cpu),
             )
             self._by_free_cpu[service] = result
         return result
@@ -359,7 +367,9 @@
             found = forecast.earliest_fit(self._now, spec, suitable)
             if found is None or found[0] > until + GANG_RENEW_AHEAD_S:
                 return []
-        suitable.sort(key=lambda candidate: -candidate.free_cpu)
+        suitable.sort(
+            key=lambda candidate: (candidate.is_cold, -candidate.free_cpu)
+        )
         return [
             candidate.worker.entry.worker_id
             for candidate in suitable[:MAX_ASKED]
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import evacuation
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
@@ -82,6 +83,8 @@
         self._crashes = crashes.CrashTracker()
         self.registry_freshness = registry_freshness.RegistryFreshness()
         self._closed_machines: frozenset[str] = frozenset()
+        self.evacuations = evacuation.Evacuations()
+        """Requests of the operator.  Its owner adds and removes them."""
         self._last_check_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
@@ -239,6 +242,7 @@
         if worker is None:
             worker = tracking.TrackedWorker(entry)
             worker.closed_for_upkeep = entry.machine in self._closed_machines
+            worker.record_cold(now)
             self.workers_by_id[entry.worker_id] = worker
             return True
         self._update_entry(now, worker, entry)
@@ -278,7 +282,10 @@
             worker.free_cpu += change.millicores
             worker.free_memory += change.memory_mb
             worker.free_gpu += change.accelerators
+        cold_s = worker.entry.cold_s
         worker.entry = entry
+        if entry.cold_s != cold_s:
+            worker.record_cold(now)
         worker.closed_for_upkeep = entry.machine in self._closed_machines
 
     def apply_report(
@@ -715,15 +722,19 @@
         )
 
     def _stop_gang(
-        self, now: float, step: work.StepRun, run_number: int | None = None
+        self,
+        now: float,
+        step: work.StepRun,
+        run_number: int | None = None,
+        reason: str = GANG_INCOMPLETE,
     ) -> None:
-        """Stop the members of a gang that go on without the others.
+        """Stop the members of a gang, by default those without the others.
 
         :param run_number: number that their runs share; any by default.
         """
         for worker, run in self._runs_of_job(step.job):
             if run.task.step is step and run_number in (None, run.number):
-                self._stop_run(worker, run, now, GANG_INCOMPLETE)
+                self._stop_run(worker, run, now, reason)
 
     def _stop_run(
         self,
@@ -979,6 +990,10 @@
             return False
         if worker.is_overcommitted or worker.entry_is_outdated:
             return False
+        if self.evacuations.covers(worker.entry.zone):
+            return False
+        if not self.evacuations.permits_starts(now):
+            return False
         if not (
             self.registry_freshness.permits_starts(now)
             or self.configuration.enforces_capacity(worker.entry.service)
@@ -1073,6 +1088,8 @@
                 actions.PollWorker(worker.entry.worker_id)
             )
         spec = run.task.step.spec
+        if run.is_primary and self.evacuations.covers(worker.entry.zone):
+            self._move_from_evacuated_zone(now, worker, run)
         if not run.is_primary or not (
             worker.is_draining or worker.closed_for_upkeep
         ):
@@ -1085,6 +1102,25 @@
             if spec.checkpoints and remaining_s > worker.entry.leaves_in_s:
                 self._stop_run(worker, run, now, 'worker leaves')
 
+    def _move_from_evacuated_zone(
+        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
+    ) -> None:
+        """Stop a run that is to go on in another zone.
+
+        A gang moves as a whole, or ends where it is.
+        """
+        if not self.evacuations.should_move(
+            now, worker, run, self.workers_by_id.values()
+        ):
+            return
+        step = run.task.step
+        if step.spec.gang:
+            self._stop_gang(now, step, run.number, evacuation.STOP_REASON)
+        elif not step.spec.long_running or (
+            self._within_disruption_budget(step)
+        ):
+            self._stop_run(worker, run, now, evacuation.STOP_REASON)
+
     def _report_overdue_stop(
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
--- a/packages/core/src/samphirestack/fleet/specs.py
+++ b/packages/core/src/samphirestack/fleet/specs.py
@@ -174,6 +174,9 @@
     predecessor with the same id."""
     leaves_in_s: float = 0.0
     """Minimum time until a draining worker leaves."""
+    cold_s: float = 0.0
+    """Time from the entry's writing in which the worker is still slow after
+    its start."""
 
 
 class RunningRow(msgspec.Struct, frozen=True):
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -156,6 +156,8 @@
         """No new run is placed on the worker before."""
         self.closed_for_upkeep = False
         """Whether new work is refused because of upkeep of its machine."""
+        self.cold_until = float('-inf')
+        """When the worker is expected to be warm."""
         self.requested_filler_cpu = 0
         """Sum of the sizes of its filler runs in millicores."""
         self.filler_percent = 100
@@ -191,6 +193,11 @@
         """Return whether the worker announced that it takes no new work."""
         return self.entry.state is specs.WorkerState.DRAINING
 
+    def record_cold(self, now: float) -> None:
+        """Apply how long the worker's entry says that it stays cold."""
+        if self.entry.cold_s:
+            self.cold_until = now + self.entry.cold_s
+
     @property
     def entry_is_outdated(self) -> bool:
         """Return whether the entry is of an earlier process of the worker.
--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from samphirestack import errors
+from samphirestack.fleet import evacuation
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
@@ -23,15 +24,24 @@
 
 
 class ConfigurationFeed:
-    """Follows the newest configuration and the upkeep waves."""
+    """Follows the configuration, the upkeep waves and the evacuations.
+
+    :param evacuation_s: bound of ``evacuation.Evacuations``.
+    """
 
     def __init__(
-        self, store: ports.RowStore, registry: node_context.Registry
+        self,
+        store: ports.RowStore,
+        registry: node_context.Registry,
+        evacuation_s: float = float('inf'),
     ) -> None:
         self._store = store
         self._registry = registry
         self.configuration: specs.FleetConfiguration | None = None
         self.waves_by_number: dict[int, upkeep.ReceivedWave] = {}
+        self.evacuations = evacuation.Evacuations(evacuation_s)
+        self._newest_version = 0
+        """Highest version of the table that was read."""
         self.answered_at = float('-inf')
         """Time of the last answer of the store."""
         self.on_store_recovered: Callable[[], None] = lambda: None
@@ -57,7 +67,7 @@
                         self._store, self._registry.operator_table
                     )
                     read_at = sent_at
-                    self._apply(rows)
+                    self._apply_table(rows, version)
                 else:
                     # After a failure, the first call does not wait for
                     # changes, so that recovery is detected at once.
@@ -89,11 +99,25 @@
                 self.on_store_recovered()
             self.answered_at = clock.now()
             self.confirmed_at = sent_at
+            self.evacuations.confirmed_at = sent_at
+
+    def _apply_table(self, rows: list[ports.StoredRow], version: int) -> None:
+        """Apply all rows of the table.
+
+        An evacuation without a row has ended while the feed missed changes,
+        unless the rows are older than what was read before.
+        """
+        known = self._newest_version
+        self._apply(rows)
+        if version < known:
+            logs.warning('operator.outdated', version=version, known=known)
+            return
+        zones = (self._registry.evacuated_zone(row) for row in rows)
+        self.evacuations.retain(zone for zone in zones if zone is not None)
 
     def _apply(self, rows: list[ports.StoredRow]) -> None:
         for row in rows:
-            if row.removed:
-                continue
+            self._newest_version = max(self._newest_version, row.version)
             try:
                 self._apply_row(row)
             except Exception as error:
@@ -101,6 +125,15 @@
                 logs.unexpected('operator.bad_row', row.key, error)
 
     def _apply_row(self, row: ports.StoredRow) -> None:
+        zone = self._registry.evacuated_zone(row)
+        if zone is not None:
+            if row.removed:
+                self.evacuations.end(zone)
+            else:
+                self.evacuations.begin(clock.now(), zone)
+            return
+        if row.removed:
+            return
         wave = self._registry.wave(row)
         if wave is not None:
             known = self.waves_by_number.get(wave.number)
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -20,6 +20,7 @@
 from samphirestackd.fleet import advice_callers
 from samphirestackd.fleet import archiver
 from samphirestackd.fleet import clock
+from samphirestackd.fleet import evacuation_reporter
 from samphirestackd.fleet import node_context
 from samphirestackd.fleet import table_reader
 from samphirestackd.fleet import waves
@@ -88,6 +89,10 @@
             earlier_renewal_before,
         )
         self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
+        self.scheduler.evacuations = context.evacuations()
+        self._evacuation_reporter = evacuation_reporter.EvacuationReporter(
+            self.scheduler, context.log, context.metrics
+        )
         self.advice_callers = advice_callers.AdviceCallerPool()
         self.advice_callers.add(OWN_IDENTITY)
         self.writer = writers.TermWriter(
@@ -149,6 +154,7 @@
             for task in done:
                 task.result()
         finally:
+            self._evacuation_reporter.close()
             tasks = [writer, *others, *self._lease_tasks.values()]
             tasks.extend(self._calls)
             for task in tasks:
@@ -670,6 +676,7 @@
                 raise writers.TermLost(
                     'a worker rejected a call because of a newer term'
                 )
+            self._evacuation_reporter.update(now)
             if self._term.may_start_work(now):
                 for action in self.scheduler.plan(now, self.advice_callers):
                     self._execute(action)
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -62,6 +62,15 @@
             'samphirestack_fleet_plan_seconds',
             'Time that a plan of the holder of the term took.',
         )
+        self.evacuated_zones = self._gauge(
+            'samphirestack_fleet_evacuated_zones',
+            'Zones evacuated by the operator, as the holder of the term sees '
+            'them.',
+        )
+        self.evacuated_runs = self._gauge(
+            'samphirestack_fleet_evacuated_runs',
+            'Runs that are still on workers of an evacuated zone, by zone.',
+        )
         self.term = collectors.Gauge(
             'samphirestack_fleet_term',
             'Number of the term that this process holds; 0 if none.',
@@ -72,6 +81,9 @@
     def _counter(self, name: str, help_text: str) -> collectors.Counter:
         return collectors.Counter(name, help_text, registry=self._registry)
 
+    def _gauge(self, name: str, help_text: str) -> collectors.Gauge:
+        return collectors.Gauge(name, help_text, registry=self._registry)
+
     def _histogram(self, name: str, help_text: str) -> collectors.Histogram:
         return collectors.Histogram(
             name, help_text, registry=self._registry, buckets=LATENCY_BUCKETS_S
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -89,7 +89,7 @@
         )
         self.term = terms.Term(context.vm_id, self._incarnation, peer_address)
         self.configuration_feed = configuration_feed.ConfigurationFeed(
-            context.store, context.registry
+            context.store, context.registry, context.bounds.evacuation_s
         )
         self._poll_requested = asyncio.Event()
         self.configuration_feed.on_store_recovered = self._poll_requested.set
--- a/packages/daemon/src/samphirestackd/fleet/node_context.py
+++ b/packages/daemon/src/samphirestackd/fleet/node_context.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from samphirestack.fleet import evacuation
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
@@ -26,6 +27,9 @@
     """Time for which a machine is down during its upkeep."""
     status_s: float
     """Time for which clients may query the state of an ended job."""
+    evacuation_s: float = float('inf')
+    """Time after the evacuation of a zone from which nothing may start
+    there; infinite if none is stated."""
 
 
 class Registry(Protocol):
@@ -45,6 +49,12 @@
     def wave(self, row: ports.StoredRow) -> upkeep.Wave | None:
         """Return the upkeep wave in a row, or ``None`` for other rows."""
 
+    def evacuated_zone(self, row: ports.StoredRow) -> model.ZoneId | None:
+        """Return the zone of an evacuation, or ``None`` for other rows.
+
+        The row may be removed, and then has no value.
+        """
+
     def wave_status(self, number: int, completed: bool) -> ports.Put:
         """Return the row that shows the operator the state of a wave."""
 
@@ -66,3 +76,4 @@
     metrics: metrics.Metrics
     configuration: Callable[[], specs.FleetConfiguration | None]
     waves: Callable[[], dict[int, upkeep.ReceivedWave]]
+    evacuations: Callable[[], evacuation.Evacuations] = evacuation.Evacuations
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -7,6 +7,7 @@
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
+from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
 from samphirestack_testing import row_store
 from samphirestack_testing import waiting
@@ -25,6 +26,10 @@
     def wave(self, row: ports.StoredRow) -> upkeep.Wave | None:
         del row
 
+    def evacuated_zone(self, row: ports.StoredRow) -> model.ZoneId | None:
+        zone = row.key.removeprefix('empty/')
+        return None if zone == row.key else model.ZoneId(zone)
+
     def configuration(self, row: ports.StoredRow) -> specs.FleetConfiguration:
         queues = [worlds.make_queue()]
         return specs.FleetConfiguration(
