Show evacuations in the log and the metrics, and test them

Cause: an operator could not see whether the holder follows an evacuation and what still runs in the zone.

Change: the holder logs evacuation.begun, emptied and ended with the zone and its workers, apart from the limited log of decisions, and shows the number of evacuated zones and of the runs there. A zone without workers is named in a warning. The rows of evacuations are applied inside the guard of the feed, so that no row ends it.

--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -8,6 +8,7 @@
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
+from samphirestack import model
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import node_context
 from samphirestackd.fleet import table_reader
@@ -108,30 +109,32 @@
         unless the rows are older than what was read before.
         """
         known = self._newest_version
-        self._apply(rows)
+        zones = self._apply(rows)
         if version < known:
             logs.warning('operator.outdated', version=version, known=known)
             return
-        zones = (self._registry.evacuated_zone(row) for row in rows)
-        self.evacuations.retain(zone for zone in zones if zone is not None)
+        self.evacuations.retain(zones)
 
-    def _apply(self, rows: list[ports.StoredRow]) -> None:
+    def _apply(self, rows: list[ports.StoredRow]) -> set[model.ZoneId]:
+        """Apply changed rows; return the zones that they evacuate."""
+        zones = set()
         for row in rows:
             self._newest_version = max(self._newest_version, row.version)
             try:
-                self._apply_row(row)
+                zone = self._registry.evacuated_zone(row)
+                if zone is None:
+                    self._apply_row(row)
+                elif row.removed:
+                    self.evacuations.end(zone)
+                else:
+                    self.evacuations.begin(clock.now(), zone)
+                    zones.add(zone)
             except Exception as error:
                 # The other rows, and the feed, go on.
                 logs.unexpected('operator.bad_row', row.key, error)
+        return zones
 
     def _apply_row(self, row: ports.StoredRow) -> None:
-        zone = self._registry.evacuated_zone(row)
-        if zone is not None:
-            if row.removed:
-                self.evacuations.end(zone)
-            else:
-                self.evacuations.begin(clock.now(), zone)
-            return
         if row.removed:
             return
         wave = self._registry.wave(row)
--- a/packages/daemon/src/samphirestackd/fleet/evacuation_reporter.py
+++ b/packages/daemon/src/samphirestackd/fleet/evacuation_reporter.py
@@ -1,8 +1,9 @@
 """What the holder shows operators of evacuations."""
 
+from collections.abc import Set
+
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack import model
-from samphirestackd.fleet import decision_log
 from samphirestackd.fleet import metrics
 from samphirestackd import logs
 
@@ -11,16 +12,17 @@
 
 
 class EvacuationReporter:
-    """Logs the beginnings and ends of evacuations and counts their runs."""
+    """Logs the beginnings and ends of evacuations and counts their runs.
+
+    Its lines are few, and don't count for the limit of the decision log.
+    """
 
     def __init__(
         self,
         scheduler: schedulers.FleetScheduler,
-        log: decision_log.DecisionLog,
         process_metrics: metrics.Metrics,
     ) -> None:
         self._scheduler = scheduler
-        self._log = log
         self._metrics = process_metrics
         self._runs_by_zone: dict[model.ZoneId, int] = {}
         """Number of runs in each evacuated zone at the last count."""
@@ -37,15 +39,21 @@
         if not (ended or begun or is_count_due):
             return
         self._counted_at = now
+        run_counts_by_zone = self._count_runs(ended | begun_at_by_zone.keys())
         for zone in sorted(ended):
             self._forget(zone)
-            self._log.write('evacuation.ended', zone=zone)
+            logs.info(
+                'evacuation.ended',
+                zone=zone,
+                workers=len(run_counts_by_zone[zone]),
+            )
         for zone, begun_at in begun_at_by_zone.items():
-            workers, runs = self._count(zone)
+            workers = len(run_counts_by_zone[zone])
+            runs = sum(run_counts_by_zone[zone])
             if zone in begun:
-                self._report_begun(zone, workers, runs)
+                _report_begun(zone, workers, runs)
             elif workers and not runs and self._runs_by_zone[zone]:
-                self._log.write(
+                logs.info(
                     'evacuation.emptied',
                     zone=zone,
                     took_s=round(now - begun_at, 3),
@@ -65,22 +73,20 @@
         if self._runs_by_zone.pop(zone):
             self._metrics.evacuated_runs.set({'zone': zone}, 0)
 
-    def _count(self, zone: model.ZoneId) -> tuple[int, int]:
-        """Return the number of workers in a zone, and that of their runs."""
-        run_counts = [
-            len(worker.runs_by_key)
-            for worker in self._scheduler.workers_by_id.values()
-            if worker.entry.zone == zone
-        ]
-        return len(run_counts), sum(run_counts)
+    def _count_runs(
+        self, zones: Set[model.ZoneId]
+    ) -> dict[model.ZoneId, list[int]]:
+        """Return the number of runs on each worker of each of the zones."""
+        result: dict[model.ZoneId, list[int]] = {zone: [] for zone in zones}
+        for worker in self._scheduler.workers_by_id.values():
+            if worker.entry.zone in result:
+                result[worker.entry.zone].append(len(worker.runs_by_key))
+        return result
 
-    def _report_begun(
-        self, zone: model.ZoneId, workers: int, runs: int
-    ) -> None:
-        self._log.write(
-            'evacuation.begun', zone=zone, workers=workers, runs=runs
+
+def _report_begun(zone: model.ZoneId, workers: int, runs: int) -> None:
+    logs.info('evacuation.begun', zone=zone, workers=workers, runs=runs)
+    if not workers:
+        logs.limited_warning(
+            'evacuation.unknown_zone', zone, 'no worker is in this zone'
         )
-        if not workers:
-            logs.limited_warning(
-                'evacuation.unknown_zone', zone, 'no worker is in this zone'
-            )
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -91,7 +91,7 @@
         self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
         self.scheduler.evacuations = context.evacuations()
         self._evacuation_reporter = evacuation_reporter.EvacuationReporter(
-            self.scheduler, context.log, context.metrics
+            self.scheduler, context.metrics
         )
         self.advice_callers = advice_callers.AdviceCallerPool()
         self.advice_callers.add(OWN_IDENTITY)
--- a/tests/integration/test_platform_entry.py
+++ b/tests/integration/test_platform_entry.py
@@ -203,6 +203,48 @@
         )
 
 
+class TestEvacuations:
+    """Guards against starts in an evacuated zone, which holds all workers."""
+
+    async def test_an_evacuation_outlives_its_holder_and_ends_in_an_outage(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        def knows_of_evacuation() -> bool:
+            name = deployment.holder_name()
+            return any(
+                'evacuation.begun' in one.log_path.read_text()
+                for one in deployment.entries
+                if one.name == name
+            )
+
+        deployment.store.put('op', 'evacuate/z1', b'\xff')
+        deployment.store.put('op', 'evacuate/nowhere', b'')
+        await until(knows_of_evacuation)
+        for number, entry in enumerate(deployment.entries):
+            await deployment.call(entry, 'POST', path(number), job())
+        name = deployment.holder_name()
+        holder = next(one for one in deployment.entries if one.name == name)
+        await holder.stop(signal.SIGKILL)
+        await until(lambda: deployment.holder_name() != name)
+        await until(knows_of_evacuation)
+        assert not deployment.runs
+        deployment.store.fault = stores.Fault.BUSY
+        deployment.store.remove('op', 'evacuate/z1')
+        deployment.store.drop_history()
+        other = next(
+            index
+            for index, one in enumerate(deployment.entries)
+            if one is not holder
+        )
+        log_path = deployment.entries[other].log_path
+        await until(lambda: '"store.lost"' in log_path.read_text())
+        assert not deployment.runs
+        deployment.store.fault = stores.Fault.NONE
+        for number in range(len(deployment.entries)):
+            await wait_for_state(deployment, number, 'completed', other)
+        assert_no_task_ran_twice(deployment)
+
+
 class TestFailures:
     """Guards against lost and doubled work during failures."""
 
--- a/tests/property/test_malformed_input.py
+++ b/tests/property/test_malformed_input.py
@@ -251,6 +251,17 @@
             put = registry.Registry().wave_status(found.number, False)
             assert len(put.key) < 200
 
+    @fuzzed
+    @given(st.text(max_size=20), st.binary(max_size=20), st.booleans())
+    @example('', b'', False)
+    @example('a/b', b'\xff', True)
+    def test_evacuations(self, zone: str, value: bytes, removed: bool) -> None:
+        row = ports.StoredRow(f'evacuate/{zone}', value, 1, removed)
+        assert registry.Registry().evacuated_zone(row) == (zone or None)
+        other = ports.StoredRow(f'evacuate{zone}', value, 1, removed)
+        if not zone.startswith('/'):
+            assert registry.Registry().evacuated_zone(other) is None
+
     @fuzzed
     @given(_msgpack(worlds.make_job(1)))
     @example(DEEP_MSGPACK)
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -1,9 +1,12 @@
 """The configuration that an entry follows."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 
 import pytest
 
+from samphirestack import errors
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack.fleet import upkeep
@@ -131,3 +134,148 @@
             feed._apply([ports.StoredRow('wave/1', deadline, 1)])
             received.append(feed.waves_by_number[1].received_at)
         assert received == [1.0, 1.0, 9.0]
+
+
+NORTH = model.ZoneId('north')
+SOUTH = model.ZoneId('south')
+
+
+@contextlib.asynccontextmanager
+async def running_feed(
+    store: ports.RowStore, evacuation_s: float = float('inf')
+) -> AsyncIterator[configuration_feed.ConfigurationFeed]:
+    feed = configuration_feed.ConfigurationFeed(
+        store,
+        Registry(),  # type: ignore[arg-type]
+        evacuation_s,
+    )
+    running = asyncio.create_task(feed.run())
+    try:
+        yield feed
+        # A feed that failed did so before the test ended it.
+        assert not running.done()
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+class OutdatedStore(row_store.MemoryRowStore):
+    """Store whose second read of the table is of its first version."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        self.reads += 1
+        if self.reads == 2:
+            return ports.Page([ports.StoredRow('config', b'1', 1)], 1)
+        return await super().read(table, first, end, part)
+
+
+class TestEvacuations:
+    """Guards against an evacuation that is missed or never ends."""
+
+    def _feed(self) -> configuration_feed.ConfigurationFeed:
+        return configuration_feed.ConfigurationFeed(
+            row_store.MemoryRowStore(),
+            Registry(),  # type: ignore[arg-type]
+        )
+
+    def test_a_request_holds_until_its_row_is_removed(self) -> None:
+        feed = self._feed()
+        feed._apply([ports.StoredRow('empty/north', b'\xff{', 1)])
+        assert feed.evacuations.covers(NORTH)
+        assert not feed.evacuations.covers(SOUTH)
+        feed._apply([ports.StoredRow('empty/south', b'', 2)])
+        feed._apply([ports.StoredRow('empty/north', b'', 3, True)])
+        assert not feed.evacuations.covers(NORTH)
+        assert feed.evacuations.covers(SOUTH)
+
+    def test_a_request_that_is_removed_at_once_never_holds(self) -> None:
+        feed = self._feed()
+        feed._apply([ports.StoredRow('empty/north', b'', 2, True)])
+        assert not feed.evacuations.covers(NORTH)
+
+    def test_rows_of_other_writers_are_set_aside(self) -> None:
+        feed = self._feed()
+        feed._apply(
+            [
+                ports.StoredRow('strange', b'\xff\x00', 1),
+                ports.StoredRow('empty', b'north', 2),
+                ports.StoredRow('empty/north', b'', 3),
+                ports.StoredRow('strange', b'', 4, True),
+            ]
+        )
+        assert feed.evacuations.begun_at_by_zone.keys() == {NORTH}
+
+    async def test_no_start_is_permitted_before_the_first_read(self) -> None:
+        store = row_store.QuietRowStore()
+        store.failure = errors.StoreUnavailable('down')
+        async with running_feed(store, 5.0) as feed:
+            assert not feed.evacuations.permits_starts(clock.now())
+            store.failure = None
+            await waiting.until(
+                lambda: feed.evacuations.permits_starts(clock.now()),
+                TIMEOUT_S,
+                'a first read',
+            )
+
+    async def test_a_request_is_known_as_early_as_a_configuration(
+        self,
+    ) -> None:
+        store = row_store.QuietRowStore()
+        store.page_rows = 1
+        puts = [
+            ports.Put('operator', 'config', b'1'),
+            ports.Put('operator', 'empty/north', b''),
+        ]
+        await store.transact([], puts)
+        async with running_feed(store) as feed:
+            await waiting.until(
+                lambda: feed.configuration is not None,
+                TIMEOUT_S,
+                'a configuration',
+            )
+            assert feed.evacuations.covers(NORTH)
+
+    async def test_a_row_that_is_removed_during_an_outage_ends_it(
+        self,
+    ) -> None:
+        store = row_store.MemoryRowStore()
+        puts = [
+            ports.Put('operator', f'empty/{zone}', b'')
+            for zone in (NORTH, SOUTH)
+        ]
+        await store.transact([], puts)
+        async with running_feed(store) as feed:
+            await waiting.until(
+                lambda: feed.evacuations.covers(NORTH), TIMEOUT_S, 'a request'
+            )
+            store.failure = errors.StoreUnavailable('down')
+            del store.rows_by_key['operator', '', 'empty/north']
+            store.version += 1
+            store.failure = None
+            await waiting.until(
+                lambda: not feed.evacuations.covers(NORTH),
+                TIMEOUT_S,
+                'the end of the request',
+            )
+            assert feed.evacuations.covers(SOUTH)
+
+    async def test_an_old_read_ends_no_request(self) -> None:
+        store = OutdatedStore()
+        await store.transact([], [ports.Put('operator', 'config', b'1')])
+        await store.transact([], [ports.Put('operator', 'empty/north', b'')])
+        async with running_feed(store) as feed:
+            covered = []
+
+            def record() -> bool:
+                if store.reads >= 1 and feed.configuration is not None:
+                    covered.append(feed.evacuations.covers(NORTH))
+                return store.reads >= 3
+
+            await waiting.until(record, TIMEOUT_S, 'three reads')
+            assert all(covered)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -8,6 +8,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import actions
+from samphirestack.fleet import evacuation
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -70,9 +71,12 @@
 
 
 def make_holder(
-    store: row_store.MemoryRowStore, workers: Workers | None = None
+    store: row_store.MemoryRowStore,
+    workers: Workers | None = None,
+    evacuations: Callable[[], evacuation.Evacuations] = evacuation.Evacuations,
 ) -> holders.Holder:
     context = worlds.make_context(store)
+    context.evacuations = evacuations
     context.registry = Registry()  # type: ignore[assignment]
     context.workers = workers  # type: ignore[assignment]
     term = terms.Term(model.VmId('vm'), 'life', 'address')
@@ -373,6 +377,79 @@
         assert workers.started == [start.order.task_id]
 
 
+class TestEvacuations:
+    """Guards against a start in a zone that the holder knows as evacuated."""
+
+    def _holder(
+        self, workers: Workers, evacuations: evacuation.Evacuations
+    ) -> holders.Holder:
+        store = row_store.QuietRowStore()
+        return make_holder(store, workers, lambda: evacuations)
+
+    async def test_an_order_that_waits_is_withdrawn(self) -> None:
+        evacuations = evacuation.Evacuations()
+        workers = SlowToConnect(
+            lambda: evacuations.begin(clock.now(), model.ZoneId('z'))
+        )
+        holder = self._holder(workers, evacuations)
+        await holder._start(plan_start(holder))
+        assert not workers.started
+
+    async def test_an_order_to_another_zone_is_sent(self) -> None:
+        evacuations = evacuation.Evacuations()
+        workers = SlowToConnect(
+            lambda: evacuations.begin(clock.now(), model.ZoneId('y'))
+        )
+        holder = self._holder(workers, evacuations)
+        start = plan_start(holder)
+        await holder._start(start)
+        assert workers.started == [start.order.task_id]
+
+    async def test_a_placement_that_is_stored_meanwhile_is_not_sent(
+        self,
+    ) -> None:
+        evacuations = evacuation.Evacuations()
+        workers = SlowToConnect(lambda: None)
+        holder = self._holder(workers, evacuations)
+        start = plan_start(holder)
+        holder._execute(start)
+        evacuations.begin(clock.now(), model.ZoneId('z'))
+        changes = holder.scheduler.collect_changes()
+        holder._on_changes_stored(changes)
+        assert not holder._calls
+        (worker,) = holder.scheduler.workers_by_id.values()
+        assert not worker.runs_by_key
+
+    async def test_a_new_holder_starts_nothing_in_the_zone(self) -> None:
+        store = row_store.QuietRowStore()
+        await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
+        job = worlds.make_job(1)
+        part = records.job_part(job.job_id)
+        row = records.encode(job)
+        await put_rows(store, records.JOBS_TABLE, {job.job_id: row}, [part])
+        evacuations = evacuation.Evacuations()
+        evacuations.begin(clock.now(), model.ZoneId('z'))
+        workers = SlowToConnect(lambda: None)
+        holder = make_holder(store, workers, lambda: evacuations)
+        shown = holder._context.metrics
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(
+                lambda: workers.reports_by_id.get('w0', 0) > 20,
+                TIMEOUT_S,
+                'reports of a worker',
+            )
+            assert not workers.started
+            assert shown.evacuated_zones.get({}) == 1
+            evacuations.end(model.ZoneId('z'))
+            await waiting.until(
+                lambda: workers.started, TIMEOUT_S, 'a start after the end'
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
 class FailingFeedStore(row_store.QuietRowStore):
     """Store of which only the feed of workers fails."""
 
