Read the operator's table at once when its age holds back starts

Cause: after an outage of the store, the feed of the operator's table can wait up to 0.9 s for the answer to a call that the outage swallowed, while the term is renewed or claimed already.

Change: a holder that may start work, but whose view of the evacuations is too old, reads the table beside the feed. A read that is older than an earlier one does not bring an evacuation back either.

--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -42,7 +42,8 @@
         self.waves_by_number: dict[int, upkeep.ReceivedWave] = {}
         self.evacuations = evacuation.Evacuations(evacuation_s)
         self._newest_version = 0
-        """Highest version of the table that was read."""
+        """Highest version of a row that was read."""
+        self._extra_read: asyncio.Task[None] | None = None
         self.answered_at = float('-inf')
         """Time of the last answer of the store."""
         self.on_store_recovered: Callable[[], None] = lambda: None
@@ -55,8 +56,37 @@
         """Return the seconds since the configuration was last confirmed."""
         return now - self.confirmed_at
 
+    def request_read(self) -> None:
+        """Read the table now, beside the feed, unless such a read is going on.
+
+        After an outage of the store, the feed may still wait for the answer
+        to a call that was lost in it.
+        """
+        if self._extra_read is None or self._extra_read.done():
+            self._extra_read = asyncio.create_task(self._read_beside_feed())
+
+    async def _read_beside_feed(self) -> None:
+        sent_at = clock.now()
+        try:
+            rows, version = await table_reader.read_table(
+                self._store, self._registry.operator_table
+            )
+        except errors.PlatformError as error:
+            logs.debug('operator.read_failed', reason=error.message)
+            await asyncio.sleep(RETRY_AFTER_S)
+            return
+        self._apply_table(rows, version)
+        self._confirm(sent_at)
+
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
+        try:
+            await self._follow()
+        finally:
+            if self._extra_read is not None:
+                self._extra_read.cancel()
+
+    async def _follow(self) -> None:
         version: int | None = None
         read_at = float('-inf')
         failing = False
@@ -98,24 +128,31 @@
                 logs.info('store.regained')
                 failing = False
                 self.on_store_recovered()
-            self.answered_at = clock.now()
-            self.confirmed_at = sent_at
-            self.evacuations.confirmed_at = sent_at
+            self._confirm(sent_at)
+
+    def _confirm(self, sent_at: float) -> None:
+        """Record that the answer to a request confirmed what is known."""
+        self.answered_at = clock.now()
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self.evacuations.confirmed_at = self.confirmed_at
 
     def _apply_table(self, rows: list[ports.StoredRow], version: int) -> None:
         """Apply all rows of the table.
 
-        An evacuation without a row has ended while the feed missed changes,
-        unless the rows are older than what was read before.
+        An evacuation without a row has ended while the feed missed changes.
+        Rows that are older than what was read before tell nothing of
+        evacuations.
         """
         known = self._newest_version
-        zones = self._apply(rows)
         if version < known:
             logs.warning('operator.outdated', version=version, known=known)
-            return
-        self.evacuations.retain(zones)
+            self._apply(rows, is_outdated=True)
+        else:
+            self.evacuations.retain(self._apply(rows))
 
-    def _apply(self, rows: list[ports.StoredRow]) -> set[model.ZoneId]:
+    def _apply(
+        self, rows: list[ports.StoredRow], is_outdated: bool = False
+    ) -> set[model.ZoneId]:
         """Apply changed rows; return the zones that they evacuate."""
         zones = set()
         for row in rows:
@@ -124,6 +161,8 @@
                 zone = self._registry.evacuated_zone(row)
                 if zone is None:
                     self._apply_row(row)
+                elif is_outdated:
+                    continue
                 elif row.removed:
                     self.evacuations.end(zone)
                 else:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -678,6 +678,8 @@
                 )
             self._evacuation_reporter.update(now)
             if self._term.may_start_work(now):
+                if not self.scheduler.evacuations.permits_starts(now):
+                    self._context.refresh_evacuations()
                 for action in self.scheduler.plan(now, self.advice_callers):
                     self._execute(action)
                 self.advice_callers.reserved_calls.clear()
--- a/packages/daemon/src/samphirestackd/fleet/node_context.py
+++ b/packages/daemon/src/samphirestackd/fleet/node_context.py
@@ -77,3 +77,5 @@
     configuration: Callable[[], specs.FleetConfiguration | None]
     waves: Callable[[], dict[int, upkeep.ReceivedWave]]
     evacuations: Callable[[], evacuation.Evacuations] = evacuation.Evacuations
+    refresh_evacuations: Callable[[], None] = lambda: None
+    """Reads the evacuations without waiting for their feed."""
--- a/tests/unit/fleet/test_configuration_feed.py
+++ b/tests/unit/fleet/test_configuration_feed.py
@@ -159,6 +159,17 @@
         await asyncio.gather(running, return_exceptions=True)
 
 
+class HangingFeedStore(row_store.MemoryRowStore):
+    """Store whose feed never answers."""
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Page | None:
+        del table, after, wait_s
+        await asyncio.Event().wait()
+        return None
+
+
 class OutdatedStore(row_store.MemoryRowStore):
     """Store whose second read of the table is of its first version."""
 
@@ -279,3 +290,35 @@
 
             await waiting.until(record, TIMEOUT_S, 'three reads')
             assert all(covered)
+
+    def test_an_old_read_brings_no_request_back(self) -> None:
+        feed = self._feed()
+        old = [ports.StoredRow('empty/north', b'', 1)]
+        feed._apply_table(old, 1)
+        feed._apply([ports.StoredRow('empty/north', b'', 2, True)])
+        feed._apply_table(old, 1)
+        assert not feed.evacuations.covers(NORTH)
+        feed._apply_table(old, 3)
+        assert feed.evacuations.covers(NORTH)
+
+    async def test_a_read_beside_the_feed_does_not_wait_for_it(self) -> None:
+        store = HangingFeedStore()
+        await store.transact([], [ports.Put('operator', 'config', b'1')])
+        async with running_feed(store, 5.0) as feed:
+            await waiting.until(
+                lambda: feed.configuration is not None, TIMEOUT_S, 'a read'
+            )
+            confirmed_at = feed.confirmed_at
+            row = ports.Put('operator', 'empty/north', b'')
+            await store.transact([], [row])
+            store.failure = errors.StoreUnavailable('down')
+            feed.request_read()
+            await asyncio.sleep(0)
+            store.failure = None
+
+            def is_read() -> bool:
+                feed.request_read()
+                return feed.evacuations.covers(NORTH)
+
+            await waiting.until(is_read, TIMEOUT_S, 'the request')
+            assert feed.evacuations.confirmed_at > confirmed_at
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -420,6 +420,27 @@
         (worker,) = holder.scheduler.workers_by_id.values()
         assert not worker.runs_by_key
 
+    async def test_requests_that_are_too_old_are_read(self) -> None:
+        evacuations = evacuation.Evacuations(5.0)
+        evacuations.confirmed_at = clock.now() - 10.0
+        workers = SlowToConnect(lambda: None)
+        holder = self._holder(workers, evacuations)
+
+        def refresh() -> None:
+            evacuations.confirmed_at = clock.now()
+
+        holder._context.refresh_evacuations = refresh
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(
+                lambda: evacuations.permits_starts(clock.now()),
+                TIMEOUT_S,
+                'a read of the requests',
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
     async def test_a_new_holder_starts_nothing_in_the_zone(self) -> None:
         store = row_store.QuietRowStore()
         await put_rows(store, 'workers', dict.fromkeys(WORKERS, b''))
