Evacuate and readmit a zone by the operators' commands

Cause: in the mode with zone leaders, an operator could not keep work from starting in a zone that is to be emptied.

Change: zone evacuate and zone readmit publish a field of the zone. Its leader withdraws starts that are not sent and starts nothing, its workers are shown as evacuated, and job why names the reason. New jobs get an evacuated zone as their home only if no other zone is large enough. Running tasks end where they are.

--- a/packages/client/src/samphirestack_client/commands/zone.py
+++ b/packages/client/src/samphirestack_client/commands/zone.py
@@ -123,6 +123,62 @@
             f'declaring zone {name!r} lost needs --yes',
             'Make sure that all its machines are down, then add --yes.',
         )
+    await _set(name, 'lost', True, change, common)
+
+
+@app.command(
+    help_epilogue=options.examples('samphirestack zone evacuate arree')
+)
+async def evacuate(
+    name: str,
+    *,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Start no more tasks in a zone.
+
+    Tasks that run there go on until they end. New jobs get another home zone
+    if one is large enough; those that wait in this zone wait until it is
+    readmitted.
+
+    Parameters
+    ----------
+    name
+        Name of the zone.
+    """
+    await _set(name, 'evacuated', True, change, common)
+
+
+@app.command(
+    help_epilogue=options.examples('samphirestack zone readmit arree')
+)
+async def readmit(
+    name: str,
+    *,
+    change: options.ChangeOptions = options.CHANGE,
+    common: options.Common = options.COMMON,
+) -> None:
+    """Start tasks again in a zone that was evacuated.
+
+    Parameters
+    ----------
+    name
+        Name of the zone.
+    """
+    await _set(name, 'evacuated', False, change, common)
+
+
+async def _set(
+    name: str,
+    field: str,
+    value: bool,
+    change: options.ChangeOptions,
+    common: options.Common,
+) -> None:
+    """Publish one field of an existing zone.
+
+    :raises failures.ClientFailure: the zone does not exist.
+    """
     async with common.connect() as api:
         current = await apis.fetch_configuration(api)
         zone = current.zones_by_id.get(name)
@@ -131,7 +187,7 @@
                 f'zone {name!r} does not exist',
                 'List the zones with "samphirestack zone list".',
             )
-        lost = msgspec.structs.replace(zone, lost=True)
-        wanted = [] if zone.lost else [configuration.PutZone(lost)]
+        changed = msgspec.structs.replace(zone, **{field: value})
+        wanted = [] if changed == zone else [configuration.PutZone(changed)]
         report = await changes.send(api, current, wanted, change)
     changes.show(report, common)
--- a/packages/core/src/samphirestack/configuration.py
+++ b/packages/core/src/samphirestack/configuration.py
@@ -117,6 +117,8 @@
     arbiters: tuple[model.WorkerId, ...] = ()
     lost: bool = False
     """Set by an operator who knows that nothing runs in the zone any more."""
+    evacuated: bool = False
+    """Set by an operator while no tasks may start in the zone."""
 
 
 class Member(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/core/src/samphirestack/internal/leader/task_explain.py
+++ b/packages/core/src/samphirestack/internal/leader/task_explain.py
@@ -48,6 +48,10 @@
     paused = pool.quarantine.probe_times()
     if paused and phases[task_state.Phase.QUEUED]:
         parts.append(f'{len(paused)} workers are in quarantine')
+    if phases[task_state.Phase.QUEUED] and any(
+        worker.evacuated for worker in pool.workers_by_id.values()
+    ):
+        parts.append('the zone is evacuated, and no tasks start there')
     if entry.reason:
         parts.append(entry.reason)
     return '; '.join(parts)
@@ -63,4 +67,6 @@
         return 'silent'
     if not worker.listed or worker.vm.state is model.VmState.LEAVING:
         return 'leaving'
+    if worker.evacuated:
+        return 'evacuated'
     return 'quarantined' if quarantined else 'ready'
--- a/packages/core/src/samphirestack/internal/leader/task_state.py
+++ b/packages/core/src/samphirestack/internal/leader/task_state.py
@@ -276,6 +276,7 @@
     """A worker and the state of its agent, as far as known."""
 
     __slots__ = (
+        'evacuated',
         'event_handled_at',
         'last_event_handled',
         'listed',
@@ -294,6 +295,8 @@
         self.worker_id = model.WorkerId(vm.vm_id)
         self.vm = vm
         self.listed = True
+        self.evacuated = False
+        """Whether an operator has evacuated its zone."""
         self.reset()
 
     def reset(self) -> None:
@@ -317,6 +320,7 @@
         """Whether new tasks may be sent to it."""
         return (
             self.listed
+            and not self.evacuated
             and self.reported
             and self.reachable
             and not self.needs_query
--- a/packages/core/src/samphirestack/internal/leader/tasks.py
+++ b/packages/core/src/samphirestack/internal/leader/tasks.py
@@ -73,10 +73,17 @@
     ) -> None:
         """Apply a configuration.
 
-        Waiting tasks in a queue that was retired are refused.
+        Waiting tasks in a queue that was retired are refused, and starts in
+        an evacuated zone that are not sent are withdrawn.
         """
         self._configuration = configuration
         self._intake.configure(now, configuration)
+        for worker in self._pool.workers_by_id.values():
+            if worker.evacuated != self._is_evacuated(worker.vm):
+                worker.evacuated = not worker.evacuated
+                self._pool.refresh_usable(now, worker.worker_id)
+                if worker.evacuated:
+                    self._withdraw_unsent_starts(now, worker)
 
     def set_workers(self, now: float, vms: list[model.Vm]) -> None:
         """Set the list of the zone's workers."""
@@ -178,9 +185,7 @@
             lapsed = max(lapsed, self._restart_lost_after)
         worker.lost_after = max(lapsed, worker.lost_after or 0.0)
         self._pool.refresh_usable(now, worker_id)
-        for task in list(worker.tasks_by_id.values()):
-            if task.phase is task_state.Phase.PREPARED:
-                self._outcomes.withdraw_placement(now, task)
+        self._withdraw_unsent_starts(now, worker)
 
     def task_event(
         self,
@@ -355,8 +360,20 @@
             self._pool.index.add_or_update(worker_id, vm.rack, vm.capacity)
         worker.vm = vm
         worker.listed = True
+        worker.evacuated = self._is_evacuated(vm)
         self._pool.refresh_usable(now, worker_id)
 
+    def _is_evacuated(self, vm: model.Vm) -> bool:
+        zone = self._configuration.zones_by_id.get(vm.zone)
+        return zone is not None and zone.evacuated
+
+    def _withdraw_unsent_starts(
+        self, now: float, worker: task_state.WorkerEntry
+    ) -> None:
+        for task in list(worker.tasks_by_id.values()):
+            if task.phase is task_state.Phase.PREPARED:
+                self._outcomes.withdraw_placement(now, task)
+
     def _handle_past_event(
         self,
         now: float,
--- a/packages/daemon/src/samphirestackd/dispatch/jobs.py
+++ b/packages/daemon/src/samphirestackd/dispatch/jobs.py
@@ -201,6 +201,11 @@
             self._context.settings.zone,
             self._context.vms.vms_by_id(),
             configuration.Limit() if team is None else team.limit,
+            [
+                zone.name
+                for zone in current.zones_by_id.values()
+                if zone.evacuated
+            ],
         )
         name = f'{home}{ID_SEPARATOR}{uuid.uuid4().hex}'
         return model.Job(
--- a/packages/daemon/src/samphirestackd/dispatch/sizes.py
+++ b/packages/daemon/src/samphirestackd/dispatch/sizes.py
@@ -1,5 +1,6 @@
 """Choice of a job's home zone and refusal of jobs that can never run."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
 
 from samphirestack import configuration
@@ -16,6 +17,7 @@
     own_zone: model.ZoneId,
     vms_by_id: Mapping[model.VmId, model.Vm],
     limit: configuration.Limit,
+    evacuated: Collection[model.ZoneId] = (),
 ) -> model.ZoneId:
     """Return the home zone of a new job, preferably the own zone.
 
@@ -23,6 +25,7 @@
 
     :param vms_by_id: VMs listed by the platform; without any worker the
         size can't be checked, and the own zone is returned.
+    :param evacuated: zones that are chosen only if no other is large enough.
     :raises errors.ImpossibleSize: no zone could ever run the job, or the
         team's limit never allows it.
     """
@@ -33,7 +36,10 @@
             capacities_by_zone.setdefault(vm.zone, []).append(vm.capacity)
     if not capacities_by_zone:
         return own_zone
-    zones = sorted(capacities_by_zone, key=lambda zone: zone != own_zone)
+    zones = sorted(
+        capacities_by_zone,
+        key=lambda zone: (zone in evacuated, zone != own_zone),
+    )
     needed = tasks if kind is model.JobKind.GANG else 1
     largest_count = 0
     for zone in zones:
--- a/tests/unit/client/test_commands.py
+++ b/tests/unit/client/test_commands.py
@@ -164,6 +164,23 @@
         code, _ = cell.error('zone', 'declare-lost', 'none', '--yes')
         assert code == 1
 
+    def test_zone_is_evacuated_and_readmitted(self, cell: _Cell) -> None:
+        # Guards against an evacuation that is not published or not shown.
+        assert cell.run('zone', 'evacuate', 'menez') == 0
+        assert cell.current.zones_by_id['menez'].evacuated
+        revision = cell.current.revision
+        assert cell.run('zone', 'evacuate', 'menez') == 0
+        assert cell.current.revision == revision
+        listed = cell.json('zone', 'list')
+        assert [zone['name'] for zone in listed if zone['evacuated']] == [
+            'menez'
+        ]
+        assert cell.run('zone', 'readmit', 'menez') == 0
+        assert not cell.current.zones_by_id['menez'].evacuated
+        for command in ('evacuate', 'readmit'):
+            code, text = cell.error('zone', command, 'none')
+            assert (code, 'zone list' in text) == (1, True)
+
     def test_arbiters_are_given_to_a_zone_once(self, cell: _Cell) -> None:
         # Guards against reporting success for new arbiters of a zone that
         # has some, since the nodes ignore such a change.
--- a/tests/unit/core/test_task_scheduler.py
+++ b/tests/unit/core/test_task_scheduler.py
@@ -479,3 +479,68 @@
             (start,) = zone.plan(float(number))
             zone.accept(float(number), start)
             zone.event(number + 0.5, start, number + 1, 'lost')
+
+
+def _evacuating(evacuated: bool = True) -> configuration.Configuration:
+    name = task_world.ZONE
+    zone = configuration.Zone(name, evacuated=evacuated)
+    return msgspec.structs.replace(_configuration(), zones_by_id={name: zone})
+
+
+class TestEvacuatedZones:
+    """Guards against a task that starts in a zone that is to be emptied."""
+
+    def test_no_task_starts_until_the_zone_is_readmitted(self) -> None:
+        zone = _ready(1)
+        zone.scheduler.configure(0.5, _evacuating())
+        zone.submit('a')
+        assert not zone.plan(1.0)
+        assert zone.scheduler.worker_states() == {'w0': 'evacuated'}
+        assert 'the zone is evacuated' in zone.scheduler.explain(1.0, 'a')
+        zone.scheduler.configure(2.0, _evacuating(False))
+        assert len(zone.plan(2.0)) == 1
+        assert zone.scheduler.worker_states() == {'w0': 'ready'}
+
+    def test_a_start_that_is_not_sent_is_withdrawn(self) -> None:
+        zone = _ready(1)
+        zone.submit('a', idempotent=False)
+        assert not zone.plan(1.0)
+        (record,) = zone.scheduler.pop_updates(1.0)
+        zone.scheduler.configure(1.5, _evacuating())
+        zone.scheduler.update_saved(1.6, record)
+        assert not zone.plan(2.0)
+        zone.scheduler.configure(3.0, _evacuating(False))
+        for record in zone.scheduler.pop_updates(3.0):
+            zone.scheduler.update_saved(3.0, record)
+        assert len(zone.plan(3.0)) == 1
+
+    def test_running_tasks_go_on(self) -> None:
+        zone = _ready(1)
+        zone.submit('a')
+        (start,) = zone.plan(1.0)
+        zone.accept(1.0, start)
+        zone.scheduler.configure(1.5, _evacuating())
+        assert zone.scheduler.plan(2.0) == []
+        zone.event(3.0, start, 1, 'succeeded')
+        assert zone.scheduler.plan(3.0) == []
+
+    def test_nothing_is_preempted_for_tasks_that_can_not_start(self) -> None:
+        zone = _ready(1)
+        zone.submit('a', resources=WHOLE)
+        (start,) = zone.plan(1.0)
+        zone.accept(1.0, start)
+        zone.scheduler.configure(1.5, _evacuating())
+        zone.submit('b', queue='urgent', now=2.0)
+        assert zone.scheduler.plan(2.0) == []
+
+    def test_a_new_leader_and_a_new_worker_keep_to_it(self) -> None:
+        zone = _ready(1)
+        zone.scheduler.configure(0.5, _evacuating())
+        zone.scheduler.end_term(1.0)
+        zone.scheduler.start_term(2.0, 2, LOST_AFTER)
+        vms = [task_world.worker(name, name, WHOLE) for name in ('w0', 'w1')]
+        zone.scheduler.set_workers(2.0, vms)
+        for name in ('w0', 'w1'):
+            zone.report_tasks(2.0, name)
+        zone.submit('a', now=2.0)
+        assert not zone.plan(3.0)
--- a/tests/unit/daemon/test_idempotency.py
+++ b/tests/unit/daemon/test_idempotency.py
@@ -300,3 +300,37 @@
         assert home(configuration.Limit()) == zone
         with pytest.raises(errors.ImpossibleSize):
             home(configuration.Limit(millicores=cores * 1000 - 1))
+
+    @pytest.mark.parametrize(
+        ('size', 'evacuated', 'zone'),
+        [
+            (1000, [], 'arree'),
+            (1000, ['arree'], 'menez'),
+            (1000, ['arree', 'menez'], 'arree'),
+            (8000, ['menez'], 'menez'),
+        ],
+    )
+    def test_an_evacuated_zone_is_the_last_choice(
+        self, size: int, evacuated: list[str], zone: str
+    ) -> None:
+        # Guards against new jobs that wait until a zone is readmitted.
+        vms = {
+            name: model.Vm(
+                name,
+                '',
+                model.VmRole.WORKER,
+                name[:5],
+                capacity=model.Resources(capacity, 1000),
+            )
+            for name, capacity in (('arree-w1', 4000), ('menez-w1', 8000))
+        }
+        home = sizes.choose_home_zone(
+            model.JobKind.BATCH,
+            1,
+            model.Resources(size, 10),
+            'arree',
+            vms,
+            configuration.Limit(),
+            evacuated,
+        )
+        assert home == zone
