--- a/packages/core/src/samphirestack/fleet/evacuation.py
+++ b/packages/core/src/samphirestack/fleet/evacuation.py
@@ -23,7 +23,8 @@
 
 AGE_MARGIN_S = 1.0
 """Margin by which starts are held back before the known requests are older
-than the bound; an order takes up to this long until the run starts."""
+than the bound; an order takes up to this long until the run starts.  It is
+at most half of the bound."""
 
 
 class Evacuations:
@@ -35,7 +36,7 @@
     """
 
     def __init__(self, bound_s: float = float('inf')) -> None:
-        self._bound_s = bound_s
+        self._max_age_s = max(bound_s - AGE_MARGIN_S, bound_s / 2)
         self._begun_at_by_zone: dict[model.ZoneId, float] = {}
         self.confirmed_at = float('-inf')
         """Moment that the known requests reflect at least."""
@@ -66,7 +67,7 @@
 
     def permits_starts(self, now: float) -> bool:
         """Return whether the known requests are recent enough for starts."""
-        return now - self.confirmed_at <= self._bound_s - AGE_MARGIN_S
+        return now - self.confirmed_at <= self._max_age_s
 
     def should_move(
         self,
--- a/tests/unit/fleet/test_evacuation.py
+++ b/tests/unit/fleet/test_evacuation.py
@@ -162,6 +162,12 @@
         (start,) = world.plan_starts(0.1)
         assert not world.send_start(BOUND_S - 0.5, start)
 
+    def test_a_short_bound_permits_starts(self) -> None:
+        evacuations = evacuation.Evacuations(0.8)
+        evacuations.confirmed_at = 0.0
+        assert evacuations.permits_starts(0.4)
+        assert not evacuations.permits_starts(0.5)
+
     def test_without_a_bound_the_age_does_not_count(self) -> None:
         assert evacuation.Evacuations().permits_starts(1e9)
 
