--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -17,6 +17,11 @@
             'samphirestack_fleet_calls_total',
             'Calls of clients by operation and status.',
         )
+        self.clients_refused = self._counter(
+            'samphirestack_fleet_clients_refused_total',
+            'Clients that were refused or disconnected for exceeding a '
+            'limit, by listener and reason.',
+        )
         self.orders = self._counter(
             'samphirestack_fleet_orders_total',
             'Orders to workers by kind and outcome.',
--- a/packages/daemon/src/samphirestackd/serving.py
+++ b/packages/daemon/src/samphirestackd/serving.py
@@ -10,10 +10,28 @@
 CLOSE_TIMEOUT_S = 2.0
 """Maximum wait for responses in progress when a server stops."""
 
+ACCEPTED_AT_ONCE = 32
+"""Connections that are accepted before the first of them is handled, which may
+close others."""
+
 
 class _Server(uvicorn.Server):
     """Server without signal handlers; the daemon handles signals."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        # asyncio accepts as many connections at once as the queue is long.
+        self._backlog = config.backlog
+        config.backlog = min(config.backlog, ACCEPTED_AT_ONCE)
+
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Start to accept connections from a queue of the full length."""
+        await super().startup(sockets)
+        for sock in sockets or []:
+            sock.listen(self._backlog)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no handlers."""
@@ -27,10 +45,10 @@
     """
 
     def __init__(self, config: uvicorn.Config) -> None:
-        self._server = _Server(config)
         self._socket = socket.create_server(
             (config.host, config.port), backlog=config.backlog
         )
+        self._server = _Server(config)
         # Accepted connections inherit this.  asyncio sets it only on sockets
         # with an explicit protocol number; without it responses wait about
         # 40 ms for a delayed acknowledgement.
