Keep the time limit of clients that don't read and send on

A further request of a client that left answers unread took it out of the checks, and so did the end of a pause in the middle of a request. Both tests failed before.

--- a/packages/core/src/samphirestack/fleet/client_limits.py
+++ b/packages/core/src/samphirestack/fleet/client_limits.py
@@ -206,7 +206,8 @@
 
     def finish(self, client: Client) -> None:
         """Note that a request was received completely."""
-        self._unfinished.pop(client, None)
+        if client.unread_since is None:
+            self._unfinished.pop(client, None)
         client.received_bytes = 0
 
     def answer(self, client: Client, is_received: bool, now: float) -> None:
@@ -237,14 +238,16 @@
             self._idle.pop(client, None)
             self._unfinished[client] = None
 
-    def unblock(self, client: Client, is_answered: bool) -> None:
+    def unblock(
+        self, client: Client, *, is_received: bool, is_answered: bool
+    ) -> None:
         """Note that the client reads again.
 
-        :param is_answered: whether it waits for no answer and has no
-            unfinished request.
+        :param is_received: whether there is no unfinished request.
+        :param is_answered: whether no request waits for its answer.
         """
         client.unread_since = None
-        if client in self._all:
+        if client in self._all and is_received:
             self._unfinished.pop(client, None)
             if is_answered:
                 self._idle[client] = None
--- a/packages/daemon/src/samphirestackd/client_protocol.py
+++ b/packages/daemon/src/samphirestackd/client_protocol.py
@@ -231,9 +231,10 @@
     def resume_writing(self) -> None:
         """Note that the client reads again."""
         super().resume_writing()
-        is_answered = self.cycle is None or self.cycle.response_complete
         self.listener.clients.unblock(
-            self._client, is_answered and not self._is_receiving
+            self._client,
+            is_received=not self._is_receiving,
+            is_answered=self.cycle is None or self.cycle.response_complete,
         )
 
     def send_400_response(self, msg: str) -> None:
--- a/tests/unit/fleet/test_client_limits.py
+++ b/tests/unit/fleet/test_client_limits.py
@@ -197,5 +197,24 @@
         client = idle_client(clients, 'a', 0.0)
         clients.block(client, 1.0)
         assert clients.overdue(2.0 + client_limits.UNREAD_S) == [client]
-        clients.unblock(client, True)
+        clients.unblock(client, is_received=True, is_answered=True)
         assert not clients.overdue(2.0 + client_limits.UNREAD_S)
+
+    def test_a_further_request_does_not_excuse_unread_answers(self) -> None:
+        clients = create()
+        client = idle_client(clients, 'a', 0.0)
+        clients.receive(client, 100, 1.0)
+        clients.finish(client)
+        clients.block(client, 1.0)
+        clients.receive(client, 100, 1.0)
+        clients.finish(client)
+        assert clients.overdue(2.0 + client_limits.UNREAD_S) == [client]
+
+    def test_an_unfinished_request_stays_bounded_after_a_pause(self) -> None:
+        clients = create()
+        client = idle_client(clients, 'a', 0.0)
+        clients.block(client, 1.0)
+        clients.receive(client, 100, 2.0)
+        clients.unblock(client, is_received=False, is_answered=True)
+        assert not clients.overdue(3.0)
+        assert clients.overdue(3.0 + client_limits.REQUEST_S) == [client]
