--- a/tests/integration/test_clients_outside_limits.py
+++ b/tests/integration/test_clients_outside_limits.py
@@ -7,6 +7,7 @@
 import itertools
 import pathlib
 
+import msgspec
 import pytest
 import pytest_asyncio
 
@@ -33,6 +34,9 @@
 HELD_BODY_BYTES = 260_000
 SENT_BODY_BYTES = HELD_BODY_BYTES - 100
 BODY_PIECES = 4
+STEPS = 4000
+"""Steps of a job whose body is about as large as the limit."""
+
 IDLERS = 600
 """Clients that open a connection and complete no request."""
 
@@ -46,17 +50,14 @@
 )
 HEADER = b'x-name: ' + b'value' * 20 + b'\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n'
-JOB = {
-    'specification': 'run_ms=100',
-    'steps': [
-        {
-            'count': 1,
-            'cpu': 1000,
-            'memory_request_mb': 64,
-            'estimated_ms': 100,
-        }
-    ],
+STEP = {
+    'count': 1,
+    'cpu': 1000,
+    'memory_request_mb': 64,
+    'estimated_ms': 100,
 }
+JOB = {'specification': 'run_ms=100', 'steps': [STEP]}
+LARGE_JOB = {'specification': 'run_ms=100', 'steps': [STEP] * STEPS}
 
 Address = str
 
@@ -302,6 +303,15 @@
         ]
         await assert_withstands(deployment, clients)
 
+    async def test_complete_bodies_at_once(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        body = msgspec.json.encode(LARGE_JOB)
+        assert HELD_BODY_BYTES <= len(body) <= MAX_BODY_BYTES
+        head = HEAD + b'Content-Length: %d\r\n\r\n' % len(body)
+        clients = [iter([head % number + body]) for number in range(HOLDERS)]
+        await assert_withstands(deployment, clients)
+
 
 class TestPipelines:
     """Guards against requests that are read ahead of their answers."""
