--- a/tests/unit/fleet/test_client_protocol.py
+++ b/tests/unit/fleet/test_client_protocol.py
@@ -285,6 +285,18 @@
             assert await read_all(reader) == b''
             assert served.reasons == ['pipeline']
 
+    async def test_a_request_that_stands_still_is_refused(self) -> None:
+        async with serving() as served:
+            reader, writer = await served.connect()
+            writer.write(POST)
+            await served.until(lambda: served.clients.held_bytes > 0)
+            loop = asyncio.get_running_loop()
+            late = loop.time() + client_limits.REQUEST_S + 1
+            (client,) = served.clients.overdue(late)
+            served.listener.refuse(client, client_protocol.Reason.TIMEOUT)
+            assert (await read_all(reader)).startswith(b'HTTP/1.1 408 ')
+            assert served.reasons == ['timeout']
+
     async def test_a_client_that_reads_nothing_is_disconnected(self) -> None:
         async with serving() as served:
             served.app.answer = b'v' * 20_000_000
