--- a/packages/daemon/src/samphirestackd/client_protocol.py
+++ b/packages/daemon/src/samphirestackd/client_protocol.py
@@ -247,7 +247,14 @@
     def refuse(self, reason: Reason) -> None:
         """Answer that nothing was done, if this is so, and disconnect."""
         status = STATUSES.get(reason)
-        if status is not None and self._may_answer():
+        # A client would take an answer on an idle connection for that to its
+        # next request.
+        is_idle = (
+            self.cycle is not None
+            and not self._is_receiving
+            and not self._overhead_bytes
+        )
+        if status is not None and not is_idle and self._may_answer():
             self.transport.write(_refusal(status, _TEXTS[reason]))
         self._disconnect()
 
--- a/tests/unit/fleet/test_client_protocol.py
+++ b/tests/unit/fleet/test_client_protocol.py
@@ -230,6 +230,17 @@
             assert (await read_all(readers[0])).startswith(b'HTTP/1.1 503 ')
             assert served.reasons == ['too_many_connections']
 
+    async def test_an_idle_connection_gives_way_in_silence(self) -> None:
+        async with serving() as served:
+            connections = [await served.connect() for _ in range(3)]
+            for reader, writer in connections:
+                writer.write(GET + b'\r\n')
+                assert (await read_answer(reader)).startswith(OK)
+            reader, writer = await served.connect()
+            writer.write(GET + b'\r\n')
+            assert (await read_answer(reader)).startswith(OK)
+            assert await read_all(connections[0][0]) == b''
+
     async def test_a_newcomer_is_refused_if_all_wait_for_answers(
         self,
     ) -> None:
