--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -22,6 +22,11 @@
             'Submissions that entries without the store handed over to this '
             'holder, by outcome.',
         )
+        self.clients_refused = self._counter(
+            'samphirestack_fleet_clients_refused_total',
+            'Clients that were refused or disconnected for exceeding a '
+            'limit, by listener and reason.',
+        )
         self.orders = self._counter(
             'samphirestack_fleet_orders_total',
             'Orders to workers by kind and outcome.',
