--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -82,6 +82,26 @@
     report."""
 
 
+class ReportStalled(msgspec.Struct, frozen=True):
+    """Tell operators why a run counts as standing still."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+    percent: float
+    still_s: float
+    """Time without progress."""
+    running_s: float
+    """Time since the start."""
+    estimate_s: float
+    """Declared run time."""
+    member_percents: tuple[float, ...]
+    """Progress of all members of its gang that are on workers; empty if it is
+    in none."""
+    members_unconfirmed: int
+    """Members of its gang that are not known to have started."""
+
+
 class ReportStopOverdue(msgspec.Struct, frozen=True):
     """Tell operators that a run goes on long after it was to be stopped."""
 
@@ -113,6 +133,7 @@
     | Throttle
     | ReportCrash
     | ReportGivenUp
+    | ReportStalled
     | ReportStopDecided
     | ReportStopOverdue
     | ReportListedEarly
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -529,8 +529,40 @@
             return
         worker.avoid_until = max(worker.avoid_until, now + STALL_PAUSE_S)
         run.task.failed_worker_ids.add(worker.entry.worker_id)
+        self._report_stalled(now, run)
         self._stop_run(worker, run, now, 'no progress')
 
+    def _report_stalled(self, now: float, run: tracking.Run) -> None:
+        spec = run.task.step.spec
+        members = self._gang_members(run)
+        self._pending_actions.append(
+            actions.ReportStalled(
+                run.worker_id,
+                run.task.id,
+                specs.RunNumber(run.number),
+                run.percent,
+                now - run.last_progress_at,
+                now - run.started_at,
+                spec.estimate_s,
+                tuple(member.percent for member in members),
+                sum(
+                    member.state is not tracking.RunState.CONFIRMED
+                    for member in members
+                ),
+            )
+        )
+
+    def _gang_members(self, run: tracking.Run) -> list[tracking.Run]:
+        """Return the tracked runs of a run's gang; none if it is in none."""
+        step = run.task.step
+        if not step.spec.gang:
+            return []
+        return [
+            member
+            for _, member in self._runs_of_job(step.job)
+            if member.task.step is step and member.number == run.number
+        ]
+
     def _adopt_run(
         self,
         now: float,
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -704,6 +704,8 @@
             self._report_crash(action)
         elif isinstance(action, actions.ReportGivenUp):
             self._report_given_up(action)
+        elif isinstance(action, actions.ReportStalled):
+            self._report_stalled(action)
         elif isinstance(action, actions.ReportStopDecided):
             self._report_stop_decided(action)
         elif isinstance(action, actions.ReportStopOverdue):
@@ -752,6 +754,20 @@
             start_answered=action.start_answered,
         )
 
+    def _report_stalled(self, action: actions.ReportStalled) -> None:
+        self._context.log.write(
+            'run.stalled',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            percent=action.percent,
+            still_s=round(action.still_s, 3),
+            running_s=round(action.running_s, 3),
+            estimate_s=action.estimate_s,
+            member_percents=list(action.member_percents),
+            members_unconfirmed=action.members_unconfirmed,
+        )
+
     def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
         if action.accepted:
             cause = 'accepted'
