Judge a gang only once each start is confirmed

All that were left stood at 0 % while the start of another member had no answer: an unanswered order counts as a possible start. Change: only a confirmed one counts. The new test fails without it.

--- a/packages/core/src/samphirestack/fleet/stalls.py
+++ b/packages/core/src/samphirestack/fleet/stalls.py
@@ -79,7 +79,9 @@
 
 def _lacks_members(run: tracking.Run, members: Sequence[tracking.Run]) -> bool:
     return len(members) < run.task.step.spec.count or any(
-        member.started_at == float('inf') for member in members
+        member.state is not tracking.RunState.CONFIRMED
+        or member.started_at == float('inf')
+        for member in members
     )
 
 
--- a/tests/unit/fleet/test_stalls.py
+++ b/tests/unit/fleet/test_stalls.py
@@ -156,6 +156,16 @@
             world.report(now, [0.0, 0.0, 0.0])
         assert not world.stopped_ids
 
+    def test_members_wait_for_one_whose_start_has_no_answer(self) -> None:
+        world = StallWorld(3, gang=True)
+        world.start(0.0, [0, 1])
+        world.world.answer_start(
+            0.5, world.starts[2], specs.StartOutcome.UNKNOWN
+        )
+        for step in range(8):
+            world.report(0.5 * step, [0.0, 0.0])
+        assert not world.stopped_ids
+
     def test_a_member_that_stands_still_is_blamed_alone(self) -> None:
         world = StallWorld(3, gang=True)
         world.start(0.0, range(3))
