Learn run times for each queue, step and customer

Change: fleet/run_times.py learns a factor on the declared time, with spread and tail, from runs that ended done with a known start; one row of a table of its own keeps it across a takeover. Used for the order, objectives, forecasts, reservations, draining and runs without visible progress.

--- a/packages/core/src/samphirestack/fleet/forecast.py
+++ b/packages/core/src/samphirestack/fleet/forecast.py
@@ -5,12 +5,15 @@
 from samphirestack.fleet import packing
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
-from samphirestack.fleet import work
 
 MIN_PROGRESS_PERCENT = 20.0
 """Progress in per cent from which the measured speed of a run replaces its
 declared run time."""
 
+OVERDUE_FACTOR = 1.5
+"""Whole run time to expect of a run that goes on beyond its expected one, in
+multiples of the time it has run."""
+
 
 def earliest_fit(
     now: float, spec: specs.StepSpec, candidates: list[packing.Candidate]
@@ -122,7 +125,9 @@
 def expected_end(now: float, run: tracking.Run) -> float:
     """Return when a run is expected to end; at the earliest now."""
     elapsed = now - run.ordered_at
-    estimate = max(run.task.step.spec.estimate_s, work.MIN_ESTIMATE_S)
+    estimate = run.task.step.expected_s
     if run.percent >= MIN_PROGRESS_PERCENT and elapsed > 0:
         estimate = elapsed * 100.0 / run.percent
+    elif elapsed > estimate:
+        estimate = elapsed * OVERDUE_FACTOR
     return max(now, run.ordered_at + estimate)
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -665,7 +665,7 @@
     ) -> bool:
         if not candidate.reserved_until:
             return True
-        return self._now + step.spec.estimate_s <= candidate.reserved_until
+        return self._now + step.expected_s <= candidate.reserved_until
 
     def _start(
         self,
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -18,6 +18,7 @@
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import registry_freshness
+from samphirestack.fleet import run_times
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
 from samphirestack.fleet import stalls
@@ -40,6 +41,13 @@
 STEP_RETRY_DELAY_S = 0.25
 """Delay before a step is retried after a refused start."""
 
+STALL_QUANTILE = 0.95
+"""Share of the runs without visible progress that end before they count as
+standing still."""
+
+MAX_RESUMED_PERCENT = 80.0
+"""A resumed run that did less than the rest tells little of the whole."""
+
 GANG_INCOMPLETE = 'gang is incomplete'
 """Reason to stop the members of a gang that go on without the others."""
 
@@ -72,6 +80,7 @@
         self.configuration = configuration
         self.workers_by_id: dict[model.WorkerId, tracking.TrackedWorker] = {}
         self.usage = shares.Usage()
+        self.run_times = run_times.RunTimes()
         self.jobs = job_tracker.JobTracker(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
@@ -184,9 +193,16 @@
         assert record.spec is not None
         due_in_s = record.spec.first_due_unix_s - unix_now
         job = work.Job(record, now - age_s, now + due_in_s)
+        job.expect(run_times.expectations_of(self.run_times, job))
         self.jobs.add_job(now, job)
         return job
 
+    def set_run_times(self, learned: run_times.RunTimes) -> None:
+        """Use the run times that an earlier holder learned."""
+        self.run_times = learned
+        for job in self.jobs.active_by_id.values():
+            job.expect(run_times.expectations_of(learned, job))
+
     def cancel(self, now: float, job_id: model.JobId) -> bool:
         """Cancel a job; return whether it was active."""
         job = self.jobs.active_by_id.get(job_id)
@@ -306,6 +322,7 @@
             # A run may have stood still only because its worker did.
             for run in worker.runs_by_key.values():
                 run.last_progress_at = now
+                run.began_at = None
             self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
         worker.last_answer_at = now
@@ -501,6 +518,7 @@
                 worker.end_probation(run)
         if run.first_percent < 0:
             run.first_percent = row.percent
+            run.first_listed_at = now
         if row.percent != run.percent:
             run.percent = row.percent
             run.last_progress_at = now
@@ -523,7 +541,10 @@
         if now - run.last_progress_at <= stalls.MIN_STILL_S:
             return
         members = self._gang_members(run)
-        if not stalls.is_still(now, run, members, spec.estimate_s):
+        usual_s = run_times.quantile_of(
+            self.run_times, run.task.step, STALL_QUANTILE
+        )
+        if not stalls.is_still(now, run, members, usual_s):
             return
         run.task.stalls += 1
         worker.avoid_until = max(worker.avoid_until, now + STALL_PAUSE_S)
@@ -625,6 +646,8 @@
         task.last_run_number = max(task.last_run_number, row.run)
         if row.reason is specs.EndReason.DONE:
             self.quarantine.record_success(worker.entry.worker_id)
+            if run is not None:
+                self._learn_run_time(now, worker, run)
             self._complete_task(now, task, row.run)
             return
         if row.reason is specs.EndReason.FAILED:
@@ -640,6 +663,36 @@
                 task.checkpoint = row.checkpoint
             self._requeue(now, run)
 
+    def _learn_run_time(
+        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
+    ) -> None:
+        """Learn from a run that ended well.
+
+        The first end of a gang stands for all its members.
+        """
+        spec = run.task.step.spec
+        if (
+            run.task.state is work.TaskState.DONE
+            or run.began_at is None
+            or spec.long_running
+            or spec.filler
+            or spec.data_rack not in ('', worker.entry.rack)
+        ):
+            return
+        began_at = run.began_at
+        for member in self._gang_members(run):
+            if member.began_at is None:
+                return
+            began_at = max(began_at, member.began_at)
+        real_s = now - began_at
+        if run.is_resumed:
+            if not 0 <= run.first_percent <= MAX_RESUMED_PERCENT:
+                return
+            real_s = (now - run.first_listed_at) / (
+                1 - run.first_percent / 100
+            )
+        run_times.record_run(self.run_times, run.task.step, real_s)
+
     def _complete_task(
         self, now: float, task: work.Task, run_number: int
     ) -> None:
@@ -832,6 +885,7 @@
             run.state = tracking.RunState.CONFIRMED
             run.lists_valid_from = now
             run.last_progress_at = now
+            run.began_at = now
             self.jobs.mark_running(run.task.step.job)
             self._send_due_stop(now, worker, run)
             return
@@ -990,6 +1044,7 @@
         run = tracking.Run(
             task, run_number, worker_id, tracking.RunState.ORDERED, now
         )
+        run.is_resumed = task.checkpoint != specs.NO_CHECKPOINT
         self._add_run(self.workers_by_id[worker_id], run)
         self.jobs.mark_placed(task, run_number, worker_id)
         self._start_count += 1
@@ -1113,7 +1168,7 @@
             if self._within_disruption_budget(run.task.step):
                 self._stop_run(worker, run, now, 'worker leaves')
         elif worker.is_draining and not spec.gang:
-            remaining_s = spec.estimate_s * (1 - run.percent / 100)
+            remaining_s = run.task.step.expected_s * (1 - run.percent / 100)
             if spec.checkpoints and remaining_s > worker.entry.leaves_in_s:
                 self._stop_run(worker, run, now, 'worker leaves')
 
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -38,8 +38,11 @@
     """A run that uses, or may use, resources of a worker."""
 
     __slots__ = (
+        'began_at',
+        'first_listed_at',
         'first_percent',
         'is_primary',
+        'is_resumed',
         'last_progress_at',
         'lists_valid_from',
         'load',
@@ -90,6 +93,13 @@
         self.first_percent = -1.0
         """Progress in the first report of the run, which may have resumed from
         a checkpoint; negative before."""
+        self.first_listed_at = now
+        """When that report came."""
+        self.is_resumed = False
+        """Whether its start order carried a checkpoint."""
+        self.began_at: float | None = None
+        """When its worker confirmed the start; ``None`` if that is not known,
+        or if the worker was silent since."""
         self.last_progress_at = now
         self.load = 0.0
         self.throttle_percent = (
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -1,5 +1,6 @@
 """In-memory state of accepted jobs, their steps and tasks."""
 
+from collections.abc import Sequence
 import enum
 
 from samphirestack.fleet import records
@@ -152,6 +153,11 @@
         """``JOB.OCCURRENCE.STEP``."""
         return f'{self.job.job_id}.{self.occurrence}.{self.number}'
 
+    @property
+    def expected_s(self) -> float:
+        """Return the expected run time of a task, in seconds."""
+        return self.job.expected_s_by_step[self.number]
+
     @property
     def is_done(self) -> bool:
         """Return whether all tasks succeeded."""
@@ -200,7 +206,16 @@
         self.occurrences_done = 0
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
-        self.remaining_s_by_step = _remaining_times(self.spec, self.queue)
+        self.expect([step.estimate_s for step in self.spec.steps])
+
+    def expect(self, run_times_s: Sequence[float]) -> None:
+        """Set the expected run time of each step's tasks, in seconds."""
+        self.expected_s_by_step = [
+            max(run_time_s, MIN_ESTIMATE_S) for run_time_s in run_times_s
+        ]
+        self.remaining_s_by_step = _remaining_times(
+            self.spec, self.queue, self.expected_s_by_step
+        )
         self.critical_path_s = max(self.remaining_s_by_step, default=0.0)
 
     @property
@@ -255,13 +270,14 @@
     return policy.base_s + policy.per_worker_s * workers
 
 
-def _remaining_times(spec: specs.JobSpec, queue: specs.Queue) -> list[float]:
-    """Return the estimated time from each step's start to the job's end."""
+def _remaining_times(
+    spec: specs.JobSpec, queue: specs.Queue, run_times_s: Sequence[float]
+) -> list[float]:
+    """Return the expected time from each step's start to the job's end."""
     advice = advice_s(queue.advice, ADVISED_WORKERS)
     tails = [0.0] * len(spec.steps)
     for number in reversed(range(len(spec.steps))):
-        step = spec.steps[number]
-        own_s = max(step.estimate_s, MIN_ESTIMATE_S) + advice
+        own_s = run_times_s[number] + advice
         successors_s = [
             tails[other]
             for other in range(number + 1, len(spec.steps))
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
+from samphirestack.fleet import run_times
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
@@ -48,6 +49,10 @@
 """Pause between reads of the feed of workers.  Hundreds of workers renew their
 entries each second, and without it each renewal costs a call."""
 
+RUN_TIMES_INTERVAL_S = 5.0
+"""Interval between writes of the learned run times; a holder that takes over
+lacks those of the last interval."""
+
 RETRY_AFTER_S = 0.15
 FAILURES_UNTIL_SILENT = 2
 """Consecutive failed calls after which a worker counts as silent; one lost
@@ -167,6 +172,7 @@
             group.create_task(self._plan())
             group.create_task(self._archiver.run())
             group.create_task(self._upkeep.run())
+            group.create_task(self._keep_run_times())
 
     # Loading
 
@@ -219,6 +225,32 @@
             workers=len(self.scheduler.workers_by_id),
         )
 
+    async def _keep_run_times(self) -> None:
+        """Load the run times that earlier holders learned and store new ones.
+
+        Nothing waits for them: until they are there, declared ones count.
+        """
+        rows, _ = await self._read_table(run_times.TABLE)
+        for row in rows:
+            if row.key != run_times.KEY:
+                continue
+            try:
+                self.scheduler.set_run_times(run_times.decode(row.value))
+            except msgspec.DecodeError as error:
+                logs.warning('run_times.unreadable', reason=str(error))
+        while True:
+            await asyncio.sleep(RUN_TIMES_INTERVAL_S)
+            if self.scheduler.run_times.has_changes:
+                self.writer.store(
+                    [
+                        ports.Put(
+                            run_times.TABLE,
+                            run_times.KEY,
+                            self.scheduler.run_times.encode(),
+                        )
+                    ]
+                )
+
     @contextlib.contextmanager
     def _logging_bad_row(self, row: ports.StoredRow):  # type: ignore[no-untyped-def]
         try:
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import registry_freshness
+from samphirestack.fleet import run_times
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
 from samphirestack import model
@@ -706,6 +707,81 @@
             await asyncio.gather(following, return_exceptions=True)
 
 
+class TestRunTimes:
+    """Guards against learned run times that a takeover loses."""
+
+    QUEUE = model.QueueId('q')
+    TEAM = model.TeamId('team')
+
+    def _learn(self, times: run_times.RunTimes) -> None:
+        for _ in range(200):
+            times.record(self.QUEUE, '0', self.TEAM, 1.0, 5.0)
+
+    def _expected_s(self, holder: holders.Holder) -> float:
+        return holder.scheduler.run_times.expected_s(
+            self.QUEUE, '0', self.TEAM, 1.0
+        )
+
+    async def test_the_next_holder_uses_them(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(holders, 'RUN_TIMES_INTERVAL_S', 0.01)
+        store = row_store.QuietRowStore()
+        first = make_holder(store)
+        running = asyncio.create_task(first.run())
+        try:
+            await waiting.until(lambda: first.loaded, TIMEOUT_S, 'the rows')
+            self._learn(first.scheduler.run_times)
+            row = (run_times.TABLE, '', run_times.KEY)
+            await waiting.until(
+                lambda: row in store.rows_by_key, TIMEOUT_S, 'the row'
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        store.rows_by_key.pop((records.TERM_TABLE, '', records.TERM_KEY))
+        second = make_holder(store)
+        running = asyncio.create_task(second.run())
+        try:
+            await waiting.until(
+                lambda: self._expected_s(second) > 4.0,
+                TIMEOUT_S,
+                'the learned run times',
+            )
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    async def test_an_unreadable_row_is_replaced_and_reported_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        warnings: list[str] = []
+        monkeypatch.setattr(holders, 'RUN_TIMES_INTERVAL_S', 0.01)
+        monkeypatch.setattr(
+            holders.logs,
+            'warning',
+            lambda kind, /, **fields: warnings.append(kind),
+        )
+        store = row_store.QuietRowStore()
+        await put_rows(store, run_times.TABLE, {run_times.KEY: b'\xff'})
+        holder = make_holder(store)
+        running = asyncio.create_task(holder.run())
+        try:
+            await waiting.until(lambda: warnings, TIMEOUT_S, 'a warning')
+            assert self._expected_s(holder) == pytest.approx(1.0)
+            self._learn(holder.scheduler.run_times)
+            row = (run_times.TABLE, '', run_times.KEY)
+            await waiting.until(
+                lambda: store.rows_by_key[row][0] != b'\xff',
+                TIMEOUT_S,
+                'another row',
+            )
+            assert warnings == ['run_times.unreadable']
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+
 class UnreadableStore(row_store.QuietRowStore):
     """Store that takes writes and answers no reads."""
 
