Order by steadied declared times, forecast by learned ones

Cause: learned run times hold the slowness of workers. Change: order and objective use the declared time without its noise, forecasts and reservations the learned time, which is also the least for a member of a gang.

--- a/packages/core/src/samphirestack/fleet/forecast.py
+++ b/packages/core/src/samphirestack/fleet/forecast.py
@@ -128,6 +128,9 @@
     estimate = run.task.step.expected_s
     if run.percent >= MIN_PROGRESS_PERCENT and elapsed > 0:
         estimate = elapsed * 100.0 / run.percent
+        if run.task.step.spec.gang:
+            # It ends with the slowest member of its gang.
+            estimate = max(estimate, run.task.step.expected_s)
     elif elapsed > estimate:
         estimate = elapsed * OVERDUE_FACTOR
     return max(now, run.ordered_at + estimate)
--- a/packages/core/src/samphirestack/fleet/run_times.py
+++ b/packages/core/src/samphirestack/fleet/run_times.py
@@ -120,6 +120,14 @@
 
     def own_log_factor(self, declared: float) -> float:
         """Return what the samples of the level alone say."""
+        return sum(self._parts(declared))
+
+    def log_correction(self, declared: float) -> float:
+        """Return the part that is due to this declaration's own noise."""
+        return self._parts(declared)[1]
+
+    def _parts(self, declared: float) -> tuple[float, float]:
+        """Return the mean factor, and what a declaration adds to it."""
         mean_declared = self.declared / self.weight
         mean_factor = self.factor / self.weight
         spread = max(
@@ -127,7 +135,7 @@
         )
         slope = (self.product - self.factor * mean_declared) / (spread + RIDGE)
         slope = max(-1.0, min(0.0, slope))
-        return mean_factor + slope * (declared - mean_declared)
+        return mean_factor, slope * (declared - mean_declared)
 
     @property
     def has_tail(self) -> bool:
@@ -199,6 +207,31 @@
         tail = _tail_of(levels)
         return usual_s * tail.quantile_residual(q) if tail else usual_s
 
+    def steadied_s(
+        self,
+        queue_id: model.QueueId,
+        step: str,
+        customer_id: model.TeamId,
+        declared_s: float,
+    ) -> float:
+        """Return the declared time without its noise, in seconds.
+
+        It is nearer to the usual declared time of such tasks, as far as
+        declarations are noise.  Unlike ``expected_s`` it holds nothing of the
+        workers on which tasks ran: slow ones lengthen all run times, but not
+        the time that callers are owed.
+
+        :param step: see ``step_key``.
+        """
+        declared_s = max(work.MIN_ESTIMATE_S, declared_s)
+        levels = self._levels(queue_id, step, customer_id)[:2]
+        if not levels:
+            return declared_s
+        declared = math.log(declared_s)
+        return declared_s * math.exp(
+            _limited(levels[-1].log_correction(declared))
+        )
+
     def record(
         self,
         queue_id: model.QueueId,
@@ -316,12 +349,19 @@
     return f'{number}g' if gang else str(number)
 
 
-def expectations_of(times: RunTimes, job: work.Job) -> list[float]:
-    """Return the mean run time of each step's tasks, in seconds."""
-    return [
-        times.expected_s(*_source(job, number), step.estimate_s)
-        for number, step in enumerate(job.spec.steps)
-    ]
+def apply_to(times: RunTimes, job: work.Job) -> None:
+    """Let a job expect what was learned."""
+    steps = list(enumerate(job.spec.steps))
+    job.expect(
+        [
+            times.expected_s(*_source(job, number), step.estimate_s)
+            for number, step in steps
+        ],
+        [
+            times.steadied_s(*_source(job, number), step.estimate_s)
+            for number, step in steps
+        ],
+    )
 
 
 def quantile_of(times: RunTimes, step: work.StepRun, q: float) -> float:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -193,7 +193,7 @@
         assert record.spec is not None
         due_in_s = record.spec.first_due_unix_s - unix_now
         job = work.Job(record, now - age_s, now + due_in_s)
-        job.expect(run_times.expectations_of(self.run_times, job))
+        run_times.apply_to(self.run_times, job)
         self.jobs.add_job(now, job)
         return job
 
@@ -201,7 +201,7 @@
         """Use the run times that an earlier holder learned."""
         self.run_times = learned
         for job in self.jobs.active_by_id.values():
-            job.expect(run_times.expectations_of(learned, job))
+            run_times.apply_to(learned, job)
 
     def cancel(self, now: float, job_id: model.JobId) -> bool:
         """Cancel a job; return whether it was active."""
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -206,15 +206,23 @@
         self.occurrences_done = 0
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
-        self.expect([step.estimate_s for step in self.spec.steps])
+        declared_s = [step.estimate_s for step in self.spec.steps]
+        self.expect(declared_s, declared_s)
 
-    def expect(self, run_times_s: Sequence[float]) -> None:
-        """Set the expected run time of each step's tasks, in seconds."""
+    def expect(
+        self, run_times_s: Sequence[float], steadied_s: Sequence[float]
+    ) -> None:
+        """Set the run times to expect of each step's tasks, in seconds.
+
+        :param run_times_s: on the workers as they are.
+        :param steadied_s: declared times without their noise; the order and
+            the objective rest on these.
+        """
         self.expected_s_by_step = [
             max(run_time_s, MIN_ESTIMATE_S) for run_time_s in run_times_s
         ]
         self.remaining_s_by_step = _remaining_times(
-            self.spec, self.queue, self.expected_s_by_step
+            self.spec, self.queue, steadied_s
         )
         self.critical_path_s = max(self.remaining_s_by_step, default=0.0)
 
@@ -277,7 +285,7 @@
     advice = advice_s(queue.advice, ADVISED_WORKERS)
     tails = [0.0] * len(spec.steps)
     for number in reversed(range(len(spec.steps))):
-        own_s = run_times_s[number] + advice
+        own_s = max(run_times_s[number], MIN_ESTIMATE_S) + advice
         successors_s = [
             tails[other]
             for other in range(number + 1, len(spec.steps))
