--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -1,5 +1,6 @@
 """In-memory state of accepted jobs, their steps and tasks."""
 
+from collections.abc import Sequence
 import enum
 
 from samphirestack.fleet import records
@@ -32,6 +33,7 @@
         'last_run_number',
         'percent',
         'placed_run_number',
+        'stalls',
         'state',
         'step',
     )
@@ -48,6 +50,8 @@
         """Number of the current run of a placed task, or 0."""
         self.checkpoint = specs.NO_CHECKPOINT
         self.percent = 0.0
+        self.stalls = 0
+        """How many of its runs were stopped because they stood still."""
         self.failed_runs: set[int] = set()
         self.failed_worker_ids: set[model.WorkerId] = set()
         self.crashes_by_run: dict[int, records.TaskCrash] = {}
@@ -149,6 +153,11 @@
         """``JOB.OCCURRENCE.STEP``."""
         return f'{self.job.job_id}.{self.occurrence}.{self.number}'
 
+    @property
+    def expected_s(self) -> float:
+        """Return the expected run time of a task, in seconds."""
+        return self.job.expected_s_by_step[self.number]
+
     @property
     def is_done(self) -> bool:
         """Return whether all tasks succeeded."""
@@ -199,7 +208,24 @@
         on."""
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
-        self.remaining_s_by_step = _remaining_times(self.spec, self.queue)
+        declared_s = [step.estimate_s for step in self.spec.steps]
+        self.expect(declared_s, declared_s)
+
+    def expect(
+        self, run_times_s: Sequence[float], steadied_s: Sequence[float]
+    ) -> None:
+        """Set the run times to expect of each step's tasks, in seconds.
+
+        :param run_times_s: on the workers as they are.
+        :param steadied_s: declared times without their noise; the order and
+            the objective rest on these.
+        """
+        self.expected_s_by_step = [
+            max(run_time_s, MIN_ESTIMATE_S) for run_time_s in run_times_s
+        ]
+        self.remaining_s_by_step = _remaining_times(
+            self.spec, self.queue, steadied_s
+        )
         self.critical_path_s = max(self.remaining_s_by_step, default=0.0)
 
     @property
@@ -259,13 +285,14 @@
     return policy.base_s + policy.per_worker_s * workers
 
 
-def _remaining_times(spec: specs.JobSpec, queue: specs.Queue) -> list[float]:
-    """Return the estimated time from each step's start to the job's end."""
+def _remaining_times(
+    spec: specs.JobSpec, queue: specs.Queue, run_times_s: Sequence[float]
+) -> list[float]:
+    """Return the expected time from each step's start to the job's end."""
     advice = advice_s(queue.advice, ADVISED_WORKERS)
     tails = [0.0] * len(spec.steps)
     for number in reversed(range(len(spec.steps))):
-        step = spec.steps[number]
-        own_s = max(step.estimate_s, MIN_ESTIMATE_S) + advice
+        own_s = max(run_times_s[number], MIN_ESTIMATE_S) + advice
         successors_s = [
             tails[other]
             for other in range(number + 1, len(spec.steps))
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -13,6 +13,7 @@
 from samphirestack.fleet import ports
 from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
+from samphirestack.fleet import run_times
 from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
@@ -50,6 +51,10 @@
 """Pause between reads of the feed of workers.  Hundreds of workers renew their
 entries each second, and without it each renewal costs a call."""
 
+RUN_TIMES_INTERVAL_S = 5.0
+"""Interval between writes of the learned run times; a holder that takes over
+lacks those of the last interval."""
+
 RETRY_AFTER_S = 0.15
 FAILURES_UNTIL_SILENT = 2
 """Consecutive failed calls after which a worker counts as silent; one lost
@@ -174,6 +179,7 @@
             group.create_task(self._plan())
             group.create_task(self._archiver.run())
             group.create_task(self._upkeep.run())
+            group.create_task(self._keep_run_times())
 
     # Loading
 
@@ -226,6 +232,32 @@
             workers=len(self.scheduler.workers_by_id),
         )
 
+    async def _keep_run_times(self) -> None:
+        """Load the run times that earlier holders learned and store new ones.
+
+        Nothing waits for them: until they are there, declared ones count.
+        """
+        rows, _ = await self._read_table(run_times.TABLE)
+        for row in rows:
+            if row.key != run_times.KEY:
+                continue
+            try:
+                self.scheduler.set_run_times(run_times.decode(row.value))
+            except msgspec.DecodeError as error:
+                logs.warning('run_times.unreadable', reason=str(error))
+        while True:
+            await asyncio.sleep(RUN_TIMES_INTERVAL_S)
+            if self.scheduler.run_times.has_changes:
+                self.writer.store(
+                    [
+                        ports.Put(
+                            run_times.TABLE,
+                            run_times.KEY,
+                            self.scheduler.run_times.encode(),
+                        )
+                    ]
+                )
+
     @contextlib.contextmanager
     def _logging_bad_row(self, row: ports.StoredRow):  # type: ignore[no-untyped-def]
         try:
@@ -714,6 +746,8 @@
             self._report_crash(action)
         elif isinstance(action, actions.ReportGivenUp):
             self._report_given_up(action)
+        elif isinstance(action, actions.ReportStalled):
+            self._report_stalled(action)
         elif isinstance(action, actions.ReportStopDecided):
             self._report_stop_decided(action)
         elif isinstance(action, actions.ReportStopOverdue):
@@ -762,6 +796,20 @@
             start_answered=action.start_answered,
         )
 
+    def _report_stalled(self, action: actions.ReportStalled) -> None:
+        self._context.log.write(
+            'run.stalled',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            percent=action.percent,
+            still_s=round(action.still_s, 3),
+            running_s=round(action.running_s, 3),
+            estimate_s=action.estimate_s,
+            member_percents=list(action.member_percents),
+            members_unconfirmed=action.members_unconfirmed,
+        )
+
     def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
         if action.accepted:
             cause = 'accepted'
