Keep the row of learned run times within the store's limit

Cause: the row was bounded to 100 kB, the store's limit is 65,536 bytes. A row above it would be refused over and over, with the holder's whole transaction.

Change: what was used least recently is left out beyond 48 KB.

--- a/packages/core/src/samphirestack/fleet/run_times.py
+++ b/packages/core/src/samphirestack/fleet/run_times.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from samphirestack.fleet import records
 from samphirestack.fleet import work
 from samphirestack.internal import decoding
 from samphirestack import model
@@ -43,6 +44,10 @@
 BUCKET_RANGE = round(MAX_LOG_FACTOR / BUCKET_WIDTH)
 """Buckets below the expectation, and above it."""
 
+MAX_ENCODED_BYTES = records.MAX_ROW_BYTES * 3 // 4
+"""Part of the store's limit for rows."""
+
+ARRAY_HEAD_BYTES = 5
 MAX_QUEUES = 64
 MAX_KINDS = 128
 MAX_CUSTOMERS = 256
@@ -137,6 +142,17 @@
         slope = max(-1.0, min(0.0, slope))
         return mean_factor, slope * (declared - mean_declared)
 
+    def row(self, key: tuple[str, ...]) -> _LevelRow:
+        """Return what is stored of the level."""
+        sums = (
+            self.weight,
+            self.declared,
+            self.factor,
+            self.declared_squared,
+            self.product,
+        )
+        return _LevelRow(key, sums, self.buckets)
+
     @property
     def has_tail(self) -> bool:
         return sum(self.buckets.values()) >= MIN_TAIL_WEIGHT
@@ -295,24 +311,21 @@
         self._counts[length - 1] -= 1
 
     def encode(self) -> bytes:
-        """Return the bytes to store."""
+        """Return the bytes to store, ``MAX_ENCODED_BYTES`` at most.
+
+        What was used least recently is left out beyond that.
+        """
         self.has_changes = False
-        return msgspec.msgpack.encode(
-            [
-                _LevelRow(
-                    key,
-                    (
-                        level.weight,
-                        level.declared,
-                        level.factor,
-                        level.declared_squared,
-                        level.product,
-                    ),
-                    level.buckets,
-                )
-                for key, level in self._levels_by_key.items()
-            ]
-        )
+        rows: list[msgspec.Raw] = []
+        size = ARRAY_HEAD_BYTES
+        for key, level in reversed(self._levels_by_key.items()):
+            row = msgspec.msgpack.encode(level.row(key))
+            size += len(row)
+            if size > MAX_ENCODED_BYTES:
+                break
+            rows.append(msgspec.Raw(row))
+        rows.reverse()
+        return msgspec.msgpack.encode(rows)
 
 
 _decode_rows = decoding.msgpack_decoder(list[_LevelRow])
--- a/tests/unit/fleet/test_run_times.py
+++ b/tests/unit/fleet/test_run_times.py
@@ -8,6 +8,7 @@
 
 from samphirestack.fleet import forecast
 from samphirestack.fleet import ordering
+from samphirestack.fleet import records
 from samphirestack.fleet import run_times
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -250,9 +251,9 @@
                 1.0,
                 source.lognormvariate(0.0, 2.0),
             )
-        assert len(times.encode()) < 100_000
-        kept = run_times.decode(times.encode())
-        assert kept.encode() == times.encode()
+        row = times.encode()
+        assert len(row) <= run_times.MAX_ENCODED_BYTES < records.MAX_ROW_BYTES
+        assert run_times.decode(row).encode() == row
 
     def test_what_was_used_last_is_kept(self) -> None:
         times = run_times.RunTimes()
