Make room for urgent steps and gangs by stopping checkpointed runs

In a full fleet a gang waits for many workers at once until it is late, while patient runs that lose little when they are stopped go on. The planner now stops such runs, those that lose least first, and keeps the room for the step.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -82,6 +82,18 @@
     report."""
 
 
+class ReportDisplacement(msgspec.Struct, frozen=True):
+    """Tell operators that runs are stopped to make room for a step."""
+
+    step_id: str
+    runs: int
+    """Number of runs to stop."""
+    tasks: int
+    """Number of tasks of the step that find room."""
+    lost_core_s: float
+    gained_core_s: float
+
+
 class ReportStopOverdue(msgspec.Struct, frozen=True):
     """Tell operators that a run goes on long after it was to be stopped."""
 
@@ -114,6 +126,7 @@
     | ReportCrash
     | ReportGivenUp
     | ReportStopDecided
+    | ReportDisplacement
     | ReportStopOverdue
     | ReportListedEarly
 )
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -10,6 +10,7 @@
 
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
+from samphirestack.fleet import work
 
 
 class Candidate:
@@ -21,6 +22,7 @@
         'free_filler_cpu',
         'free_gpu',
         'free_memory',
+        'held_for',
         'is_fit_for_probation',
         'reserved_until',
         'worker',
@@ -37,6 +39,8 @@
         """Expected ends of its runs in order; computed on first use."""
         self.is_fit_for_probation: bool | None = None
         """Whether a suspect may start; computed on first use."""
+        self.held_for: work.StepRun | None = None
+        """The step for which room is made on the worker."""
         self.reserved_until = 0.0
         """End of a reservation for a waiting gang: only tasks that are
         expected to end before may start."""
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -15,6 +15,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import displacing
 from samphirestack.fleet import forecast
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import ordering
@@ -118,6 +119,9 @@
     ) -> int:
         """Track a run that is to be ordered; return its start number."""
 
+    def displace_run(self, now: float, run: tracking.Run) -> None:
+        """Stop a run to make room for another step."""
+
 
 def plan(
     now: float, fleet: Fleet, advice_callers: AdviceCallers
@@ -153,6 +157,7 @@
         self._gang_is_waiting = False
         """Whether a gang that can still be in time found too few workers."""
         self._crowded_by_service: dict[model.ServiceId, bool] = {}
+        self._has_searched_room = False
         self._result: list[actions.Action] = []
         self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
         """Candidates of each service, those with most free processors at the
@@ -171,19 +176,109 @@
                 )[worker_id] = packing.Candidate(worker)
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
+        self._hold_displaced_room(steps)
         for step in steps:
             if self._gang_is_waiting and self._can_wait_for_gangs(step):
                 continue
             if step.job.queue.advice is None:
                 self._place(step, self._eligible(step))
+                self._make_room(step)
                 continue
             self._place(step, self._with_valid_ticket(step))
+            self._make_room(step)
             if step.waiting - step.suspect_indexes or (
                 step.waiting and not step.suspects_must_wait
             ):
                 self._request_advice(step)
         return self._result
 
+    def _hold_displaced_room(self, steps: list[work.StepRun]) -> None:
+        """Keep the room that is made for steps from all others."""
+        for step in steps:
+            if step.room.until > self._now:
+                candidates_by_id = self._candidates_by_id(step)
+                for worker_id in step.room.worker_ids:
+                    candidate = candidates_by_id.get(worker_id)
+                    if candidate is not None:
+                        candidate.held_for = step
+
+    def _make_room(self, step: work.StepRun) -> None:
+        """Stop runs of lower priority if only this lets a step be in time."""
+        now = self._now
+        room = step.room
+        if (
+            not step.waiting
+            or self._has_searched_room
+            or now < max(room.until, room.search_at)
+            or not displacing.may_displace(now, step)
+            or not self._may_start(step)
+        ):
+            return
+        self._has_searched_room = True
+        room.search_at = now + displacing.SEARCH_INTERVAL_S
+        room.wanted_ids = []
+        fleet = self._fleet
+        limits = displacing.limits(
+            fleet.workers_by_id.values(),
+            displacing.over_share(
+                fleet.usage.millicores_by_customer,
+                fleet.configuration.customers_by_id,
+            ),
+        )
+        candidates = self._where_room_may_be_made(step)
+        lasting = candidates
+        if step.job.queue.advice is not None:
+            lasting = [
+                candidate
+                for candidate in candidates
+                if self._ticket_lasts(step, candidate, now + displacing.HOLD_S)
+            ]
+        found = displacing.choose(now, step, lasting, limits)
+        if found is not None:
+            self._displace(step, found)
+        elif len(lasting) < len(candidates):
+            found = displacing.choose(now, step, candidates, limits)
+            if found is not None:
+                room.wanted_ids = sorted(found.worker_ids)
+
+    def _where_room_may_be_made(
+        self, step: work.StepRun
+    ) -> list[packing.Candidate]:
+        if step.job.queue.advice is None:
+            candidates = self._eligible(step)
+        else:
+            candidates = self._suitable(step)
+        reserved_ids = step.reservation.worker_ids
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.held_for is None
+            and (
+                not candidate.reserved_until
+                or candidate.worker.entry.worker_id in reserved_ids
+            )
+        ]
+
+    def _displace(
+        self, step: work.StepRun, found: displacing.Displacement
+    ) -> None:
+        room = step.room
+        room.worker_ids = found.worker_ids
+        room.until = self._now + displacing.HOLD_S
+        room.displacements += 1
+        self._hold_displaced_room([step])
+        for run in found.runs:
+            self._fleet.displace_run(self._now, run)
+        self._result.append(
+            actions.ReportDisplacement(
+                step.id,
+                len(found.runs),
+                found.count,
+                found.lost_core_s,
+                found.gained_core_s,
+            )
+        )
+
     def _can_wait_for_gangs(self, step: work.StepRun) -> bool:
         """Return whether a step should leave free room to waiting gangs.
 
@@ -326,6 +421,8 @@
         Tickets are renewed once the gang fits or is about to fit.
         """
         spec = step.spec
+        if step.room.wanted_ids:
+            return step.room.wanted_ids[:MAX_ASKED]
         suitable = self._suitable(step)
         capacity = sum(
             forecast.capacity_when_empty(candidate, spec)
@@ -552,11 +649,7 @@
     ) -> None:
         headroom = self._headroom(step)
         spec = step.spec
-        candidates = [
-            candidate
-            for candidate in candidates
-            if self._may_place_on(candidate, step)
-        ]
+        candidates = self._where_tasks_may_start(step, candidates)
         if step.suspect_indexes:
             headroom = self._place_suspects(step, candidates, headroom)
         for index in sorted(step.waiting - step.suspect_indexes):
@@ -588,6 +681,25 @@
             run_number = self._fleet.jobs.next_run_number([task])
             self._start(task, candidate, run_number, task.checkpoint)
 
+    def _where_tasks_may_start(
+        self, step: work.StepRun, candidates: list[packing.Candidate]
+    ) -> list[packing.Candidate]:
+        allowed = [
+            candidate
+            for candidate in candidates
+            if self._may_place_on(candidate, step)
+        ]
+        if (
+            step.job.queue.priority != ordering.URGENT_PRIORITY
+            or packing.choose_one(step.spec, allowed) is not None
+        ):
+            return allowed
+        return [
+            candidate
+            for candidate in candidates
+            if self._ends_before_reservation(candidate, step)
+        ]
+
     def _place_suspects(
         self,
         step: work.StepRun,
@@ -662,6 +774,13 @@
 
     def _may_place_on(
         self, candidate: packing.Candidate, step: work.StepRun
+    ) -> bool:
+        if candidate.held_for is not None:
+            return candidate.held_for is step
+        return self._ends_before_reservation(candidate, step)
+
+    def _ends_before_reservation(
+        self, candidate: packing.Candidate, step: work.StepRun
     ) -> bool:
         if not candidate.reserved_until:
             return True
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import displacing
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
@@ -963,6 +964,12 @@
         self._start_count += 1
         return self._start_count
 
+    def displace_run(self, now: float, run: tracking.Run) -> None:
+        """Stop a run, which goes on later, to make room for another step."""
+        run.task.step.job.displaced_at = now
+        worker = self.workers_by_id[run.worker_id]
+        self._stop_run(worker, run, now, displacing.REASON)
+
     def should_send_start(
         self,
         now: float,
--- a/packages/core/src/samphirestack/fleet/shares.py
+++ b/packages/core/src/samphirestack/fleet/shares.py
@@ -38,6 +38,11 @@
         ):
             amounts[customer_id] = amounts.get(customer_id, 0) + sign * amount
 
+    @property
+    def millicores_by_customer(self) -> Mapping[model.TeamId, int]:
+        """Return the processors in use by each customer."""
+        return self._cpu_by_customer
+
     def headroom(
         self,
         customer: specs.Customer | None,
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -95,6 +95,28 @@
         self.worker_ids: list[model.WorkerId] = []
 
 
+class DisplacedRoom:
+    """Workers on which other runs are stopped to make room for a step."""
+
+    __slots__ = (
+        'displacements',
+        'search_at',
+        'until',
+        'wanted_ids',
+        'worker_ids',
+    )
+
+    def __init__(self) -> None:
+        self.worker_ids: frozenset[model.WorkerId] = frozenset()
+        self.until = float('-inf')
+        """Only urgent steps that fit nowhere else start on them before."""
+        self.displacements = 0
+        self.search_at = float('-inf')
+        """When to search next for runs to stop."""
+        self.wanted_ids: list[model.WorkerId] = []
+        """Workers on which runs would be stopped if they had tickets."""
+
+
 class StepRun:
     """One occurrence of a step of a job."""
 
@@ -109,6 +131,7 @@
         'probation_wanted_at',
         'ready_at',
         'reservation',
+        'room',
         'run_counts_by_worker',
         'spec',
         'suspect_indexes',
@@ -135,6 +158,7 @@
         self.run_counts_by_worker: dict[model.WorkerId, int] = {}
         """Tracked runs of the step on each worker."""
         self.reservation = GangReservation()
+        self.room = DisplacedRoom()
         self.blocked_until = 0.0
         """The step is not considered before this moment, after a failure."""
         self.suspect_indexes: set[int] = set()
@@ -195,6 +219,8 @@
         self.steps_by_key: dict[tuple[int, int], StepRun] = {}
         self.next_occurrence = 0
         self.occurrences_done = 0
+        self.displaced_at: float | None = None
+        """When runs of the job were stopped to make room for others."""
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
         self.remaining_s_by_step = _remaining_times(self.spec, self.queue)
--- a/packages/core/src/samphirestack/internal/decisions/preemption.py
+++ b/packages/core/src/samphirestack/internal/decisions/preemption.py
@@ -38,6 +38,9 @@
     """Run time in seconds, which is lost if the task is stopped."""
     leaving: bool = False
     """Whether the task is being stopped or checkpointed already."""
+    checkpoint_lost_s: float = 0.0
+    """Time that is lost although the task is checkpointed, in the unit of
+    ``ran_s``."""
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -176,6 +179,8 @@
 
 
 def _lost_s(candidate: Candidate, method: Method) -> float:
+    if method is Method.CHECKPOINT:
+        return candidate.checkpoint_lost_s
     return candidate.ran_s if method is Method.STOP else 0.0
 
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -706,6 +706,8 @@
             self._report_given_up(action)
         elif isinstance(action, actions.ReportStopDecided):
             self._report_stop_decided(action)
+        elif isinstance(action, actions.ReportDisplacement):
+            self._report_displacement(action)
         elif isinstance(action, actions.ReportStopOverdue):
             self._report_stop_overdue(action)
         elif isinstance(action, actions.ReportListedEarly):
@@ -752,6 +754,17 @@
             start_answered=action.start_answered,
         )
 
+    def _report_displacement(self, action: actions.ReportDisplacement) -> None:
+        self._context.metrics.displacements.inc({})
+        self._context.log.write(
+            'step.displaces_runs',
+            step_id=action.step_id,
+            runs=action.runs,
+            tasks=action.tasks,
+            lost_core_s=round(action.lost_core_s, 1),
+            gained_core_s=round(action.gained_core_s, 1),
+        )
+
     def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
         if action.accepted:
             cause = 'accepted'
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -41,6 +41,10 @@
             'samphirestack_fleet_stops_decided_total',
             'Runs that were to be stopped, by reason.',
         )
+        self.displacements = self._counter(
+            'samphirestack_fleet_displacements_total',
+            'Waiting steps for which runs of lower priority were stopped.',
+        )
         self.stops_overdue = self._counter(
             'samphirestack_fleet_stops_overdue_total',
             'Runs that went on for 3 s after the decision to stop them, by '
