--- a/packages/core/src/samphirestack/fleet/displacing.py
+++ b/packages/core/src/samphirestack/fleet/displacing.py
@@ -54,7 +54,7 @@
 
 MAX_DISPLACED_SHARE = 0.1
 """Maximum part of the processors of the fleet that displaced runs occupy
-while they stop."""
+while they stop, or all of one worker."""
 
 MAX_CUSTOMER_SHARE = 0.5
 """Maximum part of this bound for the runs of one customer."""
@@ -70,6 +70,19 @@
     max_per_customer: int
     customers_over_share: frozenset[model.TeamId]
 
+    def permit(self, run: tracking.Run, only_over_share: bool) -> bool:
+        """Return whether the run of a customer may be displaced.
+
+        :param only_over_share: whether only customers over their share are
+            considered.
+        """
+        step = run.task.step
+        customer_id = step.job.customer_id
+        if only_over_share and customer_id not in self.customers_over_share:
+            return False
+        stopping = self.millicores_by_customer.get(customer_id, 0)
+        return stopping + step.spec.size.millicores <= self.max_per_customer
+
 
 class Displacement(msgspec.Struct, frozen=True):
     """Runs to stop, and the workers on which the step starts then."""
@@ -88,10 +101,12 @@
     customers_over_share: frozenset[model.TeamId],
 ) -> Limits:
     """Return what may be displaced beside the stops in progress."""
-    capacity = 0
+    capacity = largest = 0
     stopping: dict[model.TeamId, int] = {}
     for worker in workers:
-        capacity += worker.entry.capacity.millicores
+        millicores = worker.entry.capacity.millicores
+        capacity += millicores
+        largest = max(largest, millicores)
         for run in worker.runs_by_key.values():
             if run.stop is not None and run.stop.reason == REASON:
                 customer_id = run.task.step.job.customer_id
@@ -99,7 +114,7 @@
                     stopping.get(customer_id, 0)
                     + run.task.step.spec.size.millicores
                 )
-    bound = int(MAX_DISPLACED_SHARE * capacity)
+    bound = max(int(MAX_DISPLACED_SHARE * capacity), largest)
     return Limits(
         bound - sum(stopping.values()),
         stopping,
@@ -295,9 +310,8 @@
             if spec.filler:
                 freed = msgspec.structs.replace(freed, millicores=0)
             self._free = self._free + freed
-        elif _is_displaceable(now, step, run) and (
-            run.task.step.job.customer_id in limits.customers_over_share
-            or not only_over_share
+        elif _is_displaceable(now, step, run) and limits.permit(
+            run, only_over_share
         ):
             self._runs_by_task[run.task.id] = run
             self._candidates.append(
