--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -214,9 +214,12 @@
             or not self._may_start(step)
         ):
             return
-        self._has_searched_room = True
         room.search_at = now + displacing.SEARCH_INTERVAL_S
         room.wanted_ids = []
+        candidates = self._where_room_may_be_made(step)
+        if not candidates:
+            return
+        self._has_searched_room = True
         fleet = self._fleet
         limits = displacing.limits(
             fleet.workers_by_id.values(),
@@ -225,7 +228,6 @@
                 fleet.configuration.customers_by_id,
             ),
         )
-        candidates = self._where_room_may_be_made(step)
         lasting = candidates
         if step.job.queue.advice is not None:
             lasting = [
