Copies of slow tasks of speculative steps

StepSpec.speculative was read and never used: a task on a slow worker was waited for. A copy is started if the job would be late without it, in room that no waiting step needs and within a budget; it is stored before its order, and a takeover goes on with both runs.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -19,6 +19,16 @@
     """Time since the step became ready, for logs and metrics."""
 
 
+class ReportCopy(msgspec.Struct, frozen=True):
+    """Tell operators that a slow task gets a copy."""
+
+    task_id: model.TaskId
+    run: specs.RunNumber
+    """Number of the copy's run."""
+    worker_id: model.WorkerId
+    slow_worker_id: model.WorkerId
+
+
 class Stop(msgspec.Struct, frozen=True):
     """Order a worker to stop a run, whether it has begun or not."""
 
@@ -127,6 +137,7 @@
     | ReportGivenUp
     | ReportStopDecided
     | ReportDisplacement
+    | ReportCopy
     | ReportStopOverdue
     | ReportListedEarly
 )
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -243,6 +243,36 @@
         if not step.waiting:
             self.ready_steps.pop(step.id, None)
 
+    def inherited_copies(
+        self, job: work.Job
+    ) -> list[tuple[work.Task, int, model.WorkerId]]:
+        """Return stored copies of tasks that are not done, as placements."""
+        result = []
+        for key, (run, worker_id) in job.progress.copies_by_task.items():
+            task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
+            if task is not None and task.state is not work.TaskState.DONE:
+                result.append((task, run, model.WorkerId(worker_id)))
+        return result
+
+    def mark_copied(
+        self, task: work.Task, run_number: int, worker_id: model.WorkerId
+    ) -> None:
+        """Record that a copy of a placed task is, or may be, on a worker."""
+        job = task.step.job
+        job.progress.copies_by_task[_task_key(task)] = (run_number, worker_id)
+        self._dirty[job.job_id] = None
+        task.copy_run_number = run_number
+        task.last_run_number = max(task.last_run_number, run_number)
+
+    def forget_copy(self, task: work.Task) -> None:
+        """Record that the copy of a task is over."""
+        task.copy_run_number = 0
+        job = task.step.job
+        if job.progress.copies_by_task.pop(_task_key(task), None) is None:
+            return
+        if job.job_id in self.active_by_id:
+            self._dirty[job.job_id] = None
+
     def mark_running(self, job: work.Job) -> None:
         """Set a queued job to running after a task of it started."""
         if job.state is specs.JobState.QUEUED:
@@ -283,6 +313,7 @@
         step = task.step
         task.state = work.TaskState.DONE
         step.job.progress.placed_by_task.pop(_task_key(task), None)
+        step.job.progress.copies_by_task.pop(_task_key(task), None)
         step.waiting.discard(task.index)
         step.done_count += 1
         if not step.waiting:
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -24,6 +24,7 @@
 from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
+from samphirestack.fleet import speculation
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
 from samphirestack.internal.decisions import quarantine
@@ -109,6 +110,7 @@
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
     registry_freshness: registry_freshness.RegistryFreshness
+    runs_to_copy: dict[model.TaskId, tracking.Run]
 
     def record_placement(
         self,
@@ -119,6 +121,15 @@
     ) -> int:
         """Track a run that is to be ordered; return its start number."""
 
+    def record_copy(
+        self,
+        now: float,
+        task: work.Task,
+        run_number: int,
+        worker_id: model.WorkerId,
+    ) -> int:
+        """Track a copy that is to be ordered; return its start number."""
+
     def displace_run(self, now: float, run: tracking.Run) -> None:
         """Stop a run to make room for another step."""
 
@@ -138,9 +149,10 @@
         ),
         key=lambda step: ordering.sort_key(now, step),
     )
-    if not steps:
+    if not steps and not fleet.runs_to_copy:
         return []
-    return _PlanningRound(now, fleet, advice_callers).run(steps)
+    planning_round = _PlanningRound(now, fleet, advice_callers)
+    return planning_round.run(steps) + planning_round.copy_slow_runs(steps)
 
 
 class _PlanningRound:
@@ -192,6 +204,115 @@
                 self._request_advice(step)
         return self._result
 
+    def copy_slow_runs(
+        self, waiting: list[work.StepRun]
+    ) -> list[actions.Action]:
+        """Return starts of copies of slow runs, and advice requests."""
+        runs_by_id = self._fleet.runs_to_copy
+        result: list[actions.Action] = []
+        if not runs_by_id or self._gang_is_waiting:
+            return result
+        candidates = [
+            candidate
+            for by_id in self._candidates_by_service.values()
+            for candidate in by_id.values()
+        ]
+        budget = speculation.Budget(
+            self._now, self._fleet.workers_by_id.values(), candidates, waiting
+        )
+        for task_id, run in list(runs_by_id.items()):
+            step = run.task.step
+            if (
+                run.stop is not None
+                or not run.is_primary
+                or not speculation.step_has_budget(step)
+                or self._headroom(step) <= 0
+            ):
+                continue
+            chosen = self._worker_for_copy(run)
+            if not budget.take(step.spec.size.millicores):
+                continue
+            if chosen is not None:
+                del runs_by_id[task_id]
+                result += self._start_copy(run, chosen)
+            elif step.job.queue.advice is not None:
+                result += self._request_advice_for_copy(step)
+        return result
+
+    def _worker_for_copy(self, run: tracking.Run) -> packing.Candidate | None:
+        step = run.task.step
+        if step.job.queue.advice is None:
+            candidates = self._eligible(step)
+        else:
+            candidates = self._with_valid_ticket(step)
+        return packing.choose_one(
+            step.spec,
+            [
+                candidate
+                for candidate in _with_room(candidates, step)
+                if candidate.worker.entry.worker_id != run.worker_id
+                and not candidate.reserved_until
+                and candidate.held_for is None
+            ],
+        )
+
+    def _start_copy(
+        self, run: tracking.Run, candidate: packing.Candidate
+    ) -> list[actions.Action]:
+        task = run.task
+        step = task.step
+        entry = candidate.worker.entry
+        candidate.allocate(step.spec)
+        run_number = self._fleet.jobs.next_run_number([task])
+        number = self._fleet.record_copy(
+            self._now, task, run_number, entry.worker_id
+        )
+        ticket = step.tickets.by_worker_id.get(entry.worker_id, ('', 0, 0))[0]
+        order = ports.TaskOrder(
+            task.id,
+            specs.RunNumber(run_number),
+            step.job.spec.payload,
+            task.checkpoint,
+            ticket,
+        )
+        queue_id = step.job.queue.queue_id
+        return [
+            actions.Start(entry, order, queue_id, number, 0.0),
+            actions.ReportCopy(
+                task.id,
+                specs.RunNumber(run_number),
+                entry.worker_id,
+                run.worker_id,
+            ),
+        ]
+
+    def _request_advice_for_copy(
+        self, step: work.StepRun
+    ) -> list[actions.Action]:
+        now = self._now
+        tickets = step.tickets
+        if now < max(tickets.call_expires_at, tickets.next_check_at):
+            return []
+        tickets.next_check_at = now + speculation.CHECK_INTERVAL_S
+        worker_ids = [
+            candidate.worker.entry.worker_id
+            for candidate in itertools.chain(
+                self._suitable(step), self._with_unknown_suitability(step)
+            )
+            if candidate.fits(step.spec)
+            and not candidate.reserved_until
+            and candidate.held_for is None
+        ][: speculation.MAX_ASKED]
+        if not worker_ids:
+            return []
+        duration = work.advice_s(step.job.queue.advice, len(worker_ids))
+        if not self._advice_callers.reserve(False, duration):
+            return []
+        tickets.call_expires_at = now + duration + ADVICE_EXPIRY_MARGIN_S
+        return [
+            actions.RequestAdvice(step.id, tuple(worker_ids), duration, False)
+        ]
+
     def _hold_displaced_room(self, steps: list[work.StepRun]) -> None:
         """Keep the room that is made for steps from all others."""
         for step in steps:
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -69,6 +69,10 @@
     """Run number and worker of each task that may be on a worker, by
     ``OCCURRENCE.STEP.INDEX``.  It is stored before the order is sent, so a
     run that is missing here was never ordered."""
+    copies_by_task: dict[str, tuple[decoding.Count, str]] = {}
+    """Run number and worker of the copy of each task that has one, as in
+    ``placed_by_task``.  Entries of earlier versions ignore it; they take a
+    copy that a worker lists for a surplus run, and stop it."""
     ended: JobRecord | None = None
     """Short row of the ended job, until it replaces the job's own row."""
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -21,6 +21,7 @@
 from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
+from samphirestack.fleet import speculation
 from samphirestack.fleet import stops
 from samphirestack.fleet import term as terms
 from samphirestack.fleet import throttling
@@ -90,6 +91,9 @@
         self._job_rates = shares.JobRates()
         self._max_lease_s = max_lease_s
         self._start_count = 0
+        self.runs_to_copy: dict[model.TaskId, tracking.Run] = {}
+        """Slow runs of speculative steps, as of the last check."""
+        self._run_times = speculation.StepRunTimes()
         if earlier_renewal_before is None:
             earlier_renewal_before = now
         self._inherited_leases_expire_at = (
@@ -137,6 +141,8 @@
             raise
         for task, run, worker_id in self.jobs.inherited_placements(job):
             self._add_inherited_run(now, task, run, worker_id)
+        for task, run, worker_id in self.jobs.inherited_copies(job):
+            self._add_inherited_run(now, task, run, worker_id)
         for step in job.steps_by_key.values():
             if step.spec.gang and 0 < len(step.waiting) < step.spec.count:
                 # The earlier holder was about to stop the others.
@@ -166,7 +172,12 @@
         )
         run.lists_valid_from = float('-inf')
         self._add_run(worker, run)
-        self.jobs.mark_placed(task, run_number, worker_id)
+        if task.state is work.TaskState.PLACED:
+            run.is_primary = False
+            run.is_copy = True
+            self.jobs.mark_copied(task, run_number, worker_id)
+        else:
+            self.jobs.mark_placed(task, run_number, worker_id)
 
     def accept_job(
         self, now: float, unix_now: float, record: records.JobRecord
@@ -587,6 +598,8 @@
             )
             if run.on_probation and ended_itself:
                 self.jobs.clear_suspicion(run.task)
+            if row.reason is specs.EndReason.DONE:
+                speculation.observe(now, run)
             self._remove_run(worker, run)
         task = run.task if run else self.jobs.find_task(row.task_id)
         if task is None or task.step.job.state in specs.ENDED_STATES:
@@ -675,6 +688,8 @@
     def _requeue(self, now: float, run: tracking.Run) -> None:
         """Queue the task of a run again; a gang starts anew as a whole."""
         step = run.task.step
+        if self._promote_copy(run.task):
+            return
         self.jobs.requeue(run.task)
         # The others are stopped already if this run was stopped with them.
         if step.spec.gang and (
@@ -682,6 +697,19 @@
         ):
             self._stop_gang(now, step, run.number)
 
+    def _promote_copy(self, task: work.Task) -> bool:
+        """Let the copy of a task be its run; return whether there is one."""
+        if not task.copy_run_number:
+            return False
+        for worker, run in self._runs_of_job(task.step.job):
+            if run.task is task and run.is_copy and run.stop is None:
+                run.is_copy = False
+                run.is_primary = True
+                self.jobs.forget_copy(task)
+                self.jobs.mark_placed(task, run.number, worker.entry.worker_id)
+                return True
+        return False
+
     def _add_run(
         self, worker: tracking.TrackedWorker, run: tracking.Run
     ) -> None:
@@ -710,6 +738,8 @@
         if not runs:
             self._runs_by_job.pop(job_id, None)
         worker.remove_run(run)
+        if run.is_copy and run.task.copy_run_number == run.number:
+            self.jobs.forget_copy(run.task)
         self.quarantine.clear_probe(worker.entry.worker_id, run.task.id)
         self.usage.remove(
             run.task.step.job.customer_id, run.task.step.spec.size
@@ -964,6 +994,27 @@
         self._start_count += 1
         return self._start_count
 
+    def record_copy(
+        self,
+        now: float,
+        task: work.Task,
+        run_number: int,
+        worker_id: model.WorkerId,
+    ) -> int:
+        """Track a copy that is to be ordered; return the start's number.
+
+        Like any other, it is stored before its order is sent.
+        """
+        run = tracking.Run(
+            task, run_number, worker_id, tracking.RunState.ORDERED, now
+        )
+        run.is_primary = False
+        run.is_copy = True
+        self._add_run(self.workers_by_id[worker_id], run)
+        self.jobs.mark_copied(task, run_number, worker_id)
+        self._start_count += 1
+        return self._start_count
+
     def displace_run(self, now: float, run: tracking.Run) -> None:
         """Stop a run, which goes on later, to make room for another step."""
         run.task.step.job.displaced_at = now
@@ -1008,6 +1059,7 @@
 
     def _check_workers(self, now: float) -> None:
         self._crashes.forget_old_losses(now)
+        self.runs_to_copy.clear()
         for worker_id, worker in list(self.workers_by_id.items()):
             silent = worker.silent_since is not None
             if (
@@ -1070,6 +1122,8 @@
             return
         if run.state is tracking.RunState.ORDERED:
             return
+        if speculation.is_due(now, run, self._run_times):
+            self.runs_to_copy[run.task.id] = run
         if (
             run.on_probation
             and not run.probation_is_checked
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -38,6 +38,7 @@
     """A run that uses, or may use, resources of a worker."""
 
     __slots__ = (
+        'is_copy',
         'is_primary',
         'last_progress_at',
         'lists_valid_from',
@@ -100,6 +101,8 @@
         """Until when a speed limit that was ordered without an answer may
         replace newer ones."""
         self.stop: stops.StopDecision | None = None
+        self.is_copy = False
+        """Whether it is a copy of a placed task; it isn't primary then."""
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
         surplus run of a task that is placed or done already."""
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         'checkpoint',
+        'copy_run_number',
         'crashes_by_run',
         'failed_runs',
         'failed_worker_ids',
@@ -46,6 +47,8 @@
         self.last_run_number = 0
         self.placed_run_number = 0
         """Number of the current run of a placed task, or 0."""
+        self.copy_run_number = 0
+        """Number of the run of the copy of a placed task, or 0."""
         self.checkpoint = specs.NO_CHECKPOINT
         self.percent = 0.0
         self.failed_runs: set[int] = set()
@@ -126,6 +129,8 @@
         'has_cleared_suspect',
         'job',
         'number',
+        'observed_count',
+        'observed_s',
         'occurrence',
         'pending_dependencies',
         'probation_wanted_at',
@@ -157,6 +162,10 @@
         self.tickets = Tickets()
         self.run_counts_by_worker: dict[model.WorkerId, int] = {}
         """Tracked runs of the step on each worker."""
+        self.observed_count = 0
+        """Number of runs in ``observed_s``."""
+        self.observed_s = 0.0
+        """Sum of the run times of the runs that succeeded."""
         self.reservation = GangReservation()
         self.room = DisplacedRoom()
         self.blocked_until = 0.0
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -706,6 +706,8 @@
             self._report_given_up(action)
         elif isinstance(action, actions.ReportStopDecided):
             self._report_stop_decided(action)
+        elif isinstance(action, actions.ReportCopy):
+            self._report_copy(action)
         elif isinstance(action, actions.ReportDisplacement):
             self._report_displacement(action)
         elif isinstance(action, actions.ReportStopOverdue):
@@ -754,6 +756,16 @@
             start_answered=action.start_answered,
         )
 
+    def _report_copy(self, action: actions.ReportCopy) -> None:
+        self._context.metrics.copies.inc({})
+        self._context.log.write(
+            'task.copied',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            slow_worker=action.slow_worker_id,
+        )
+
     def _report_displacement(self, action: actions.ReportDisplacement) -> None:
         self._context.metrics.displacements.inc({})
         self._context.log.write(
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -41,6 +41,10 @@
             'samphirestack_fleet_stops_decided_total',
             'Runs that were to be stopped, by reason.',
         )
+        self.copies = self._counter(
+            'samphirestack_fleet_copies_total',
+            'Copies of slow tasks of speculative steps that were ordered.',
+        )
         self.displacements = self._counter(
             'samphirestack_fleet_displacements_total',
             'Waiting steps for which runs of lower priority were stopped.',
