Copies: none for a run that ended since the check

A run that was slow at the check and ended before the plan would have got a copy of a task that is done. A stored copy whose first run isn't stored was tracked as the placement, but stayed in the record of copies. Both tests were seen to fail without the change.

--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -224,7 +224,8 @@
             step = run.task.step
             if (
                 run.stop is not None
-                or not run.is_primary
+                or run.task.state is not work.TaskState.PLACED
+                or run.task.placed_run_number != run.number
                 or not speculation.step_has_budget(step)
                 or self._headroom(step) <= 0
             ):
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -142,6 +142,9 @@
         for task, run, worker_id in self.jobs.inherited_placements(job):
             self._add_inherited_run(now, task, run, worker_id)
         for task, run, worker_id in self.jobs.inherited_copies(job):
+            if task.state is not work.TaskState.PLACED:
+                # It takes the place of the first run.
+                self.jobs.forget_copy(task)
             self._add_inherited_run(now, task, run, worker_id)
         for step in job.steps_by_key.values():
             if step.spec.gang and 0 < len(step.waiting) < step.spec.count:
--- a/tests/unit/fleet/test_speculation.py
+++ b/tests/unit/fleet/test_speculation.py
@@ -114,6 +114,20 @@
         slow.report(2.5, [slow.slow], 21.0)
         assert not slow.world.start_all(2.6)
 
+    def test_a_run_that_ended_since_the_check_has_no_copy(self) -> None:
+        slow = SlowRun(workers=2)
+        # A customer at its limit puts the copy off.
+        limit = specs.Customer(
+            model.TeamId('team'), 1.0, model.Resources(1000)
+        )
+        slow.world.scheduler.configure(
+            worlds.make_configuration([QUEUE], [limit])
+        )
+        assert not slow.world.start_all(2.1)
+        slow.world.scheduler.configure(worlds.make_configuration([QUEUE]))
+        slow.end(2.11, slow.slow, DONE)
+        assert not slow.world.start_all(2.12)
+
     def test_steps_that_do_not_permit_copies_have_none(self) -> None:
         step = msgspec.structs.replace(STEP, speculative=False)
         assert not SlowRun(step).world.start_all(2.1)
@@ -323,6 +337,20 @@
     def _progress(self, slow: SlowRun) -> records.JobProgress:
         return records.decode_progress(self._row(slow))
 
+    def test_a_stored_copy_without_the_slow_run_is_a_placement(
+        self,
+    ) -> None:
+        slow = SlowRun()
+        copy = slow.copy()
+        progress = self._progress(slow)
+        progress.placed_by_task = {}
+        world = self._next_holder(slow, progress)
+        scheduler = world.scheduler
+        step = scheduler.jobs.active_by_id[slow.job_id].steps_by_key[0, 0]
+        assert step.tasks[0].placed_run_number == copy.order.run
+        assert not progress.copies_by_task
+        assert not world.start_all(3.2)
+
     def test_a_copy_is_stored_before_its_order(self) -> None:
         slow = SlowRun()
         (copy,) = slow.world.plan_starts(2.1)
