--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -19,6 +19,16 @@
     """Time since the step became ready, for logs and metrics."""
 
 
+class ReportCopy(msgspec.Struct, frozen=True):
+    """Tell operators that a slow task gets a copy."""
+
+    task_id: model.TaskId
+    run: specs.RunNumber
+    """Number of the copy's run."""
+    worker_id: model.WorkerId
+    slow_worker_id: model.WorkerId
+
+
 class Stop(msgspec.Struct, frozen=True):
     """Order a worker to stop a run, whether it has begun or not."""
 
@@ -102,6 +112,18 @@
     """Members of its gang that are not known to have started."""
 
 
+class ReportDisplacement(msgspec.Struct, frozen=True):
+    """Tell operators that runs are stopped to make room for a step."""
+
+    step_id: str
+    runs: int
+    """Number of runs to stop."""
+    tasks: int
+    """Number of tasks of the step that find room."""
+    lost_core_s: float
+    gained_core_s: float
+
+
 class ReportStopOverdue(msgspec.Struct, frozen=True):
     """Tell operators that a run goes on long after it was to be stopped."""
 
@@ -135,6 +157,8 @@
     | ReportGivenUp
     | ReportStalled
     | ReportStopDecided
+    | ReportDisplacement
+    | ReportCopy
     | ReportStopOverdue
     | ReportListedEarly
 )
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -15,6 +15,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import displacing
 from samphirestack.fleet import evacuation
 from samphirestack.fleet import forecast
 from samphirestack.fleet import job_tracker
@@ -25,6 +26,7 @@
 from samphirestack.fleet import registry_freshness
 from samphirestack.fleet import shares
 from samphirestack.fleet import specs
+from samphirestack.fleet import speculation
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
 from samphirestack.internal.decisions import quarantine
@@ -111,6 +113,7 @@
     suitable_shares: advising.SuitableShares
     registry_freshness: registry_freshness.RegistryFreshness
     evacuations: evacuation.Evacuations
+    runs_to_copy: dict[model.TaskId, tracking.Run]
 
     def record_placement(
         self,
@@ -121,6 +124,18 @@
     ) -> int:
         """Track a run that is to be ordered; return its start number."""
 
+    def record_copy(
+        self,
+        now: float,
+        task: work.Task,
+        run_number: int,
+        worker_id: model.WorkerId,
+    ) -> int:
+        """Track a copy that is to be ordered; return its start number."""
+
+    def displace_run(self, now: float, run: tracking.Run) -> None:
+        """Stop a run to make room for another step."""
+
 
 def plan(
     now: float, fleet: Fleet, advice_callers: AdviceCallers
@@ -137,9 +152,10 @@
         ),
         key=lambda step: ordering.sort_key(now, step),
     )
-    if not steps:
+    if not steps and not fleet.runs_to_copy:
         return []
-    return _PlanningRound(now, fleet, advice_callers).run(steps)
+    planning_round = _PlanningRound(now, fleet, advice_callers)
+    return planning_round.run(steps) + planning_round.copy_slow_runs(steps)
 
 
 class _PlanningRound:
@@ -156,6 +172,7 @@
         self._gang_is_waiting = False
         """Whether a gang that can still be in time found too few workers."""
         self._crowded_by_service: dict[model.ServiceId, bool] = {}
+        self._has_searched_room = False
         self._result: list[actions.Action] = []
         self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
         """Candidates of each service, those with most free processors at the
@@ -180,19 +197,221 @@
                 )
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
+        self._hold_displaced_room(steps)
         for step in steps:
             if self._gang_is_waiting and self._can_wait_for_gangs(step):
                 continue
             if step.job.queue.advice is None:
                 self._place(step, self._eligible(step))
+                self._make_room(step)
                 continue
             self._place(step, self._with_valid_ticket(step))
+            self._make_room(step)
             if step.waiting - step.suspect_indexes or (
                 step.waiting and not step.suspects_must_wait
             ):
                 self._request_advice(step)
         return self._result
 
+    def copy_slow_runs(
+        self, waiting: list[work.StepRun]
+    ) -> list[actions.Action]:
+        """Return starts of copies of slow runs, and advice requests."""
+        runs_by_id = self._fleet.runs_to_copy
+        result: list[actions.Action] = []
+        if not runs_by_id or self._gang_is_waiting:
+            return result
+        candidates = [
+            candidate
+            for by_id in self._candidates_by_service.values()
+            for candidate in by_id.values()
+        ]
+        budget = speculation.Budget(
+            self._now, self._fleet.workers_by_id.values(), candidates, waiting
+        )
+        for task_id, run in list(runs_by_id.items()):
+            step = run.task.step
+            if (
+                run.stop is not None
+                or run.task.state is not work.TaskState.PLACED
+                or run.task.placed_run_number != run.number
+                or not speculation.step_has_budget(step)
+                or self._headroom(step) <= 0
+            ):
+                continue
+            chosen = self._worker_for_copy(run)
+            if not budget.take(step.spec.size.millicores):
+                continue
+            if chosen is not None:
+                del runs_by_id[task_id]
+                result += self._start_copy(run, chosen)
+            elif step.job.queue.advice is not None:
+                result += self._request_advice_for_copy(step)
+        return result
+
+    def _worker_for_copy(self, run: tracking.Run) -> packing.Candidate | None:
+        step = run.task.step
+        if step.job.queue.advice is None:
+            candidates = self._eligible(step)
+        else:
+            candidates = self._with_valid_ticket(step)
+        return packing.choose_one(
+            step.spec,
+            [
+                candidate
+                for candidate in _with_room(candidates, step)
+                if candidate.worker.entry.worker_id != run.worker_id
+                and not candidate.reserved_until
+                and candidate.held_for is None
+            ],
+        )
+
+    def _start_copy(
+        self, run: tracking.Run, candidate: packing.Candidate
+    ) -> list[actions.Action]:
+        task = run.task
+        step = task.step
+        entry = candidate.worker.entry
+        candidate.allocate(step.spec)
+        run_number = self._fleet.jobs.next_run_number([task])
+        number = self._fleet.record_copy(
+            self._now, task, run_number, entry.worker_id
+        )
+        ticket = step.tickets.by_worker_id.get(entry.worker_id, ('', 0, 0))[0]
+        order = ports.TaskOrder(
+            task.id,
+            specs.RunNumber(run_number),
+            step.job.spec.payload,
+            task.checkpoint,
+            ticket,
+        )
+        queue_id = step.job.queue.queue_id
+        return [
+            actions.Start(entry, order, queue_id, number, 0.0),
+            actions.ReportCopy(
+                task.id,
+                specs.RunNumber(run_number),
+                entry.worker_id,
+                run.worker_id,
+            ),
+        ]
+
+    def _request_advice_for_copy(
+        self, step: work.StepRun
+    ) -> list[actions.Action]:
+        now = self._now
+        tickets = step.tickets
+        if now < max(tickets.call_expires_at, tickets.next_check_at):
+            return []
+        tickets.next_check_at = now + speculation.CHECK_INTERVAL_S
+        worker_ids = [
+            candidate.worker.entry.worker_id
+            for candidate in itertools.chain(
+                self._suitable(step), self._with_unknown_suitability(step)
+            )
+            if candidate.fits(step.spec)
+            and not candidate.reserved_until
+            and candidate.held_for is None
+        ][: speculation.MAX_ASKED]
+        if not worker_ids:
+            return []
+        duration = work.advice_s(step.job.queue.advice, len(worker_ids))
+        if not self._advice_callers.reserve(False, duration):
+            return []
+        tickets.call_expires_at = now + duration + ADVICE_EXPIRY_MARGIN_S
+        return [
+            actions.RequestAdvice(step.id, tuple(worker_ids), duration, False)
+        ]
+
+    def _hold_displaced_room(self, steps: list[work.StepRun]) -> None:
+        """Keep the room that is made for steps from all others."""
+        for step in steps:
+            if step.room.until > self._now:
+                candidates_by_id = self._candidates_by_id(step)
+                for worker_id in step.room.worker_ids:
+                    candidate = candidates_by_id.get(worker_id)
+                    if candidate is not None:
+                        candidate.held_for = step
+
+    def _make_room(self, step: work.StepRun) -> None:
+        """Stop runs of lower priority if only this lets a step be in time."""
+        now = self._now
+        room = step.room
+        if (
+            not step.waiting
+            or self._has_searched_room
+            or now < max(room.until, room.search_at)
+            or not displacing.may_displace(now, step)
+            or not self._may_start(step)
+        ):
+            return
+        room.search_at = now + displacing.SEARCH_INTERVAL_S
+        room.wanted_ids = []
+        candidates = self._where_room_may_be_made(step)
+        if not candidates:
+            return
+        self._has_searched_room = True
+        fleet = self._fleet
+        limits = displacing.limits(
+            fleet.workers_by_id.values(),
+            displacing.over_share(
+                fleet.usage.millicores_by_customer,
+                fleet.configuration.customers_by_id,
+            ),
+        )
+        lasting = candidates
+        if step.job.queue.advice is not None:
+            lasting = [
+                candidate
+                for candidate in candidates
+                if self._ticket_lasts(step, candidate, now + displacing.HOLD_S)
+            ]
+        found = displacing.choose(now, step, lasting, limits)
+        if found is not None:
+            self._displace(step, found)
+        elif len(lasting) < len(candidates):
+            found = displacing.choose(now, step, candidates, limits)
+            if found is not None:
+                room.wanted_ids = sorted(found.worker_ids)
+
+    def _where_room_may_be_made(
+        self, step: work.StepRun
+    ) -> list[packing.Candidate]:
+        if step.job.queue.advice is None:
+            candidates = self._eligible(step)
+        else:
+            candidates = self._suitable(step)
+        reserved_ids = step.reservation.worker_ids
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.held_for is None
+            and (
+                not candidate.reserved_until
+                or candidate.worker.entry.worker_id in reserved_ids
+            )
+        ]
+
+    def _displace(
+        self, step: work.StepRun, found: displacing.Displacement
+    ) -> None:
+        room = step.room
+        room.worker_ids = found.worker_ids
+        room.until = self._now + displacing.HOLD_S
+        room.displacements += 1
+        self._hold_displaced_room([step])
+        for run in found.runs:
+            self._fleet.displace_run(self._now, run)
+        self._result.append(
+            actions.ReportDisplacement(
+                step.id,
+                len(found.runs),
+                found.count,
+                found.lost_core_s,
+                found.gained_core_s,
+            )
+        )
+
     def _can_wait_for_gangs(self, step: work.StepRun) -> bool:
         """Return whether a step should leave free room to waiting gangs.
 
@@ -335,6 +554,8 @@
         Tickets are renewed once the gang fits or is about to fit.
         """
         spec = step.spec
+        if step.room.wanted_ids:
+            return step.room.wanted_ids[:MAX_ASKED]
         suitable = self._suitable(step)
         capacity = sum(
             forecast.capacity_when_empty(candidate, spec)
@@ -564,11 +785,7 @@
     ) -> None:
         headroom = self._headroom(step)
         spec = step.spec
-        candidates = [
-            candidate
-            for candidate in candidates
-            if self._may_place_on(candidate, step)
-        ]
+        candidates = self._where_tasks_may_start(step, candidates)
         if step.suspect_indexes:
             headroom = self._place_suspects(step, candidates, headroom)
         for index in sorted(step.waiting - step.suspect_indexes):
@@ -600,6 +817,25 @@
             run_number = self._fleet.jobs.next_run_number([task])
             self._start(task, candidate, run_number, task.checkpoint)
 
+    def _where_tasks_may_start(
+        self, step: work.StepRun, candidates: list[packing.Candidate]
+    ) -> list[packing.Candidate]:
+        allowed = [
+            candidate
+            for candidate in candidates
+            if self._may_place_on(candidate, step)
+        ]
+        if (
+            step.job.queue.priority != ordering.URGENT_PRIORITY
+            or packing.choose_one(step.spec, allowed) is not None
+        ):
+            return allowed
+        return [
+            candidate
+            for candidate in candidates
+            if self._ends_before_reservation(candidate, step)
+        ]
+
     def _place_suspects(
         self,
         step: work.StepRun,
@@ -674,6 +910,13 @@
 
     def _may_place_on(
         self, candidate: packing.Candidate, step: work.StepRun
+    ) -> bool:
+        if candidate.held_for is not None:
+            return candidate.held_for is step
+        return self._ends_before_reservation(candidate, step)
+
+    def _ends_before_reservation(
+        self, candidate: packing.Candidate, step: work.StepRun
     ) -> bool:
         if not candidate.reserved_until:
             return True
--- a/packages/core/src/samphirestack/fleet/progress_rows.py
+++ b/packages/core/src/samphirestack/fleet/progress_rows.py
@@ -30,7 +30,11 @@
 
 def placeable(progress: records.JobProgress) -> int:
     """Return how many more tasks of a job may be placed."""
-    return MAX_PLACED_TASKS - len(progress.placed_by_task)
+    return (
+        MAX_PLACED_TASKS
+        - len(progress.placed_by_task)
+        - len(progress.copies_by_task)
+    )
 
 
 def decode(data: bytes) -> records.JobProgress:
@@ -54,38 +58,53 @@
         step, index = _split(key)
         for run in runs:
             failed.setdefault(step, {}).setdefault(run, []).append(index)
-    placed: dict[str, dict[str, dict[int, list[int]]]] = {}
-    for key, (run, worker_id) in progress.placed_by_task.items():
-        step, index = _split(key)
-        runs_by_step = placed.setdefault(worker_id, {})
-        runs_by_step.setdefault(step, {}).setdefault(run, []).append(index)
     return msgspec.structs.replace(
         progress,
         done_by_step={},
         failed_runs_by_task={},
         placed_by_task={},
+        copies_by_task={},
         grouped=records.GroupedProgress(
             done,
             _with_gaps(failed),
-            {
-                worker_id: _with_gaps(runs_by_step)
-                for worker_id, runs_by_step in placed.items()
-            },
+            _group_by_worker(progress.placed_by_task),
+            _group_by_worker(progress.copies_by_task),
         ),
     )
 
 
+def _group_by_worker(
+    runs_by_task: dict[str, tuple[int, str]],
+) -> dict[str, dict[str, dict[int, list[int]]]]:
+    """Return gaps by worker, step and run."""
+    result: dict[str, dict[str, dict[int, list[int]]]] = {}
+    for key, (run, worker_id) in runs_by_task.items():
+        step, index = _split(key)
+        runs_by_step = result.setdefault(worker_id, {})
+        runs_by_step.setdefault(step, {}).setdefault(run, []).append(index)
+    return {
+        worker_id: _with_gaps(runs_by_step)
+        for worker_id, runs_by_step in result.items()
+    }
+
+
+def _runs_by_task(
+    grouped: dict[str, dict[str, dict[int, list[int]]]],
+) -> dict[str, tuple[int, str]]:
+    """Return run and worker by task from gaps by worker, step and run."""
+    return {
+        f'{step}.{index}': (run, worker_id)
+        for worker_id, runs_by_step in grouped.items()
+        for step, run, index in _tasks(runs_by_step)
+    }
+
+
 def _ungroup(
     progress: records.JobProgress, grouped: records.GroupedProgress
 ) -> records.JobProgress:
     failed: dict[str, list[int]] = {}
     for step, run, index in _tasks(grouped.failed_by_step):
         failed.setdefault(f'{step}.{index}', []).append(run)
-    placed = {
-        f'{step}.{index}': (run, worker_id)
-        for worker_id, runs_by_step in grouped.placed_by_worker_id.items()
-        for step, run, index in _tasks(runs_by_step)
-    }
     done = {
         step: list(_indexes(gaps))
         for step, gaps in grouped.done_by_step.items()
@@ -94,7 +113,8 @@
         progress,
         done_by_step=done,
         failed_runs_by_task=failed,
-        placed_by_task=placed,
+        placed_by_task=_runs_by_task(grouped.placed_by_worker_id),
+        copies_by_task=_runs_by_task(grouped.copies_by_worker_id),
         grouped=None,
     )
 
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -73,6 +73,10 @@
         str, dict[str, dict[decoding.Count, list[decoding.Count]]]
     ]
     """Gaps by worker, ``OCCURRENCE.STEP`` and number of the run."""
+    copies_by_worker_id: dict[
+        str, dict[str, dict[decoding.Count, list[decoding.Count]]]
+    ] = {}
+    """The same of the copies of tasks."""
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -92,8 +96,12 @@
     """Number of the first occurrences that are complete and about which the
     other fields say nothing any more."""
     grouped: GroupedProgress | None = None
-    """Takes the place of the first three fields in the row of a job of very
-    many tasks."""
+    """Takes the place of the fields on done, failed, placed and copied tasks
+    in the row of a job of very many tasks."""
+    copies_by_task: dict[str, tuple[decoding.Count, str]] = {}
+    """Run number and worker of the copy of each task that has one, as in
+    ``placed_by_task``.  Entries of earlier versions ignore it; they take a
+    copy that a worker lists for a surplus run, and stop it."""
     ended: JobRecord | None = None
     """Short row of the ended job, until it replaces the job's own row."""
 
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -41,6 +41,7 @@
         'began_at',
         'first_listed_at',
         'first_percent',
+        'is_copy',
         'is_primary',
         'is_resumed',
         'last_progress_at',
@@ -114,6 +115,8 @@
         """Until when a speed limit that was ordered without an answer may
         replace newer ones."""
         self.stop: stops.StopDecision | None = None
+        self.is_copy = False
+        """Whether it is a copy of a placed task; it isn't primary then."""
         self.is_primary = True
         """Whether the task counts as placed because of this run; false for a
         surplus run of a task that is placed or done already."""
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         'checkpoint',
+        'copy_run_number',
         'crashes_by_run',
         'failed_runs',
         'failed_worker_ids',
@@ -48,6 +49,8 @@
         self.last_run_number = 0
         self.placed_run_number = 0
         """Number of the current run of a placed task, or 0."""
+        self.copy_run_number = 0
+        """Number of the run of the copy of a placed task, or 0."""
         self.checkpoint = specs.NO_CHECKPOINT
         self.percent = 0.0
         self.stalls = 0
@@ -99,6 +102,28 @@
         self.worker_ids: list[model.WorkerId] = []
 
 
+class DisplacedRoom:
+    """Workers on which other runs are stopped to make room for a step."""
+
+    __slots__ = (
+        'displacements',
+        'search_at',
+        'until',
+        'wanted_ids',
+        'worker_ids',
+    )
+
+    def __init__(self) -> None:
+        self.worker_ids: frozenset[model.WorkerId] = frozenset()
+        self.until = float('-inf')
+        """Only urgent steps that fit nowhere else start on them before."""
+        self.displacements = 0
+        self.search_at = float('-inf')
+        """When to search next for runs to stop."""
+        self.wanted_ids: list[model.WorkerId] = []
+        """Workers on which runs would be stopped if they had tickets."""
+
+
 class StepRun:
     """One occurrence of a step of a job."""
 
@@ -108,11 +133,14 @@
         'has_cleared_suspect',
         'job',
         'number',
+        'observed_count',
+        'observed_s',
         'occurrence',
         'pending_dependencies',
         'probation_wanted_at',
         'ready_at',
         'reservation',
+        'room',
         'run_counts_by_worker',
         'spec',
         'suspect_indexes',
@@ -138,7 +166,12 @@
         self.tickets = Tickets()
         self.run_counts_by_worker: dict[model.WorkerId, int] = {}
         """Tracked runs of the step on each worker."""
+        self.observed_count = 0
+        """Number of runs in ``observed_s``."""
+        self.observed_s = 0.0
+        """Sum of the run times of the runs that succeeded."""
         self.reservation = GangReservation()
+        self.room = DisplacedRoom()
         self.blocked_until = 0.0
         """The step is not considered before this moment, after a failure."""
         self.suspect_indexes: set[int] = set()
@@ -206,6 +239,8 @@
         self.completed_occurrences: set[int] = set()
         """Numbers of complete occurrences from ``progress.completed_before``
         on."""
+        self.displaced_at: float | None = None
+        """When runs of the job were stopped to make room for others."""
         self.over_share = False
         """Whether the job was accepted beyond the customer's share."""
         declared_s = [step.estimate_s for step in self.spec.steps]
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -750,6 +750,10 @@
             self._report_stalled(action)
         elif isinstance(action, actions.ReportStopDecided):
             self._report_stop_decided(action)
+        elif isinstance(action, actions.ReportCopy):
+            self._report_copy(action)
+        elif isinstance(action, actions.ReportDisplacement):
+            self._report_displacement(action)
         elif isinstance(action, actions.ReportStopOverdue):
             self._report_stop_overdue(action)
         elif isinstance(action, actions.ReportListedEarly):
@@ -810,6 +814,27 @@
             members_unconfirmed=action.members_unconfirmed,
         )
 
+    def _report_copy(self, action: actions.ReportCopy) -> None:
+        self._context.metrics.copies.inc({})
+        self._context.log.write(
+            'task.copied',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            slow_worker=action.slow_worker_id,
+        )
+
+    def _report_displacement(self, action: actions.ReportDisplacement) -> None:
+        self._context.metrics.displacements.inc({})
+        self._context.log.write(
+            'step.displaces_runs',
+            step_id=action.step_id,
+            runs=action.runs,
+            tasks=action.tasks,
+            lost_core_s=round(action.lost_core_s, 1),
+            gained_core_s=round(action.gained_core_s, 1),
+        )
+
     def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
         if action.accepted:
             cause = 'accepted'
--- a/tests/unit/fleet/test_progress_rows.py
+++ b/tests/unit/fleet/test_progress_rows.py
@@ -29,6 +29,7 @@
             for key, runs in progress.failed_runs_by_task.items()
         },
         progress.placed_by_task,
+        progress.copies_by_task,
         progress.completed_before,
     )
 
@@ -52,16 +53,25 @@
             KEYS,
             strategies.tuples(RUNS, strategies.sampled_from(['w1', 'w2'])),
         ),
+        strategies.dictionaries(
+            KEYS,
+            strategies.tuples(RUNS, strategies.sampled_from(['w3', 'w4'])),
+        ),
     )
     def test_the_progress_is_read_back(
         self,
         done: dict[str, list[int]],
         failed: dict[str, list[int]],
         placed: dict[str, tuple[int, str]],
+        copies: dict[str, tuple[int, str]],
     ) -> None:
         # The indexes in a row of its own make the row large enough.
         progress = records.JobProgress(
-            {**done, '99.0': list(range(0, 40_000, 3))}, failed, {}, placed, 7
+            done_by_step={**done, '99.0': list(range(0, 40_000, 3))},
+            failed_runs_by_task=failed,
+            placed_by_task=placed,
+            copies_by_task=copies,
+            completed_before=7,
         )
         row = progress_rows.encode(progress)
         assert records.decode_progress(row).grouped is not None
