Keep tasks apart whose images disturb each other

Cause: tasks on one worker raise each other's tail by amounts that differ by image. Only throttling answered, by slowing all fillers of a worker, so that in a fleet with both a harmful and a harmless image on each worker nearly all of them stood still.

Change: the holder learns from each report how much an image slows another (fleet/interference.py), and prefers workers without a disturbing neighbour. Rules, reservations and the data rack come first; nothing waits; while a gang waits, packing is as before.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from samphirestack.fleet import interference
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -105,6 +106,12 @@
     run: specs.RunNumber
 
 
+class ReportInterference(msgspec.Struct, frozen=True):
+    """Tell operators that tasks of two images are kept apart, or no longer."""
+
+    change: interference.Change
+
+
 Action = (
     Start
     | Stop
@@ -116,6 +123,7 @@
     | ReportStopDecided
     | ReportStopOverdue
     | ReportListedEarly
+    | ReportInterference
 )
 
 
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -6,6 +6,7 @@
 small tasks.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from samphirestack.fleet import specs
@@ -21,6 +22,7 @@
         'free_filler_cpu',
         'free_gpu',
         'free_memory',
+        'image_shares',
         'is_fit_for_probation',
         'reserved_until',
         'worker',
@@ -35,6 +37,8 @@
         """Processors free for fillers; other tasks may displace them."""
         self.expected_ends: list[tuple[float, specs.StepSpec]] | None = None
         """Expected ends of its runs in order; computed on first use."""
+        self.image_shares: dict[str, float] | None = None
+        """Load by image as a share of the worker; computed on first use."""
         self.is_fit_for_probation: bool | None = None
         """Whether a suspect may start; computed on first use."""
         self.reserved_until = 0.0
@@ -70,6 +74,11 @@
         self.free_filler_cpu -= spec.size.millicores * count
         self.free_memory -= spec.size.memory_mb * count
         self.free_gpu -= spec.size.accelerators * count
+        if spec.image and self.image_shares is not None:
+            capacity = self.worker.entry.capacity.millicores
+            self.image_shares[spec.image] = self.image_shares.get(
+                spec.image, 0.0
+            ) + spec.size.millicores * count / max(1, capacity)
 
     def leftover_score(self, spec: specs.StepSpec) -> float:
         """Return a score of the capacity left after one task.
@@ -87,9 +96,14 @@
 
 
 def choose_one(
-    spec: specs.StepSpec, candidates: Iterable[Candidate]
+    spec: specs.StepSpec,
+    candidates: Iterable[Candidate],
+    penalty: Callable[[Candidate], float] | None = None,
 ) -> Candidate | None:
-    """Return the worker with the tightest fit for one task."""
+    """Return the worker with the tightest fit for one task.
+
+    :param penalty: what is added to the score of a worker.
+    """
     best = None
     best_score = float('inf')
     for candidate in candidates:
@@ -98,6 +112,8 @@
         score = candidate.leftover_score(spec)
         if spec.data_rack and candidate.worker.entry.rack != spec.data_rack:
             score += 10.0
+        if penalty is not None:
+            score += penalty(candidate)
         if score < best_score:
             best = candidate
             best_score = score
@@ -105,11 +121,15 @@
 
 
 def choose_gang(
-    spec: specs.StepSpec, candidates: list[Candidate], count: int
+    spec: specs.StepSpec,
+    candidates: list[Candidate],
+    count: int,
+    penalty: Callable[[Candidate], float] | None = None,
 ) -> list[Candidate] | None:
     """Return a worker for each member, or ``None`` if not all fit.
 
     :param candidates: workers that may run the step.
+    :param penalty: what is added to the score of a worker.
     """
     by_rack: dict[str, list[Candidate]] = {}
     for candidate in candidates:
@@ -119,15 +139,18 @@
         groups.sort(key=lambda group: group is not by_rack[spec.data_rack])
     if spec.single_rack:
         for group in groups:
-            chosen = _fit_gang(spec, group, count)
+            chosen = _fit_gang(spec, group, count, penalty)
             if chosen is not None:
                 return chosen
         return None
-    return _fit_gang(spec, candidates, count)
+    return _fit_gang(spec, candidates, count, penalty)
 
 
 def _fit_gang(
-    spec: specs.StepSpec, candidates: list[Candidate], count: int
+    spec: specs.StepSpec,
+    candidates: list[Candidate],
+    count: int,
+    penalty: Callable[[Candidate], float] | None,
 ) -> list[Candidate] | None:
     limit = spec.max_per_worker or count
     free = 0
@@ -140,7 +163,11 @@
         return None
     chosen: list[Candidate] = []
     for candidate in sorted(
-        candidates, key=lambda candidate: candidate.leftover_score(spec)
+        candidates,
+        key=lambda candidate: (
+            candidate.leftover_score(spec)
+            + (penalty(candidate) if penalty is not None else 0.0)
+        ),
     ):
         fitting = candidate.count(spec, min(limit, count - len(chosen)))
         chosen.extend([candidate] * fitting)
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -16,6 +16,7 @@
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
 from samphirestack.fleet import forecast
+from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import ordering
 from samphirestack.fleet import packing
@@ -107,6 +108,7 @@
     jobs: job_tracker.JobTracker
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
+    interference: interference.Interference
     registry_freshness: registry_freshness.RegistryFreshness
 
     def record_placement(
@@ -537,7 +539,9 @@
         """Return a worker for each member of a gang, or ``None``."""
         count = step.spec.count
         if not step.suspect_indexes:
-            return packing.choose_gang(step.spec, free, count)
+            return packing.choose_gang(
+                step.spec, free, count, self._separation(step)
+            )
         fit = self._fit_for_probation(free)
         steady = [candidate for candidate in fit if self._is_steady(candidate)]
         chosen = packing.choose_gang(step.spec, steady, count)
@@ -547,6 +551,15 @@
             chosen = packing.choose_gang(step.spec, free, count)
         return chosen
 
+    def _separation(self, step: work.StepRun) -> interference.Penalty | None:
+        """Return the penalty of workers with disturbing neighbours.
+
+        Other steps do not spread over workers that a gang waits for.
+        """
+        if self._gang_is_waiting and not step.spec.gang:
+            return None
+        return self._fleet.interference.penalty(self._now, step.spec)
+
     def _place_tasks(
         self, step: work.StepRun, candidates: list[packing.Candidate]
     ) -> None:
@@ -559,6 +572,7 @@
         ]
         if step.suspect_indexes:
             headroom = self._place_suspects(step, candidates, headroom)
+        penalty = self._separation(step)
         for index in sorted(step.waiting - step.suspect_indexes):
             if headroom <= 0:
                 return
@@ -581,9 +595,13 @@
                     not in task.failed_worker_ids
                 ]
                 allowed = preferred or allowed
-            candidate = packing.choose_one(spec, allowed)
+            candidate = packing.choose_one(spec, allowed, penalty)
             if candidate is None:
                 return
+            if penalty is not None and candidate is not packing.choose_one(
+                spec, allowed
+            ):
+                self._fleet.interference.record_kept_apart()
             headroom -= 1
             run_number = self._fleet.jobs.next_run_number([task])
             self._start(task, candidate, run_number, task.checkpoint)
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -12,6 +12,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
 from samphirestack.fleet import crashes
+from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
@@ -79,6 +80,7 @@
         self.jobs = job_tracker.JobTracker(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
+        self.interference = interference.Interference()
         self._crashes = crashes.CrashTracker()
         self.registry_freshness = registry_freshness.RegistryFreshness()
         self._closed_machines: frozenset[str] = frozenset()
@@ -330,6 +332,7 @@
         for running in report.running:
             listed.add((running.task_id, running.run))
             self._apply_running_row(now, sent_at, worker, running)
+        self.interference.observe(now, worker)
         for key in list(worker.unknown_runs):
             if key not in listed:
                 del worker.unknown_runs[key]
@@ -937,6 +940,10 @@
             self._last_check_at = now
             self._check_workers(now)
             self._throttle_fillers(now)
+        self._pending_actions.extend(
+            actions.ReportInterference(change)
+            for change in self.interference.take_changes(now)
+        )
         self.jobs.begin_due_occurrences(now)
         planned = planner.plan(now, self, advice_callers)
         result = self._pending_actions
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -48,6 +48,8 @@
         'ordered_at',
         'percent',
         'probation_is_checked',
+        'sampled_at',
+        'sampled_percent',
         'started_at',
         'state',
         'stop',
@@ -88,6 +90,10 @@
         self.percent = 0.0
         self.last_progress_at = now
         self.load = 0.0
+        self.sampled_at = float('-inf')
+        self.sampled_percent = 0.0
+        """When interference was last learned from the run, and its progress
+        then."""
         self.throttle_percent = (
             100 if state is RunState.ORDERED else UNKNOWN_PERCENT
         )
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -676,6 +676,7 @@
                 self.advice_callers.reserved_calls.clear()
             if self.scheduler.jobs.has_changes:
                 self.writer.write_requested.set()
+            self._count_interference()
             took_s = clock.now() - now
             self._context.metrics.plan_time.observe({}, took_s)
             if took_s > SLOW_PLAN_S:
@@ -689,6 +690,16 @@
                 max(MIN_PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s)
             )
 
+    def _count_interference(self) -> None:
+        learned = self.scheduler.interference
+        metrics = self._context.metrics
+        count = learned.take_kept_apart_count()
+        if count:
+            metrics.placements_apart.add({}, count)
+        apart = learned.disturbing_count
+        metrics.image_pairs.set({'apart': 'yes'}, apart)
+        metrics.image_pairs.set({'apart': 'no'}, learned.pair_count - apart)
+
     def _execute(self, action: actions.Action) -> None:
         if isinstance(action, actions.Start):
             self._unstored_starts.append(action)
@@ -715,9 +726,22 @@
                 run=action.run,
                 worker=action.worker_id,
             )
+        elif isinstance(action, actions.ReportInterference):
+            self._report_interference(action)
         else:
             self._spawn(self._renew_lease(action.worker_id, 0.0))
 
+    def _report_interference(self, action: actions.ReportInterference) -> None:
+        change = action.change
+        self._context.log.write(
+            'interference.learned',
+            victim=change.victim,
+            neighbour=change.neighbour,
+            disturbs=change.disturbs,
+            effect=round(change.effect, 3),
+            evidence=round(change.evidence, 1),
+        )
+
     def _report_crash(self, action: actions.ReportCrash) -> None:
         self._context.metrics.worker_crashes.inc(
             {'suspects': 'some' if action.suspect_ids else 'none'}
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -50,6 +50,16 @@
             'samphirestack_fleet_set_aside_total',
             'Rows, jobs, reports and orders that raised an error, by source.',
         )
+        self.placements_apart = self._counter(
+            'samphirestack_fleet_placements_apart_total',
+            'Placements changed to keep tasks from a disturbing neighbour.',
+        )
+        self.image_pairs = collectors.Gauge(
+            'samphirestack_fleet_image_pairs',
+            'Pairs of images whose interference is estimated by the holder, '
+            'by whether they are kept apart.',
+            registry=self._registry,
+        )
         self.wait_time = self._histogram(
             'samphirestack_fleet_wait_seconds',
             'Time from the readiness of a step to the order of a task.',
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -8,6 +8,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import actions
+from samphirestack.fleet import interference
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -731,3 +732,41 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
+
+
+class TestInterference:
+    """Guards what operators see of tasks that disturb each other."""
+
+    async def test_a_learned_pair_is_logged_and_counted(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        holder = make_holder(row_store.MemoryRowStore())
+        context = holder._context
+        lines: list[tuple[str, dict[str, object]]] = []
+        monkeypatch.setattr(
+            context.log,
+            'write',
+            lambda kind, **fields: lines.append((kind, fields)),
+        )
+        holder._execute(
+            actions.ReportInterference(
+                interference.Change('web', 'train', True, 0.4567, 12.0)
+            )
+        )
+        holder.scheduler.interference.record_kept_apart()
+        holder._count_interference()
+        assert lines == [
+            (
+                'interference.learned',
+                {
+                    'victim': 'web',
+                    'neighbour': 'train',
+                    'disturbs': True,
+                    'effect': 0.457,
+                    'evidence': 12.0,
+                },
+            )
+        ]
+        text = context.metrics.render()[0].decode()
+        assert 'samphirestack_fleet_placements_apart_total 1' in text
+        assert 'samphirestack_fleet_image_pairs{apart="yes"} 0' in text
