Place gangs and urgent tasks by the speed of workers

Cause: workers differ in speed and some become several times slower for seconds. A gang waits for its slowest member, and placement knew no speed.

Change: fleet/worker_speeds.py learns each worker's relative speed from the progress in its reports, against other runs of the same step, or queue for narrow steps. Gangs and urgent tasks prefer the others, and ask for advice about slow ones last. Nothing is excluded; patient work is packed as before. A gauge counts slow workers.

--- a/packages/core/src/samphirestack/fleet/interference.py
+++ b/packages/core/src/samphirestack/fleet/interference.py
@@ -12,7 +12,6 @@
 image take no part.
 """
 
-from collections.abc import Callable
 from collections.abc import Mapping
 import math
 
@@ -85,8 +84,6 @@
 REPORT_INTERVAL_S = 5.0
 """Least time between reports about one pair."""
 
-Penalty = Callable[[packing.Candidate], float]
-
 
 class Change(msgspec.Struct, frozen=True):
     """A pair of images that begins or ceases to be kept apart."""
@@ -198,17 +195,21 @@
             run.task.step.spec.image for run in worker.runs_by_key.values()
         ):
             return
-        shares = _shares_by_image(worker)
+        shares = None
         for run in worker.runs_by_key.values():
             image = run.task.step.spec.image
             slowness = _sample(now, worker, run) if image else None
             if slowness is None:
                 continue
+            if shares is None:
+                shares = _shares_by_image(worker)
             others = dict(shares)
             others[image] -= _share(worker, run)
             self._learn(now, worker.entry.worker_id, image, slowness, others)
 
-    def penalty(self, now: float, spec: specs.StepSpec) -> Penalty | None:
+    def penalty(
+        self, now: float, spec: specs.StepSpec
+    ) -> packing.Penalty | None:
         """Return what a worker's neighbours add to its score for a step.
 
         :return: ``None`` if the step is to be kept apart from no image.
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -25,6 +25,7 @@
         'image_shares',
         'is_fit_for_probation',
         'reserved_until',
+        'speed',
         'worker',
     )
 
@@ -41,6 +42,8 @@
         """Load by image as a share of the worker; computed on first use."""
         self.is_fit_for_probation: bool | None = None
         """Whether a suspect may start; computed on first use."""
+        self.speed: float | None = None
+        """Speed of the worker; computed on first use."""
         self.reserved_until = 0.0
         """End of a reservation for a waiting gang: only tasks that are
         expected to end before may start."""
@@ -95,10 +98,22 @@
         return cpu + 0.5 * memory
 
 
+Penalty = Callable[[Candidate], float]
+
+
+def sum_of_penalties(
+    first: Penalty | None, second: Penalty | None
+) -> Penalty | None:
+    """Return the sum of two penalties, of which either may be missing."""
+    if first is None or second is None:
+        return first or second
+    return lambda candidate: first(candidate) + second(candidate)
+
+
 def choose_one(
     spec: specs.StepSpec,
     candidates: Iterable[Candidate],
-    penalty: Callable[[Candidate], float] | None = None,
+    penalty: Penalty | None = None,
 ) -> Candidate | None:
     """Return the worker with the tightest fit for one task.
 
@@ -124,7 +139,7 @@
     spec: specs.StepSpec,
     candidates: list[Candidate],
     count: int,
-    penalty: Callable[[Candidate], float] | None = None,
+    penalty: Penalty | None = None,
 ) -> list[Candidate] | None:
     """Return a worker for each member, or ``None`` if not all fit.
 
@@ -150,7 +165,7 @@
     spec: specs.StepSpec,
     candidates: list[Candidate],
     count: int,
-    penalty: Callable[[Candidate], float] | None,
+    penalty: Penalty | None,
 ) -> list[Candidate] | None:
     limit = spec.max_per_worker or count
     free = 0
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -26,6 +26,7 @@
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
+from samphirestack.fleet import worker_speeds
 from samphirestack.internal.decisions import quarantine
 from samphirestack import model
 
@@ -109,6 +110,7 @@
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
     interference: interference.Interference
+    worker_speeds: worker_speeds.WorkerSpeeds
     registry_freshness: registry_freshness.RegistryFreshness
 
     def record_placement(
@@ -444,14 +446,19 @@
     def _with_unknown_suitability(
         self, step: work.StepRun
     ) -> Iterator[packing.Candidate]:
-        """Yield workers without advice, most free processors first."""
+        """Yield workers without advice, most free processors first.
+
+        Slow workers follow all others for a step that avoids them.
+        """
         asked = step.tickets.asked_ids
-        return (
+        unknown = (
             candidate
             for candidate in self._most_free_first(step)
             if candidate.worker.entry.worker_id not in asked
             and _is_eligible(candidate, step.spec)
         )
+        penalty = self._fleet.worker_speeds.penalty(self._now, step)
+        return unknown if penalty is None else _lowest_first(unknown, penalty)
 
     def _select_unknown(
         self,
@@ -540,7 +547,7 @@
         count = step.spec.count
         if not step.suspect_indexes:
             return packing.choose_gang(
-                step.spec, free, count, self._separation(step)
+                step.spec, free, count, self._penalty(step)
             )
         fit = self._fit_for_probation(free)
         steady = [candidate for candidate in fit if self._is_steady(candidate)]
@@ -551,7 +558,14 @@
             chosen = packing.choose_gang(step.spec, free, count)
         return chosen
 
-    def _separation(self, step: work.StepRun) -> interference.Penalty | None:
+    def _penalty(self, step: work.StepRun) -> packing.Penalty | None:
+        """Return what disturbing neighbours and low speed add to a score."""
+        return packing.sum_of_penalties(
+            self._separation(step),
+            self._fleet.worker_speeds.penalty(self._now, step),
+        )
+
+    def _separation(self, step: work.StepRun) -> packing.Penalty | None:
         """Return the penalty of workers with disturbing neighbours.
 
         Other steps do not spread over workers that a gang waits for.
@@ -572,7 +586,8 @@
         ]
         if step.suspect_indexes:
             headroom = self._place_suspects(step, candidates, headroom)
-        penalty = self._separation(step)
+        separation = self._separation(step)
+        penalty = self._penalty(step)
         for index in sorted(step.waiting - step.suspect_indexes):
             if headroom <= 0:
                 return
@@ -598,8 +613,13 @@
             candidate = packing.choose_one(spec, allowed, penalty)
             if candidate is None:
                 return
-            if penalty is not None and candidate is not packing.choose_one(
-                spec, allowed
+            if separation is not None and (
+                candidate
+                is not packing.choose_one(
+                    spec,
+                    allowed,
+                    self._fleet.worker_speeds.penalty(self._now, step),
+                )
             ):
                 self._fleet.interference.record_kept_apart()
             headroom -= 1
@@ -761,6 +781,19 @@
     ) and spec.size.fits_in(entry.capacity)
 
 
+def _lowest_first(
+    candidates: Iterable[packing.Candidate], penalty: packing.Penalty
+) -> Iterator[packing.Candidate]:
+    """Yield the candidates without a penalty, then the others."""
+    others = []
+    for candidate in candidates:
+        if penalty(candidate):
+            others.append(candidate)
+        else:
+            yield candidate
+    yield from others
+
+
 def _with_room(
     candidates: list[packing.Candidate], step: work.StepRun
 ) -> list[packing.Candidate]:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -26,6 +26,7 @@
 from samphirestack.fleet import throttling
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
+from samphirestack.fleet import worker_speeds
 from samphirestack.internal.decisions import quarantine
 from samphirestack import model
 
@@ -81,6 +82,7 @@
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
         self.interference = interference.Interference()
+        self.worker_speeds = worker_speeds.WorkerSpeeds()
         self._crashes = crashes.CrashTracker()
         self.registry_freshness = registry_freshness.RegistryFreshness()
         self._closed_machines: frozenset[str] = frozenset()
@@ -333,6 +335,7 @@
             listed.add((running.task_id, running.run))
             self._apply_running_row(now, sent_at, worker, running)
         self.interference.observe(now, worker)
+        self.worker_speeds.observe(now, worker)
         for key in list(worker.unknown_runs):
             if key not in listed:
                 del worker.unknown_runs[key]
@@ -1026,6 +1029,7 @@
                 self._remove_unproved_runs(now, worker)
                 if not worker.registered:
                     del self.workers_by_id[worker_id]
+                    self.worker_speeds.forget(worker_id)
                     continue
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -676,7 +676,7 @@
                 self.advice_callers.reserved_calls.clear()
             if self.scheduler.jobs.has_changes:
                 self.writer.write_requested.set()
-            self._count_interference()
+            self._sample_learned()
             took_s = clock.now() - now
             self._context.metrics.plan_time.observe({}, took_s)
             if took_s > SLOW_PLAN_S:
@@ -690,7 +690,7 @@
                 max(MIN_PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s)
             )
 
-    def _count_interference(self) -> None:
+    def _sample_learned(self) -> None:
         learned = self.scheduler.interference
         metrics = self._context.metrics
         count = learned.take_kept_apart_count()
@@ -699,6 +699,7 @@
         apart = learned.disturbing_count
         metrics.image_pairs.set({'apart': 'yes'}, apart)
         metrics.image_pairs.set({'apart': 'no'}, learned.pair_count - apart)
+        metrics.slow_workers.set({}, self.scheduler.worker_speeds.slow_count)
 
     def _execute(self, action: actions.Action) -> None:
         if isinstance(action, actions.Start):
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -60,6 +60,11 @@
             'by whether they are kept apart.',
             registry=self._registry,
         )
+        self.slow_workers = collectors.Gauge(
+            'samphirestack_fleet_slow_workers',
+            'Workers that the holder of the term found slower than others.',
+            registry=self._registry,
+        )
         self.wait_time = self._histogram(
             'samphirestack_fleet_wait_seconds',
             'Time from the readiness of a step to the order of a task.',
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -754,7 +754,7 @@
             )
         )
         holder.scheduler.interference.record_kept_apart()
-        holder._count_interference()
+        holder._sample_learned()
         assert lines == [
             (
                 'interference.learned',
@@ -770,3 +770,4 @@
         text = context.metrics.render()[0].decode()
         assert 'samphirestack_fleet_placements_apart_total 1' in text
         assert 'samphirestack_fleet_image_pairs{apart="yes"} 0' in text
+        assert 'samphirestack_fleet_slow_workers 0' in text
--- a/tests/unit/fleet/test_interference.py
+++ b/tests/unit/fleet/test_interference.py
@@ -305,7 +305,7 @@
 
     def penalty(
         self, now: float, spec: specs.StepSpec
-    ) -> interference.Penalty | None:
+    ) -> packing.Penalty | None:
         del now
         if spec.image != 'x':
             return None
@@ -422,7 +422,7 @@
 
     def penalty(
         self, now: float, spec: specs.StepSpec
-    ) -> interference.Penalty | None:
+    ) -> packing.Penalty | None:
         del now, spec
         return None
 
