--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from samphirestack.fleet import interference
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -147,6 +148,12 @@
     run: specs.RunNumber
 
 
+class ReportInterference(msgspec.Struct, frozen=True):
+    """Tell operators that tasks of two images are kept apart, or no longer."""
+
+    change: interference.Change
+
+
 Action = (
     Start
     | Stop
@@ -161,6 +168,7 @@
     | ReportCopy
     | ReportStopOverdue
     | ReportListedEarly
+    | ReportInterference
 )
 
 
--- a/packages/core/src/samphirestack/fleet/packing.py
+++ b/packages/core/src/samphirestack/fleet/packing.py
@@ -6,6 +6,7 @@
 small tasks.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from samphirestack.fleet import specs
@@ -30,9 +31,11 @@
         'free_gpu',
         'free_memory',
         'held_for',
+        'image_shares',
         'is_cold',
         'is_fit_for_probation',
         'reserved_until',
+        'speed',
         'worker',
     )
 
@@ -49,10 +52,14 @@
         """Processors free for fillers; other tasks may displace them."""
         self.expected_ends: list[tuple[float, specs.StepSpec]] | None = None
         """Expected ends of its runs in order; computed on first use."""
+        self.image_shares: dict[str, float] | None = None
+        """Load by image as a share of the worker; computed on first use."""
         self.is_fit_for_probation: bool | None = None
         """Whether a suspect may start; computed on first use."""
         self.held_for: work.StepRun | None = None
         """The step for which room is made on the worker."""
+        self.speed: float | None = None
+        """Speed of the worker; computed on first use."""
         self.reserved_until = 0.0
         """End of a reservation for a waiting gang: only tasks that are
         expected to end before may start."""
@@ -86,6 +93,11 @@
         self.free_filler_cpu -= spec.size.millicores * count
         self.free_memory -= spec.size.memory_mb * count
         self.free_gpu -= spec.size.accelerators * count
+        if spec.image and self.image_shares is not None:
+            capacity = self.worker.entry.capacity.millicores
+            self.image_shares[spec.image] = self.image_shares.get(
+                spec.image, 0.0
+            ) + spec.size.millicores * count / max(1, capacity)
 
     def leftover_score(self, spec: specs.StepSpec) -> float:
         """Return a score of the capacity left after one task.
@@ -102,10 +114,27 @@
         return cpu + 0.5 * memory + COLD_SCORE * self.is_cold
 
 
+Penalty = Callable[[Candidate], float]
+
+
+def sum_of_penalties(
+    first: Penalty | None, second: Penalty | None
+) -> Penalty | None:
+    """Return the sum of two penalties, of which either may be missing."""
+    if first is None or second is None:
+        return first or second
+    return lambda candidate: first(candidate) + second(candidate)
+
+
 def choose_one(
-    spec: specs.StepSpec, candidates: Iterable[Candidate]
+    spec: specs.StepSpec,
+    candidates: Iterable[Candidate],
+    penalty: Penalty | None = None,
 ) -> Candidate | None:
-    """Return the worker with the tightest fit for one task."""
+    """Return the worker with the tightest fit for one task.
+
+    :param penalty: what is added to the score of a worker.
+    """
     best = None
     best_score = float('inf')
     for candidate in candidates:
@@ -114,6 +143,8 @@
         score = candidate.leftover_score(spec)
         if spec.data_rack and candidate.worker.entry.rack != spec.data_rack:
             score += OTHER_RACK_SCORE
+        if penalty is not None:
+            score += penalty(candidate)
         if score < best_score:
             best = candidate
             best_score = score
@@ -121,11 +152,15 @@
 
 
 def choose_gang(
-    spec: specs.StepSpec, candidates: list[Candidate], count: int
+    spec: specs.StepSpec,
+    candidates: list[Candidate],
+    count: int,
+    penalty: Penalty | None = None,
 ) -> list[Candidate] | None:
     """Return a worker for each member, or ``None`` if not all fit.
 
     :param candidates: workers that may run the step.
+    :param penalty: what is added to the score of a worker.
     """
     by_rack: dict[str, list[Candidate]] = {}
     for candidate in candidates:
@@ -136,11 +171,11 @@
         groups.sort(key=lambda group: group is not by_rack[spec.data_rack])
     if spec.single_rack:
         for group in groups:
-            chosen = _fit_gang(spec, group, count)
+            chosen = _fit_gang(spec, group, count, penalty)
             if chosen is not None:
                 return chosen
         return None
-    return _fit_gang(spec, candidates, count)
+    return _fit_gang(spec, candidates, count, penalty)
 
 
 def _has_cold_worker(group: list[Candidate]) -> bool:
@@ -148,7 +183,10 @@
 
 
 def _fit_gang(
-    spec: specs.StepSpec, candidates: list[Candidate], count: int
+    spec: specs.StepSpec,
+    candidates: list[Candidate],
+    count: int,
+    penalty: Penalty | None,
 ) -> list[Candidate] | None:
     limit = spec.max_per_worker or count
     free = 0
@@ -161,7 +199,11 @@
         return None
     chosen: list[Candidate] = []
     for candidate in sorted(
-        candidates, key=lambda candidate: candidate.leftover_score(spec)
+        candidates,
+        key=lambda candidate: (
+            candidate.leftover_score(spec)
+            + (penalty(candidate) if penalty is not None else 0.0)
+        ),
     ):
         fitting = candidate.count(spec, min(limit, count - len(chosen)))
         chosen.extend([candidate] * fitting)
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -18,6 +18,7 @@
 from samphirestack.fleet import displacing
 from samphirestack.fleet import evacuation
 from samphirestack.fleet import forecast
+from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import ordering
 from samphirestack.fleet import packing
@@ -29,6 +30,7 @@
 from samphirestack.fleet import speculation
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
+from samphirestack.fleet import worker_speeds
 from samphirestack.internal.decisions import quarantine
 from samphirestack import model
 
@@ -111,6 +113,8 @@
     jobs: job_tracker.JobTracker
     quarantine: quarantine.Quarantine
     suitable_shares: advising.SuitableShares
+    interference: interference.Interference
+    worker_speeds: worker_speeds.WorkerSpeeds
     registry_freshness: registry_freshness.RegistryFreshness
     evacuations: evacuation.Evacuations
     runs_to_copy: dict[model.TaskId, tracking.Run]
@@ -674,14 +678,19 @@
     def _with_unknown_suitability(
         self, step: work.StepRun
     ) -> Iterator[packing.Candidate]:
-        """Yield workers without advice, most free processors first."""
+        """Yield workers without advice, most free processors first.
+
+        Slow workers follow all others for a step that avoids them.
+        """
         asked = step.tickets.asked_ids
-        return (
+        unknown = (
             candidate
             for candidate in self._most_free_first(step)
             if candidate.worker.entry.worker_id not in asked
             and _is_eligible(candidate, step.spec)
         )
+        penalty = self._fleet.worker_speeds.penalty(self._now, step)
+        return unknown if penalty is None else _lowest_first(unknown, penalty)
 
     def _select_unknown(
         self,
@@ -770,7 +779,9 @@
         """Return a worker for each member of a gang, or ``None``."""
         count = step.spec.count
         if not step.suspect_indexes:
-            return packing.choose_gang(step.spec, free, count)
+            return packing.choose_gang(
+                step.spec, free, count, self._penalty(step)
+            )
         fit = self._fit_for_probation(free)
         steady = [candidate for candidate in fit if self._is_steady(candidate)]
         chosen = packing.choose_gang(step.spec, steady, count)
@@ -780,6 +791,22 @@
             chosen = packing.choose_gang(step.spec, free, count)
         return chosen
 
+    def _penalty(self, step: work.StepRun) -> packing.Penalty | None:
+        """Return what disturbing neighbours and low speed add to a score."""
+        return packing.sum_of_penalties(
+            self._separation(step),
+            self._fleet.worker_speeds.penalty(self._now, step),
+        )
+
+    def _separation(self, step: work.StepRun) -> packing.Penalty | None:
+        """Return the penalty of workers with disturbing neighbours.
+
+        Other steps do not spread over workers that a gang waits for.
+        """
+        if self._gang_is_waiting and not step.spec.gang:
+            return None
+        return self._fleet.interference.penalty(self._now, step.spec)
+
     def _place_tasks(
         self, step: work.StepRun, candidates: list[packing.Candidate]
     ) -> None:
@@ -788,6 +815,8 @@
         candidates = self._where_tasks_may_start(step, candidates)
         if step.suspect_indexes:
             headroom = self._place_suspects(step, candidates, headroom)
+        separation = self._separation(step)
+        penalty = self._penalty(step)
         for index in sorted(step.waiting - step.suspect_indexes):
             if headroom <= 0:
                 return
@@ -810,9 +839,18 @@
                     not in task.failed_worker_ids
                 ]
                 allowed = preferred or allowed
-            candidate = packing.choose_one(spec, allowed)
+            candidate = packing.choose_one(spec, allowed, penalty)
             if candidate is None:
                 return
+            if separation is not None and (
+                candidate
+                is not packing.choose_one(
+                    spec,
+                    allowed,
+                    self._fleet.worker_speeds.penalty(self._now, step),
+                )
+            ):
+                self._fleet.interference.record_kept_apart()
             headroom -= 1
             run_number = self._fleet.jobs.next_run_number([task])
             self._start(task, candidate, run_number, task.checkpoint)
@@ -998,6 +1036,19 @@
     ) and spec.size.fits_in(entry.capacity)
 
 
+def _lowest_first(
+    candidates: Iterable[packing.Candidate], penalty: packing.Penalty
+) -> Iterator[packing.Candidate]:
+    """Yield the candidates without a penalty, then the others."""
+    others = []
+    for candidate in candidates:
+        if penalty(candidate):
+            others.append(candidate)
+        else:
+            yield candidate
+    yield from others
+
+
 def _with_room(
     candidates: list[packing.Candidate], step: work.StepRun
 ) -> list[packing.Candidate]:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -14,6 +14,7 @@
 from samphirestack.fleet import crashes
 from samphirestack.fleet import displacing
 from samphirestack.fleet import evacuation
+from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
@@ -30,6 +31,7 @@
 from samphirestack.fleet import throttling
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
+from samphirestack.fleet import worker_speeds
 from samphirestack.internal.decisions import quarantine
 from samphirestack import model
 
@@ -87,6 +89,8 @@
         self.jobs = job_tracker.JobTracker(RUNS_PER_TERM * (term - 1))
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
+        self.interference = interference.Interference()
+        self.worker_speeds = worker_speeds.WorkerSpeeds()
         self._crashes = crashes.CrashTracker()
         self.registry_freshness = registry_freshness.RegistryFreshness()
         self._closed_machines: frozenset[str] = frozenset()
@@ -374,6 +378,8 @@
         for running in report.running:
             listed.add((running.task_id, running.run))
             self._apply_running_row(now, sent_at, worker, running)
+        self.interference.observe(now, worker)
+        self.worker_speeds.observe(now, worker)
         for key in list(worker.unknown_runs):
             if key not in listed:
                 del worker.unknown_runs[key]
@@ -1092,6 +1098,10 @@
             self._last_check_at = now
             self._check_workers(now)
             self._throttle_fillers(now)
+        self._pending_actions.extend(
+            actions.ReportInterference(change)
+            for change in self.interference.take_changes(now)
+        )
         self.jobs.begin_due_occurrences(now)
         planned = planner.plan(now, self, advice_callers)
         result = self._pending_actions
@@ -1207,6 +1217,7 @@
                 self._remove_unproved_runs(now, worker)
                 if not worker.registered:
                     del self.workers_by_id[worker_id]
+                    self.worker_speeds.forget(worker_id)
                     continue
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
