Blame no run for a crash that came before its order

Change: a run that its worker has not confirmed, and that was ordered after the next process had started, is not part of the loss. A confirmed run is, whatever the clocks of the VMs say.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -179,6 +179,19 @@
     )
 
 
+def may_have_begun(run: tracking.Run, restarted_at: float) -> bool:
+    """Return whether a run may have begun on the process that crashed.
+
+    A run that its worker has confirmed has begun, whatever the clocks say.
+
+    :param restarted_at: when the worker's next process started.
+    """
+    return (
+        run.state is tracking.RunState.CONFIRMED
+        or run.ordered_at < restarted_at
+    )
+
+
 def suspects_of(lost: LostWorker, has_common_cause: bool) -> list[LostRun]:
     """Return the runs that may have caused a crash.
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -455,6 +455,10 @@
                         run
                         for key, run in worker.runs_by_key.items()
                         if key not in listed
+                        and crashes.may_have_begun(
+                            run,
+                            started_unix_ms / 1000 - self.jobs.unix_offset_s,
+                        )
                     ],
                 ),
             )
