--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -154,13 +154,8 @@
     change: interference.Change
 
 
-Action = (
-    Start
-    | Stop
-    | RequestAdvice
-    | PollWorker
-    | Throttle
-    | ReportCrash
+Report = (
+    ReportCrash
     | ReportGivenUp
     | ReportStalled
     | ReportStopDecided
@@ -170,6 +165,9 @@
     | ReportListedEarly
     | ReportInterference
 )
+"""What the holder only shows operators."""
+
+Action = Start | Stop | RequestAdvice | PollWorker | Throttle | Report
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -22,6 +22,7 @@
 from samphirestackd.fleet import advice_callers
 from samphirestackd.fleet import archiver
 from samphirestackd.fleet import clock
+from samphirestackd.fleet import decision_reporter
 from samphirestackd.fleet import evacuation_reporter
 from samphirestackd.fleet import node_context
 from samphirestackd.fleet import table_reader
@@ -96,6 +97,7 @@
         )
         self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
         self.scheduler.evacuations = context.evacuations()
+        self._reporter = decision_reporter.DecisionReporter(context)
         self._evacuation_reporter = evacuation_reporter.EvacuationReporter(
             self.scheduler, context.metrics
         )
@@ -754,130 +756,10 @@
             self._spawn(self._get_advice(action, number, caller))
         elif isinstance(action, actions.Throttle):
             self._spawn(self._throttle(action))
-        elif isinstance(action, actions.ReportCrash):
-            self._report_crash(action)
-        elif isinstance(action, actions.ReportGivenUp):
-            self._report_given_up(action)
-        elif isinstance(action, actions.ReportStalled):
-            self._report_stalled(action)
-        elif isinstance(action, actions.ReportStopDecided):
-            self._report_stop_decided(action)
-        elif isinstance(action, actions.ReportCopy):
-            self._report_copy(action)
-        elif isinstance(action, actions.ReportDisplacement):
-            self._report_displacement(action)
-        elif isinstance(action, actions.ReportStopOverdue):
-            self._report_stop_overdue(action)
-        elif isinstance(action, actions.ReportListedEarly):
-            self._context.log.write(
-                'run.listed_early',
-                task_id=action.task_id,
-                run=action.run,
-                worker=action.worker_id,
-            )
-        elif isinstance(action, actions.ReportInterference):
-            self._report_interference(action)
-        else:
+        elif isinstance(action, actions.PollWorker):
             self._spawn(self._renew_lease(action.worker_id, 0.0))
-
-    def _report_interference(self, action: actions.ReportInterference) -> None:
-        change = action.change
-        self._context.log.write(
-            'interference.learned',
-            victim=change.victim,
-            neighbour=change.neighbour,
-            disturbs=change.disturbs,
-            effect=round(change.effect, 3),
-            evidence=round(change.evidence, 1),
-        )
-
-    def _report_crash(self, action: actions.ReportCrash) -> None:
-        self._context.metrics.worker_crashes.inc(
-            {'suspects': 'some' if action.suspect_ids else 'none'}
-        )
-        self._context.log.write(
-            'worker.crashed',
-            worker=action.worker.worker_id,
-            machine=action.worker.machine,
-            lost=len(action.lost_task_ids),
-            suspects=list(action.suspect_ids),
-        )
-
-    def _report_given_up(self, action: actions.ReportGivenUp) -> None:
-        self._context.metrics.jobs_given_up.inc({})
-        self._context.log.write(
-            'job.given_up',
-            job_id=action.job_id,
-            task_id=action.task_id,
-            crashes=len(action.worker_ids),
-            workers=list(action.worker_ids),
-            reason='the workers that start the task crash',
-        )
-
-    def _report_stop_decided(self, action: actions.ReportStopDecided) -> None:
-        self._context.metrics.stops_decided.inc({'reason': action.reason})
-        self._context.log.write(
-            'run.stop_decided',
-            task_id=action.task_id,
-            run=action.run,
-            worker=action.worker_id,
-            reason=action.reason,
-            start_answered=action.start_answered,
-        )
-
-    def _report_stalled(self, action: actions.ReportStalled) -> None:
-        self._context.log.write(
-            'run.stalled',
-            task_id=action.task_id,
-            run=action.run,
-            worker=action.worker_id,
-            percent=action.percent,
-            still_s=round(action.still_s, 3),
-            running_s=round(action.running_s, 3),
-            estimate_s=action.estimate_s,
-            member_percents=list(action.member_percents),
-            members_unconfirmed=action.members_unconfirmed,
-        )
-
-    def _report_copy(self, action: actions.ReportCopy) -> None:
-        self._context.metrics.copies.inc({})
-        self._context.log.write(
-            'task.copied',
-            task_id=action.task_id,
-            run=action.run,
-            worker=action.worker_id,
-            slow_worker=action.slow_worker_id,
-        )
-
-    def _report_displacement(self, action: actions.ReportDisplacement) -> None:
-        self._context.metrics.displacements.inc({})
-        self._context.log.write(
-            'step.displaces_runs',
-            step_id=action.step_id,
-            runs=action.runs,
-            tasks=action.tasks,
-            lost_core_s=round(action.lost_core_s, 1),
-            gained_core_s=round(action.gained_core_s, 1),
-        )
-
-    def _report_stop_overdue(self, action: actions.ReportStopOverdue) -> None:
-        if action.accepted:
-            cause = 'accepted'
-        elif action.orders:
-            cause = 'not_accepted'
         else:
-            cause = 'not_sent'
-        self._context.metrics.stops_overdue.inc({'cause': cause})
-        self._context.log.write(
-            'run.stop_overdue',
-            task_id=action.task_id,
-            run=action.run,
-            worker=action.worker_id,
-            reason=action.reason,
-            decided_s=round(action.decided_s, 3),
-            orders=action.orders,
-            accepted=action.accepted,
-        )
+            self._reporter.report(action)
 
     def _spawn(self, call) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(call)
