Stop a forecast at the moment at which its gang fits

A forecast counted the tasks that fit after the end of every run, also after the moment at which all fit. It now follows the ends in time.

--- a/packages/core/src/samphirestack/fleet/forecast.py
+++ b/packages/core/src/samphirestack/fleet/forecast.py
@@ -1,6 +1,7 @@
 """Forecast of when and where a gang fits, by expected ends of runs."""
 
 from collections.abc import Iterable
+import operator
 
 from samphirestack.fleet import packing
 from samphirestack.fleet import specs
@@ -26,20 +27,23 @@
     """
     limit = spec.max_per_worker or spec.count
     counts = [candidate.count(spec, limit) for candidate in candidates]
-    events: list[tuple[float, int, int]] = []
-    for position, candidate in enumerate(candidates):
-        cpu, memory = candidate.free_cpu, candidate.free_memory
-        gpu = candidate.free_gpu
-        for at, ended in _ends(now, candidate):
-            cpu += 0 if ended.filler else ended.size.millicores
-            memory += ended.size.memory_mb
-            gpu += ended.size.accelerators
-            events.append(
-                (at, position, _count_fitting(spec, limit, cpu, memory, gpu))
-            )
-    events.sort()
+    rooms = [
+        [candidate.free_cpu, candidate.free_memory, candidate.free_gpu]
+        for candidate in candidates
+    ]
+    ends = [
+        (at, position, ended)
+        for position, candidate in enumerate(candidates)
+        for at, ended in _ends(now, candidate)
+    ]
+    ends.sort(key=operator.itemgetter(0, 1))
     total = sum(counts)
-    for at, position, count in events:
+    for at, position, ended in ends:
+        room = rooms[position]
+        room[0] += 0 if ended.filler else ended.size.millicores
+        room[1] += ended.size.memory_mb
+        room[2] += ended.size.accelerators
+        count = _count_fitting(spec, limit, *room)
         total += count - counts[position]
         counts[position] = count
         if total >= spec.count:
