--- a/packages/core/src/samphirestack/fleet/displacing.py
+++ b/packages/core/src/samphirestack/fleet/displacing.py
@@ -48,6 +48,10 @@
 SEARCH_INTERVAL_S = 0.2
 """Minimum interval between searches for a step."""
 
+SEARCH_PAUSE_PER_WORKER_S = 0.0002
+"""Minimum interval between searches for all steps, for each worker.  The
+time that a search takes grows with the number of workers."""
+
 MAX_DISPLACEMENTS = 2
 """Displacements for one step.  What didn't help twice, for example because
 its workers left, won't help."""
@@ -96,6 +100,11 @@
     gained_core_s: float
 
 
+def search_pause_s(workers: int) -> float:
+    """Return the minimum interval between searches for room."""
+    return SEARCH_PAUSE_PER_WORKER_S * workers
+
+
 def limits(
     workers: Iterable[tracking.TrackedWorker],
     customers_over_share: frozenset[model.TeamId],
@@ -149,6 +158,7 @@
     step: work.StepRun,
     candidates: list[packing.Candidate],
     limits: Limits,
+    needed: int,
 ) -> Displacement | None:
     """Return the displacement that loses least, or ``None``.
 
@@ -156,16 +166,20 @@
     step is expected to find room by itself in time.
 
     :param candidates: workers on which the step may start.
+    :param needed: number of tasks that wait and may start.
     """
-    needed = len(step.waiting)
+    if not step.spec.gang:
+        # Beyond the limit, nothing would be displaced at all.
+        permitted = limits.millicores // max(1, step.spec.size.millicores)
+        needed = min(needed, max(1, permitted))
     if _finds_room(now, step, candidates, needed):
         return None
     over_share = limits.customers_over_share
     found = None
     if over_share:
-        found = _choose_among(now, step, candidates, limits, True)
+        found = _choose_among(now, step, candidates, limits, needed, True)
     if found is None and step.job.customer_id not in over_share:
-        found = _choose_among(now, step, candidates, limits, False)
+        found = _choose_among(now, step, candidates, limits, needed, False)
     return found
 
 
@@ -190,6 +204,7 @@
     step: work.StepRun,
     candidates: list[packing.Candidate],
     limits: Limits,
+    needed: int,
     only_over_share: bool,
 ) -> Displacement | None:
     searches = [
@@ -203,7 +218,6 @@
     ]
     heapq.heapify(queue)
     spec = step.spec
-    needed = len(step.waiting)
     task_core_s = (
         spec.size.millicores / 1000 * max(spec.estimate_s, work.MIN_ESTIMATE_S)
     )
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -118,6 +118,8 @@
     registry_freshness: registry_freshness.RegistryFreshness
     evacuations: evacuation.Evacuations
     runs_to_copy: dict[model.TaskId, tracking.Run]
+    room_search_at: float
+    """When the next search for room may be made."""
 
     def record_placement(
         self,
@@ -176,7 +178,6 @@
         self._gang_is_waiting = False
         """Whether a gang that can still be in time found too few workers."""
         self._crowded_by_service: dict[model.ServiceId, bool] = {}
-        self._has_searched_room = False
         self._result: list[actions.Action] = []
         self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
         """Candidates of each service, those with most free processors at the
@@ -201,7 +202,7 @@
                 )
 
     def run(self, steps: list[work.StepRun]) -> list[actions.Action]:
-        self._hold_displaced_room(steps)
+        self._hold_displaced_room(self._fleet.jobs.ready_steps.values())
         for step in steps:
             if self._gang_is_waiting and self._can_wait_for_gangs(step):
                 continue
@@ -327,7 +328,7 @@
             actions.RequestAdvice(step.id, tuple(worker_ids), duration, False)
         ]
 
-    def _hold_displaced_room(self, steps: list[work.StepRun]) -> None:
+    def _hold_displaced_room(self, steps: Iterable[work.StepRun]) -> None:
         """Keep the room that is made for steps from all others."""
         for step in steps:
             if step.room.until > self._now:
@@ -341,11 +342,13 @@
         """Stop runs of lower priority if only this lets a step be in time."""
         now = self._now
         room = step.room
+        if not displacing.may_displace(now, step):
+            room.wanted_ids = []
+            return
+        fleet = self._fleet
         if (
             not step.waiting
-            or self._has_searched_room
-            or now < max(room.until, room.search_at)
-            or not displacing.may_displace(now, step)
+            or now < max(room.until, room.search_at, fleet.room_search_at)
             or not self._may_start(step)
         ):
             return
@@ -354,8 +357,10 @@
         candidates = self._where_room_may_be_made(step)
         if not candidates:
             return
-        self._has_searched_room = True
-        fleet = self._fleet
+        fleet.room_search_at = now + displacing.search_pause_s(
+            len(fleet.workers_by_id)
+        )
+        needed = min(len(step.waiting), self._headroom(step))
         limits = displacing.limits(
             fleet.workers_by_id.values(),
             displacing.over_share(
@@ -370,11 +375,11 @@
                 for candidate in candidates
                 if self._ticket_lasts(step, candidate, now + displacing.HOLD_S)
             ]
-        found = displacing.choose(now, step, lasting, limits)
+        found = displacing.choose(now, step, lasting, limits, needed)
         if found is not None:
             self._displace(step, found)
         elif len(lasting) < len(candidates):
-            found = displacing.choose(now, step, candidates, limits)
+            found = displacing.choose(now, step, candidates, limits, needed)
             if found is not None:
                 room.wanted_ids = sorted(found.worker_ids)
 
@@ -558,8 +563,11 @@
         Tickets are renewed once the gang fits or is about to fit.
         """
         spec = step.spec
-        if step.room.wanted_ids:
-            return step.room.wanted_ids[:MAX_ASKED]
+        wanted_ids = step.room.wanted_ids
+        if wanted_ids and self._candidates_by_id(step).keys() >= set(
+            wanted_ids
+        ):
+            return wanted_ids[:MAX_ASKED]
         suitable = self._suitable(step)
         capacity = sum(
             forecast.capacity_when_empty(candidate, spec)
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -96,6 +96,8 @@
         self._closed_machines: frozenset[str] = frozenset()
         self.evacuations = evacuation.Evacuations()
         """Requests of the operator.  Its owner adds and removes them."""
+        self.room_search_at = float('-inf')
+        """When the next search for room for a waiting step may be made."""
         self._last_check_at = float('-inf')
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
@@ -1149,6 +1151,7 @@
         )
         run.is_primary = False
         run.is_copy = True
+        run.is_resumed = task.checkpoint != specs.NO_CHECKPOINT
         self._add_run(self.workers_by_id[worker_id], run)
         self.jobs.mark_copied(task, run_number, worker_id)
         self._start_count += 1
--- a/packages/core/src/samphirestack/fleet/speculation.py
+++ b/packages/core/src/samphirestack/fleet/speculation.py
@@ -62,10 +62,28 @@
 
 
 def observe(now: float, run: tracking.Run) -> None:
-    """Record the run time of a run that succeeded."""
-    if run.started_at < now and run.task.step.spec.speculative:
+    """Record the run time of a run that succeeded.
+
+    Of a run that resumed, or that an earlier holder started, it isn't known.
+    """
+    if (
+        run.task.step.spec.speculative
+        and run.began_at is not None
+        and not run.is_resumed
+    ):
         run.task.step.observed_count += 1
-        run.task.step.observed_s += now - run.started_at
+        run.task.step.observed_s += now - run.began_at
+
+
+def _progress_began_at(run: tracking.Run) -> float:
+    """Return since when the progress of a run counts.
+
+    A run that resumed, or that an earlier holder started, had made some when
+    it was listed first.
+    """
+    if run.first_percent > 0:
+        return run.first_listed_at
+    return run.started_at
 
 
 def remaining_s(now: float, run: tracking.Run, typical_s: float) -> float:
@@ -74,11 +92,13 @@
     :param typical_s: expected run time of the tasks of its step.
     """
     elapsed_s = now - run.started_at
-    if run.percent >= MIN_PERCENT:
-        since_s = run.last_progress_at - run.started_at
-        if since_s > 0:
-            end_s = since_s * 100.0 / run.percent
-            return max(0.0, end_s - elapsed_s, now - run.last_progress_at)
+    progress = run.percent - max(0.0, run.first_percent)
+    since_s = run.last_progress_at - _progress_began_at(run)
+    if progress >= MIN_PERCENT and since_s > 0:
+        end_at = run.last_progress_at + since_s * (
+            (100.0 - run.percent) / progress
+        )
+        return max(0.0, end_at - now, now - run.last_progress_at)
     return max(typical_s - elapsed_s, elapsed_s)
 
 
--- a/tests/unit/fleet/test_displacing.py
+++ b/tests/unit/fleet/test_displacing.py
@@ -6,6 +6,7 @@
 import pytest
 from samphirestack.fleet import actions
 from samphirestack.fleet import displacing
+from samphirestack.fleet import ordering
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
 
@@ -411,3 +412,83 @@
         assert len(stops) == 4
         fleet.report(3.9, 6.0, stops)
         assert fleet.started_jobs(3.91) == [gang] * 2
+
+
+class TestAfterTheSearch:
+    """Guards against what a search leaves behind once it is of no use."""
+
+    def test_a_gang_asks_about_other_workers_than_those_that_left(
+        self,
+    ) -> None:
+        queue = worlds.make_queue(
+            'advised', priority=1, stretch=2.0, advice=ADVICE
+        )
+        fleet = FullFleet(
+            [(PATIENT, STEP, f'customer-{number % 4}') for number in range(8)],
+            workers=2,
+            queues=[queue],
+        )
+        scheduler = fleet.world.scheduler
+        job_id = fleet.accept(1.0, queue, TestGangs.GANG)
+        self._advise(fleet, 1.1, fleet.world.plan(1.01))
+        step = scheduler.jobs.find_step(f'{job_id}.0.0')
+        assert step is not None
+        now = ordering.latest_start(step) - displacing.STOP_S - 0.05
+        fleet.world.plan(now)
+        assert step.room.wanted_ids
+        for name in ('w0', 'w1'):
+            scheduler.mark_worker_unregistered(model.WorkerId(name))
+        for name in ('n0', 'n1', 'n2', 'n3'):
+            scheduler.update_worker(now, worlds.make_worker(name, 4000))
+            fleet.world.report(now, name)
+        for _ in range(40):
+            now += 0.1
+            fleet.report(now, 20.0 + now)
+            planned = fleet.world.plan(now)
+            if any(isinstance(action, actions.Start) for action in planned):
+                return
+            self._advise(fleet, now, planned)
+        pytest.fail('the gang never started')
+
+    def _advise(
+        self, fleet: FullFleet, now: float, planned: list[actions.Action]
+    ) -> None:
+        for action in planned:
+            if isinstance(action, actions.RequestAdvice):
+                fleet.world.scheduler.handle_advice_result(
+                    now,
+                    now,
+                    action.step_id,
+                    action.worker_ids,
+                    ports.Advice(dict.fromkeys(action.worker_ids, 't')),
+                )
+
+    def test_nothing_stops_for_tasks_beyond_the_limit_of_a_customer(
+        self,
+    ) -> None:
+        limited = specs.Customer(model.TeamId('u'), 1.0, model.Resources(1000))
+        step = worlds.make_step(checkpoints=True, estimate_s=20.0)
+        fleet = FullFleet(
+            [(PATIENT, step, f'x{number % 8}') for number in range(160)],
+            workers=40,
+            customers=[limited],
+        )
+        wide = worlds.make_step(12, estimate_s=2.0)
+        fleet.accept(1.0, URGENT, wide, 'u')
+        assert len(fleet.plan_stops(1.01)) == 1
+
+    def test_room_is_kept_while_its_step_is_blocked(self) -> None:
+        fleet = FullFleet(
+            [(PATIENT, STEP, f'customer-{number % 4}') for number in range(8)],
+            workers=2,
+        )
+        job_id = fleet.accept(1.0, GANGS, TestGangs.GANG)
+        stops = fleet.plan_stops(1.01)
+        assert stops
+        step = fleet.world.scheduler.jobs.find_step(f'{job_id}.0.0')
+        assert step is not None
+        step.blocked_until = 1.5
+        hurried = worlds.make_queue('hurried', priority=2, stretch=1.1)
+        fleet.accept(1.1, hurried, worlds.make_step(4, estimate_s=20.0))
+        fleet.report(1.2, 6.0, stops)
+        assert fleet.started_jobs(1.21) == []
