Keep the rows of jobs of many steps, and of crashes, within the limit

Cause (review): a row could still exceed 65,536 bytes with tasks of many steps or occurrences spread over many workers (112 KB), with many steps in the complete occurrences that are kept (68 KB), and with crashes of thousands of tasks (79 KB). Such a row stops every holder in turn.

A job whose row is too large all the same is set aside and reported, so that it harms no others.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -37,6 +37,9 @@
         """Ended jobs whose end is stored in their own row."""
         self._set_aside_ids: set[model.JobId] = set()
         """Jobs that don't run in this term, as their progress is not known."""
+        self.oversized_ids: list[model.JobId] = []
+        """Jobs that were set aside because the store can't hold their
+        progress; their owner reports and removes them."""
         self._expired_ids: set[model.JobId] = set()
         """Forgotten jobs whose rows may not be removed yet."""
         self._removal_versions_by_id: dict[model.JobId, int] = {}
@@ -529,6 +532,12 @@
             job = self.active_by_id.get(job_id)
             if job is not None:
                 row = progress_rows.encode(job.progress)
+                if len(row) > records.MAX_ROW_BYTES:
+                    # The store would refuse the whole transaction, over and
+                    # over; the job's rows stay as they are.
+                    self.oversized_ids.append(job_id)
+                    self.set_aside(job_id)
+                    continue
                 size += len(row)
                 puts.append(ports.Put(records.PROGRESS_TABLE, job_id, row))
             elif job_id in self._archived_ids:
--- a/packages/core/src/samphirestack/fleet/occurrences.py
+++ b/packages/core/src/samphirestack/fleet/occurrences.py
@@ -11,9 +11,14 @@
 """Occurrences of a job that are open at once.  The next one begins when one
 of them completes."""
 
+MAX_OPEN_STEPS = 2000
+"""Steps of all open occurrences of a job, each of which has its own entries
+in the row of progress."""
+
 MAX_KEPT = 100
-"""Complete occurrences of a job that are remembered one by one.  A worker may
-still list a run of them."""
+MAX_KEPT_STEPS = 1000
+"""Complete occurrences of a job, and steps of them, that are remembered one
+by one.  A worker may still list a run of them."""
 
 
 def may_begin(now: float, job: work.Job) -> bool:
@@ -26,6 +31,7 @@
     return open_count == 0 or (
         open_count < MAX_OPEN
         and (open_count + 1) * tasks <= job_limits.MAX_TASKS
+        and (open_count + 1) * len(job.spec.steps) <= MAX_OPEN_STEPS
     )
 
 
@@ -36,8 +42,9 @@
     """
     progress = job.progress
     job.completed_occurrences.add(occurrence)
+    kept = min(MAX_KEPT, MAX_KEPT_STEPS // len(job.spec.steps))
     while (
-        len(job.completed_occurrences) > MAX_KEPT
+        len(job.completed_occurrences) > kept
         and progress.completed_before in job.completed_occurrences
     ):
         _forget(job, progress.completed_before)
--- a/packages/core/src/samphirestack/fleet/progress_rows.py
+++ b/packages/core/src/samphirestack/fleet/progress_rows.py
@@ -16,25 +16,47 @@
 """Size from which progress is grouped."""
 
 MAX_PLACED_TASKS = 10_000
-"""Tasks of a job that may be on workers at once.  The row names each of them,
-in four bytes if they are spread over hundreds of workers."""
+"""Tasks of a job that may be on workers at once."""
+
+FEW_PLACED_TASKS = 3000
+"""As many fit into a row whatever their steps and workers are."""
+
+TASK_BYTES = 4
+GROUP_BYTES = 12
+"""Size of a placed task, and of each group of a step and a worker in a row."""
+
+MAX_PLACED_BYTES = MAX_PLAIN_BYTES * 3 // 2
 
 
 def encode(progress: records.JobProgress) -> bytes:
-    """Return the row of a job's progress."""
+    """Return the row of a job's progress.
+
+    Crashes of workers are left out of a row that would exceed the limit: it
+    is better to find a task that crashes them anew than to store nothing.
+    """
     row = records.encode(progress)
     if len(row) <= MAX_PLAIN_BYTES:
         return row
-    return records.encode(_group(progress))
+    grouped = _group(progress)
+    row = records.encode(grouped)
+    if len(row) > records.MAX_ROW_BYTES:
+        grouped = msgspec.structs.replace(grouped, crashes_by_task={})
+        row = records.encode(grouped)
+    return row
 
 
 def placeable(progress: records.JobProgress) -> int:
     """Return how many more tasks of a job may be placed."""
-    return (
-        MAX_PLACED_TASKS
-        - len(progress.placed_by_task)
-        - len(progress.copies_by_task)
-    )
+    count = len(progress.placed_by_task) + len(progress.copies_by_task)
+    if count <= FEW_PLACED_TASKS:
+        return MAX_PLACED_TASKS - count
+    groups = {
+        (key.rpartition('.')[0], worker_id)
+        for runs_by_task in (progress.placed_by_task, progress.copies_by_task)
+        for key, (_, worker_id) in runs_by_task.items()
+    }
+    free = MAX_PLACED_BYTES - TASK_BYTES * count - GROUP_BYTES * len(groups)
+    return min(MAX_PLACED_TASKS - count, free // (TASK_BYTES + GROUP_BYTES))
 
 
 def decode(data: bytes) -> records.JobProgress:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -734,6 +734,12 @@
                 max(MIN_PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s)
             )
 
+    def _report_oversized(self) -> None:
+        oversized_ids = self.scheduler.jobs.oversized_ids
+        while oversized_ids:
+            self._context.metrics.set_aside.inc({'source': 'progress'})
+            logs.error('job.progress_too_large', job_id=oversized_ids.pop())
+
     def _sample_learned(self) -> None:
         learned = self.scheduler.interference
         metrics = self._context.metrics
