--- a/tests/unit/fleet/test_displacing.py
+++ b/tests/unit/fleet/test_displacing.py
@@ -445,7 +445,11 @@
             now += 0.1
             fleet.report(now, 20.0 + now)
             planned = fleet.world.plan(now)
-            if any(isinstance(action, actions.Start) for action in planned):
+            if any(
+                isinstance(action, actions.Start)
+                and action.order.task_id.startswith(job_id)
+                for action in planned
+            ):
                 return
             self._advise(fleet, now, planned)
         pytest.fail('the gang never started')
