Explain where a job would start, at the holder of the term

Cause: operators can't see where a job would go without sending it.

The conditions on workers now return the first reason against a worker (planner.Exclusion), for plans and explanations alike.

--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import enum
 import itertools
 import math
 from typing import Protocol
@@ -93,6 +94,24 @@
 """A gang that fits only later than this reserves no workers."""
 
 
+class Exclusion(enum.Enum):
+    """Why nothing of a step may start on a worker in a round."""
+
+    UNREGISTERED = 'not registered or silent'
+    DRAINING = 'draining'
+    UPKEEP = 'closed for upkeep'
+    EVACUATED = 'in an evacuated zone'
+    QUARANTINED = 'quarantined'
+    AVOIDED = 'avoided after a refused start or a stalled run'
+    UNSETTLED = 'on probation or with unknown runs'
+    CAPACITY_UNKNOWN = 'capacity may be out of date'
+    REQUESTS_UNKNOWN = 'requests of the operator may be out of date'
+    LABEL = 'without the label'
+    TOO_SMALL = 'smaller than one task'
+    NO_ROOM = 'no room now'
+    HELD = 'reserved for a gang or held for another step'
+
+
 class AdviceCallers(Protocol):
     """Entries that can call the advice service."""
 
@@ -177,6 +196,7 @@
         """Whether a gang that can still be in time found too few workers."""
         self._crowded_by_service: dict[model.ServiceId, bool] = {}
         self._has_searched_room = False
+        self._allowed_for_preview: frozenset[model.WorkerId] | None = None
         self._result: list[actions.Action] = []
         self._by_free_cpu: dict[model.ServiceId, list[packing.Candidate]] = {}
         """Candidates of each service, those with most free processors at the
@@ -188,9 +208,7 @@
         if not fleet.evacuations.permits_starts(now):
             return
         for worker_id, worker in fleet.workers_by_id.items():
-            if fleet.evacuations.covers(worker.entry.zone):
-                continue
-            if _is_usable(now, worker, fleet.quarantine) and (
+            if _exclusion(now, worker, fleet) is None and (
                 capacities_known
                 or fleet.configuration.enforces_capacity(worker.entry.service)
             ):
@@ -327,7 +345,92 @@
             actions.RequestAdvice(step.id, tuple(worker_ids), duration, False)
         ]
 
-    def _hold_displaced_room(self, steps: list[work.StepRun]) -> None:
+    def hold_for(
+        self, waiting: Iterable[work.StepRun], ahead: list[work.StepRun]
+    ) -> None:
+        """Hold the room of other steps as the last plan left it."""
+        self._hold_displaced_room(waiting)
+        for step in ahead:
+            if (
+                step.spec.gang
+                and self._reserved_gang_count < MAX_RESERVED_GANGS
+                and self._may_start(step)
+                and self._may_hold_workers(step)
+            ):
+                self._gang_is_waiting = True
+                self._hold_reservation(step)
+
+    def headroom(self, step: work.StepRun) -> int:
+        """See ``Preview``."""
+        return self._headroom(step)
+
+    def leaves_room_to_gangs(self, step: work.StepRun) -> bool:
+        """See ``Preview``."""
+        return self._gang_is_waiting and self._can_wait_for_gangs(step)
+
+    def service(self, step: work.StepRun) -> model.ServiceId:
+        """See ``Preview``."""
+        return self._service(step)
+
+    def exclusion(
+        self, worker: tracking.TrackedWorker, step: work.StepRun
+    ) -> Exclusion | None:
+        """Return what keeps a task from a usable worker in this round."""
+        worker_id = worker.entry.worker_id
+        candidate = self._candidates_by_id(step).get(worker_id)
+        if candidate is None:
+            if not self._fleet.evacuations.permits_starts(self._now):
+                return Exclusion.REQUESTS_UNKNOWN
+            return Exclusion.CAPACITY_UNKNOWN
+        if not _with_room([candidate], step):
+            return Exclusion.NO_ROOM
+        if worker_id not in self._allowed_ids(step):
+            return Exclusion.HELD
+        return None
+
+    def _allowed_ids(self, step: work.StepRun) -> frozenset[model.WorkerId]:
+        if self._allowed_for_preview is None:
+            allowed = self._eligible(step)
+            if step.spec.gang:
+                allowed = [
+                    candidate
+                    for candidate in allowed
+                    if self._may_place_on(candidate, step)
+                ]
+            else:
+                allowed = self._where_tasks_may_start(step, allowed)
+            self._allowed_for_preview = frozenset(
+                candidate.worker.entry.worker_id for candidate in allowed
+            )
+        return self._allowed_for_preview
+
+    def workers_to_ask(self, step: work.StepRun) -> list[model.WorkerId]:
+        """See ``Preview``."""
+        if not self._may_start(step):
+            return []
+        if step.spec.gang:
+            return self._gang_workers_to_ask(step)
+        return self._task_workers_to_ask(step)
+
+    def earliest_fit(self, step: work.StepRun) -> float | None:
+        """See ``Preview``."""
+        found = forecast.earliest_fit(
+            self._now, step.spec, self._eligible(step)
+        )
+        return None if found is None else found[0]
+
+    def place_suitable(self, step: work.StepRun) -> list[model.WorkerId]:
+        """See ``Preview``."""
+        if self.leaves_room_to_gangs(step):
+            return []
+        self._place(step, self._eligible(step))
+        return [
+            action.worker.worker_id
+            for action in self._result
+            if isinstance(action, actions.Start)
+        ]
+
+    def _hold_displaced_room(self, steps: Iterable[work.StepRun]) -> None:
         """Keep the room that is made for steps from all others."""
         for step in steps:
             if step.room.until > self._now:
@@ -468,7 +571,7 @@
         return [
             candidate
             for candidate in self._candidates_by_id(step).values()
-            if _is_eligible(candidate, step.spec)
+            if _mismatch(candidate.worker.entry, step.spec) is None
         ]
 
     def _most_free_first(self, step: work.StepRun) -> list[packing.Candidate]:
@@ -687,7 +790,7 @@
             candidate
             for candidate in self._most_free_first(step)
             if candidate.worker.entry.worker_id not in asked
-            and _is_eligible(candidate, step.spec)
+            and _mismatch(candidate.worker.entry, step.spec) is None
         )
         penalty = self._fleet.worker_speeds.penalty(self._now, step)
         return unknown if penalty is None else _lowest_first(unknown, penalty)
@@ -768,7 +871,7 @@
                 (
                     candidate
                     for candidate in self._candidates_by_id(step).values()
-                    if _is_eligible(candidate, step.spec)
+                    if _mismatch(candidate.worker.entry, step.spec) is None
                 ),
             )
         )
@@ -1002,6 +1105,10 @@
         reservation = step.reservation
         if self._now - reservation.forecast_at >= FORECAST_INTERVAL_S:
             self._update_reservation(step, candidates)
+        self._hold_reservation(step)
+
+    def _hold_reservation(self, step: work.StepRun) -> None:
+        reservation = step.reservation
         if reservation.fits_at > self._now + MAX_RESERVATION_S:
             return
         self._reserved_gang_count += 1
@@ -1029,11 +1136,15 @@
             ]
 
 
-def _is_eligible(candidate: packing.Candidate, spec: specs.StepSpec) -> bool:
-    entry = candidate.worker.entry
-    return (
-        not spec.label or spec.label in entry.labels
-    ) and spec.size.fits_in(entry.capacity)
+def _mismatch(
+    entry: specs.WorkerEntry, spec: specs.StepSpec
+) -> Exclusion | None:
+    """Return why a worker never runs a task of a step, or ``None``."""
+    if spec.label and spec.label not in entry.labels:
+        return Exclusion.LABEL
+    if not spec.size.fits_in(entry.capacity):
+        return Exclusion.TOO_SMALL
+    return None
 
 
 def _lowest_first(
@@ -1070,20 +1181,96 @@
     )
 
 
-def _is_usable(
-    now: float,
-    worker: tracking.TrackedWorker,
-    quarantined: quarantine.Quarantine,
-) -> bool:
-    return (
-        worker.has_reported
-        and worker.registered
-        and worker.silent_since is None
-        and not worker.entry_is_outdated
-        and not worker.is_draining
-        and not worker.closed_for_upkeep
-        and not worker.unknown_runs
-        and not worker.probation_run_count
-        and worker.avoid_until <= now
-        and quarantined.accepts(now, worker.entry.worker_id)
-    )
+def _exclusion(
+    now: float, worker: tracking.TrackedWorker, fleet: Fleet
+) -> Exclusion | None:
+    """Return why a worker takes no work at all, or ``None``."""
+    if (
+        not worker.has_reported
+        or not worker.registered
+        or worker.silent_since is not None
+        or worker.entry_is_outdated
+    ):
+        return Exclusion.UNREGISTERED
+    if worker.is_draining:
+        return Exclusion.DRAINING
+    if worker.closed_for_upkeep:
+        return Exclusion.UPKEEP
+    if fleet.evacuations.covers(worker.entry.zone):
+        return Exclusion.EVACUATED
+    if not fleet.quarantine.accepts(now, worker.entry.worker_id):
+        return Exclusion.QUARANTINED
+    if worker.avoid_until > now:
+        return Exclusion.AVOIDED
+    if worker.unknown_runs or worker.probation_run_count:
+        return Exclusion.UNSETTLED
+    return None
+
+
+class Preview:
+    """A round that considers one step, which no job of the fleet has.
+
+    The reservations and the held room of the waiting steps count as the last
+    plan left them; these steps themselves start nothing.  Each preview serves
+    one step.
+
+    :param fleet: ``place`` records in its quarantine, its interference and
+        by its ``record_placement``; nothing else is changed.
+    :param ahead: waiting steps that are considered before, in their order.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        fleet: Fleet,
+        step: work.StepRun,
+        ahead: list[work.StepRun],
+    ) -> None:
+        self._now = now
+        self._fleet = fleet
+        self._step = step
+        self._round = _PlanningRound(now, fleet, _NoAdviceCallers())
+        self._round.hold_for(fleet.jobs.ready_steps.values(), ahead)
+
+    @property
+    def headroom(self) -> int:
+        """Return how many tasks the customer's limit lets start."""
+        return self._round.headroom(self._step)
+
+    @property
+    def leaves_room_to_gangs(self) -> bool:
+        """Return whether the step waits because a gang ahead does."""
+        return self._round.leaves_room_to_gangs(self._step)
+
+    @property
+    def service(self) -> model.ServiceId:
+        """Return the service whose workers run the step."""
+        return self._round.service(self._step)
+
+    def exclusion(self, worker: tracking.TrackedWorker) -> Exclusion | None:
+        """Return the first reason against a task on a worker, or ``None``."""
+        found = _exclusion(self._now, worker, self._fleet) or _mismatch(
+            worker.entry, self._step.spec
+        )
+        return found or self._round.exclusion(worker, self._step)
+
+    def workers_to_ask(self) -> list[model.WorkerId]:
+        """Return the workers about which advice is requested first."""
+        return self._round.workers_to_ask(self._step)
+
+    def earliest_fit(self) -> float | None:
+        """Return when a gang is expected to fit, or ``None`` if never."""
+        return self._round.earliest_fit(self._step)
+
+    def place(self) -> list[model.WorkerId]:
+        """Return the worker of each task that starts, all being suitable.
+
+        The room is used up, so it is called last.
+        """
+        return self._round.place_suitable(self._step)
+
+
+class _NoAdviceCallers:
+    def reserve(self, urgent: bool, expected_s: float) -> bool:
+        del urgent, expected_s
+        return False
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -208,15 +208,34 @@
         )
         return True
 
+    def preview_job(
+        self, now: float, unix_now: float, record: records.JobRecord
+    ) -> work.Job:
+        """Return a job as it would be if it were accepted now.
+
+        It isn't added, and doesn't count for its customer's rate.
+        """
+        job = self._make_job(now, unix_now, record)
+        job.over_share = self._job_rates.would_exceed(
+            now, job.customer_id, self.configuration.customers_by_id
+        )
+        return job
+
     def _add_job(
         self, now: float, unix_now: float, record: records.JobRecord
     ) -> work.Job | None:
+        job = self._make_job(now, unix_now, record)
+        self.jobs.add_job(now, job)
+        return job
+
+    def _make_job(
+        self, now: float, unix_now: float, record: records.JobRecord
+    ) -> work.Job:
         age_s = min(max(0.0, unix_now - record.accepted_unix_s), 600.0)
         assert record.spec is not None
         due_in_s = record.spec.first_due_unix_s - unix_now
         job = work.Job(record, now - age_s, now + due_in_s)
         run_times.apply_to(self.run_times, job)
-        self.jobs.add_job(now, job)
         return job
 
     def set_run_times(self, learned: run_times.RunTimes) -> None:
--- a/packages/core/src/samphirestack/fleet/shares.py
+++ b/packages/core/src/samphirestack/fleet/shares.py
@@ -96,16 +96,37 @@
         customers_by_id: Mapping[model.TeamId, specs.Customer],
     ) -> bool:
         """Count a new job; return whether it exceeds the customer's rate."""
-        customer = customers_by_id.get(customer_id)
-        if customer is None or customer.weight <= 0:
+        tokens = self._tokens(now, customer_id, customers_by_id)
+        if tokens is None:
             return False
-        burst = max(MIN_BURST_JOBS, customer.weight * RATE_WINDOW_S)
-        filled_at = self._filled_at_by_customer.get(customer_id, now)
-        tokens = self._tokens_by_customer.get(customer_id, burst)
-        tokens = min(burst, tokens + (now - filled_at) * customer.weight)
         self._filled_at_by_customer[customer_id] = now
         if tokens < 1:
             self._tokens_by_customer[customer_id] = tokens
             return True
         self._tokens_by_customer[customer_id] = tokens - 1
         return False
+
+    def would_exceed(
+        self,
+        now: float,
+        customer_id: model.TeamId,
+        customers_by_id: Mapping[model.TeamId, specs.Customer],
+    ) -> bool:
+        """Return whether a new job would exceed the customer's rate."""
+        tokens = self._tokens(now, customer_id, customers_by_id)
+        return tokens is not None and tokens < 1
+
+    def _tokens(
+        self,
+        now: float,
+        customer_id: model.TeamId,
+        customers_by_id: Mapping[model.TeamId, specs.Customer],
+    ) -> float | None:
+        """Return the tokens of a customer, or ``None`` if it has no rate."""
+        customer = customers_by_id.get(customer_id)
+        if customer is None or customer.weight <= 0:
+            return None
+        burst = max(MIN_BURST_JOBS, customer.weight * RATE_WINDOW_S)
+        filled_at = self._filled_at_by_customer.get(customer_id, now)
+        tokens = self._tokens_by_customer.get(customer_id, burst)
+        return min(burst, tokens + (now - filled_at) * customer.weight)
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -15,6 +15,7 @@
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
+from samphirestack.fleet import scheduler as schedulers
 from samphirestack.fleet import term as terms
 from samphirestack import model
 from samphirestackd.fleet import clock
@@ -637,6 +638,23 @@
             and handover.is_holder_fast(self._holder_write_s)
         )
 
+    def deciding_scheduler(
+        self, now: float
+    ) -> schedulers.FleetScheduler | None:
+        """Return the scheduler while this process decides by it."""
+        holder = self._holder
+        if (
+            holder is None
+            or not holder.loaded
+            or not self.term.may_start_work(now)
+        ):
+            return None
+        return holder.scheduler
+
+    def known_holder(self) -> records.TermRecord | None:
+        """Return the last known row of the term."""
+        return None if self.term.is_mine else self.term.record
+
     async def submit(self, call: edge.Call) -> edge.Reply | None:
         """Hand a submission over to the holder."""
         return await self._handover.submit(call)
