Add the command samphirestack explain

It sends a job file to the metrics address of an entry and prints where each step would start, or JSON. A file that can't be read, unknown names, and an entry that doesn't hold the term give an error with a hint.

--- a/packages/client/src/samphirestack_client/main.py
+++ b/packages/client/src/samphirestack_client/main.py
@@ -6,6 +6,7 @@
 import cyclopts
 
 from samphirestack_client.commands import config
+from samphirestack_client.commands import explain
 from samphirestack_client.commands import fleet
 from samphirestack_client.commands import job
 from samphirestack_client.commands import key
@@ -54,6 +55,7 @@
         (job.jobs, 'samphirestack jobs --team harbour --state waiting'),
         (timeline.timeline, timeline.EXAMPLE),
         (story.story, story.EXAMPLE),
+        (explain.explain, explain.EXAMPLE),
     )
     for function, example in singles:
         app.command(function, help_epilogue=options.examples(example))
