Show restarts of workers and what proves that a run is over

The log couldn't tell why a run was given up: a list without it, a restart that its row or a report showed, or a lease that had expired. worker.restarted, run.lost and run.surplus say so, and are counted. No decision changes.

--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -1,10 +1,13 @@
 """Actions that the scheduler returns for its daemon to execute."""
 
+import enum
+
 import msgspec
 
 from samphirestack.fleet import interference
 from samphirestack.fleet import ports
 from samphirestack.fleet import specs
+from samphirestack.fleet import tracking
 from samphirestack import model
 
 
@@ -148,6 +151,62 @@
     run: specs.RunNumber
 
 
+class LossEvidence(enum.Enum):
+    """Why a run counts as over although its worker reported no end."""
+
+    NOT_LISTED = 'not listed'
+    """A list of its worker that was requested later doesn't contain it."""
+    RESTARTED = 'worker restarted'
+    """It was on a process of its worker that another one has replaced."""
+    MACHINE_RESTARTED = 'machine restarted'
+    """The machine of its silent worker runs another worker."""
+    LEASE_EXPIRED = 'lease expired'
+    REFUSED = 'start refused'
+
+
+class RestartSource(enum.Enum):
+    """What showed that a worker was started again under its id."""
+
+    ROW = 'row'
+    REPORT = 'report'
+
+
+class ReportRunLost(msgspec.Struct, frozen=True):
+    """Tell operators that a run counts as over without a reported end."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+    evidence: LossEvidence
+    state: tracking.RunState
+    """What had been heard of its start."""
+    ordered_s: float
+    """Time since the run was planned."""
+
+
+class ReportRestart(msgspec.Struct, frozen=True):
+    """Tell operators that a worker was started again under its id."""
+
+    worker_id: model.WorkerId
+    learned_from: RestartSource
+    former_started_unix_ms: int
+    started_unix_ms: int
+    lost_task_ids: tuple[model.TaskId, ...]
+    """Tasks whose runs were lost with the former process."""
+    open_task_ids: tuple[model.TaskId, ...]
+    """Tasks whose runs may be on either process."""
+
+
+class ReportSurplusRun(msgspec.Struct, frozen=True):
+    """Tell operators that a worker runs a task that is placed elsewhere."""
+
+    worker_id: model.WorkerId
+    task_id: model.TaskId
+    run: specs.RunNumber
+    placed_run: specs.RunNumber
+    """Number of the task's other run; 0 if the task is done."""
+
+
 class ReportInterference(msgspec.Struct, frozen=True):
     """Tell operators that tasks of two images are kept apart, or no longer."""
 
@@ -163,6 +222,9 @@
     | ReportCopy
     | ReportStopOverdue
     | ReportListedEarly
+    | ReportRunLost
+    | ReportRestart
+    | ReportSurplusRun
     | ReportInterference
 )
 """What the holder only shows operators."""
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -434,7 +434,9 @@
             if run.state is tracking.RunState.CONFIRMED or (
                 run.stop is not None and run.stop.is_accepted
             ):
-                self._remove_lost_run(now, worker, run)
+                self._remove_lost_run(
+                    now, worker, run, actions.LossEvidence.NOT_LISTED
+                )
             elif run.state is tracking.RunState.UNCERTAIN:
                 self._stop_run(worker, run, now, 'start order not answered')
 
@@ -453,6 +455,8 @@
         started_unix_ms: int,
         report: specs.WorkerReport | None,
     ) -> None:
+        listed = _listed_runs(report) if report else set()
+        self._report_restart(worker, started_unix_ms, report, listed)
         worker.started_unix_ms = started_unix_ms
         worker.last_handled_end = 0
         worker.last_stored_end = 0
@@ -462,7 +466,6 @@
         for run in worker.runs_by_key.values():
             if run.stop is not None:
                 run.stop.forget_orders()
-        listed = _listed_runs(report) if report else set()
         if report is not None and not report.ends_complete:
             # Runs of the new process may have ended beyond the list.
             return
@@ -495,7 +498,40 @@
                 run.state = tracking.RunState.UNCERTAIN
                 run.lists_valid_from = now
             else:
-                self._remove_lost_run(now, worker, run)
+                self._remove_lost_run(
+                    now, worker, run, actions.LossEvidence.RESTARTED
+                )
+
+    def _report_restart(
+        self,
+        worker: tracking.TrackedWorker,
+        started_unix_ms: int,
+        report: specs.WorkerReport | None,
+        listed: set[tuple[model.TaskId, specs.RunNumber]],
+    ) -> None:
+        unlisted = [
+            run for key, run in worker.runs_by_key.items() if key not in listed
+        ]
+        self._pending_actions.append(
+            actions.ReportRestart(
+                worker.entry.worker_id,
+                actions.RestartSource.REPORT
+                if report
+                else actions.RestartSource.ROW,
+                worker.started_unix_ms,
+                started_unix_ms,
+                tuple(
+                    run.task.id
+                    for run in unlisted
+                    if run.state is tracking.RunState.CONFIRMED
+                ),
+                tuple(
+                    run.task.id
+                    for run in unlisted
+                    if run.state is not tracking.RunState.CONFIRMED
+                ),
+            )
+        )
 
     def _attribute_crash(self, now: float, lost: crashes.LostWorker) -> None:
         """Record a proved crash and give up the job that causes crashes."""
@@ -690,6 +726,14 @@
         is_surplus = task.state is not work.TaskState.WAITING
         if is_surplus:
             run.is_primary = False
+            self._pending_actions.append(
+                actions.ReportSurplusRun(
+                    worker.entry.worker_id,
+                    task.id,
+                    row.run,
+                    specs.RunNumber(task.placed_run_number),
+                )
+            )
             self._stop_run(worker, run, now, 'task is placed or done already')
         else:
             self.jobs.mark_placed(task, row.run, worker.entry.worker_id)
@@ -820,12 +864,26 @@
             self._end_job(job, specs.JobState.FAILED, now)
 
     def _remove_lost_run(
-        self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
+        self,
+        now: float,
+        worker: tracking.TrackedWorker,
+        run: tracking.Run,
+        evidence: actions.LossEvidence,
     ) -> None:
         """Remove a run that is over without a reported end.
 
         Its task is queued again if this run was its current one.
         """
+        self._pending_actions.append(
+            actions.ReportRunLost(
+                worker.entry.worker_id,
+                run.task.id,
+                specs.RunNumber(run.number),
+                evidence,
+                run.state,
+                now - run.ordered_at,
+            )
+        )
         self._remove_run(worker, run)
         task = run.task
         if (
@@ -1005,7 +1063,9 @@
         run: tracking.Run,
         outcome: specs.StartOutcome,
     ) -> None:
-        self._remove_lost_run(now, worker, run)
+        self._remove_lost_run(
+            now, worker, run, actions.LossEvidence.REFUSED
+        )
         step = run.task.step
         step.blocked_until = now + STEP_RETRY_DELAY_S
         worker_id = worker.entry.worker_id
@@ -1263,7 +1323,9 @@
         elif runs and not _has_left(worker):
             self._crashes.record_loss(lost)
         for run in runs:
-            self._remove_lost_run(now, worker, run)
+            self._remove_lost_run(
+                now, worker, run, actions.LossEvidence.LEASE_EXPIRED
+            )
 
     def _remove_crashed_runs(
         self, now: float, worker: tracking.TrackedWorker
@@ -1276,7 +1338,9 @@
         runs = list(worker.runs_by_key.values())
         self._attribute_crash(now, crashes.lost_worker(now, worker, runs))
         for run in runs:
-            self._remove_lost_run(now, worker, run)
+            self._remove_lost_run(
+                now, worker, run, actions.LossEvidence.MACHINE_RESTARTED
+            )
 
     def _check_run(
         self, now: float, worker: tracking.TrackedWorker, run: tracking.Run
--- a/packages/daemon/src/samphirestackd/fleet/decision_reporter.py
+++ b/packages/daemon/src/samphirestackd/fleet/decision_reporter.py
@@ -28,6 +28,12 @@
             self._report_displacement(action)
         elif isinstance(action, actions.ReportStopOverdue):
             self._report_stop_overdue(action)
+        elif isinstance(action, actions.ReportRunLost):
+            self._report_run_lost(action)
+        elif isinstance(action, actions.ReportRestart):
+            self._report_restart(action)
+        elif isinstance(action, actions.ReportSurplusRun):
+            self._report_surplus_run(action)
         else:
             self._report_listed_early(action)
 
@@ -137,3 +143,39 @@
             run=action.run,
             worker=action.worker_id,
         )
+
+    def _report_run_lost(self, action: actions.ReportRunLost) -> None:
+        evidence = action.evidence.value
+        self._context.metrics.runs_lost.inc({'evidence': evidence})
+        self._context.log.write(
+            'run.lost',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            evidence=evidence,
+            start=action.state.value,
+            ordered_s=round(action.ordered_s, 3),
+        )
+
+    def _report_restart(self, action: actions.ReportRestart) -> None:
+        source = action.learned_from.value
+        self._context.metrics.worker_restarts.inc({'source': source})
+        self._context.log.write(
+            'worker.restarted',
+            worker=action.worker_id,
+            source=source,
+            former_started_ms=action.former_started_unix_ms,
+            started_ms=action.started_unix_ms,
+            lost=list(action.lost_task_ids),
+            open=list(action.open_task_ids),
+        )
+
+    def _report_surplus_run(self, action: actions.ReportSurplusRun) -> None:
+        self._context.metrics.surplus_runs.inc({})
+        self._context.log.write(
+            'run.surplus',
+            task_id=action.task_id,
+            run=action.run,
+            worker=action.worker_id,
+            placed_run=action.placed_run,
+        )
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -64,6 +64,20 @@
             'Runs that went on for 3 s after the decision to stop them, by '
             'whether the order was sent and accepted.',
         )
+        self.worker_restarts = self._counter(
+            'samphirestack_fleet_worker_restarts_total',
+            'Workers that were started again under their ids, by what showed '
+            'it.',
+        )
+        self.runs_lost = self._counter(
+            'samphirestack_fleet_runs_lost_total',
+            'Runs that count as over without a reported end, by evidence.',
+        )
+        self.surplus_runs = self._counter(
+            'samphirestack_fleet_surplus_runs_total',
+            'Runs that workers listed although their tasks had other runs or '
+            'were done.',
+        )
         self.set_aside = self._counter(
             'samphirestack_fleet_set_aside_total',
             'Rows, jobs, reports and orders that raised an error, by source.',
