--- /dev/null
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -0,0 +1,127 @@
+"""Workers that are started again under their ids while calls are under way."""
+
+import itertools
+
+import pytest
+
+from samphirestack.fleet import actions
+from samphirestack.fleet import specs
+from samphirestack.fleet import tracking
+from samphirestack import model
+from samphirestack_testing import fleet_world as worlds
+
+UNKNOWN = specs.StartOutcome.UNKNOWN
+STARTED = specs.StartOutcome.STARTED
+BEGUN_AT = 0.25
+"""When the new process carries out the start order."""
+
+EVENTS = ('answer', 'row', 'report before start', 'report after start')
+
+
+class RestartedWorker:
+    """A worker whose new process carries out an order for the former one."""
+
+    def __init__(self) -> None:
+        self.world = worlds.World(
+            [worlds.make_worker('a'), worlds.make_worker('b')]
+        )
+        self.job_id = self.world.accept(0.0, worlds.make_job(1))
+        (self.start,) = self.world.plan_starts(0.1)
+        order = self.start.order
+        self.worker_id = self.start.worker.worker_id
+        self.run = (order.task_id, order.run)
+        self.world.scheduler.mark_start_sent(self.worker_id, *self.run)
+
+    def observe(
+        self, now: float, event: str, outcome: specs.StartOutcome = STARTED
+    ) -> None:
+        if event == 'answer':
+            self.world.answer_start(now, self.start, outcome)
+        elif event == 'row':
+            self.world.scheduler.update_worker(
+                now, worlds.make_worker(self.worker_id, started=2)
+            )
+        elif event == 'report before start':
+            self.report(now, BEGUN_AT - 0.1)
+        else:
+            self.report(now, BEGUN_AT + 0.01, [self.run])
+
+    def report(
+        self,
+        now: float,
+        sent_at: float,
+        running: list[tuple[model.TaskId, specs.RunNumber]] | None = None,
+    ) -> None:
+        self.world.report(
+            now, self.worker_id, running or [], sent_at=sent_at, started=2
+        )
+
+    def silence(self, now: float) -> None:
+        self.world.scheduler.mark_worker_silent(now, self.worker_id)
+
+    def starts_elsewhere(self, now: float) -> list[actions.Start]:
+        return [
+            start
+            for start in self.world.plan_starts(now)
+            if start.order.task_id == self.run[0]
+        ]
+
+
+class TestOrdersForAnEarlierProcess:
+    """Guards against a second run of a task that the new process runs."""
+
+    @pytest.mark.parametrize('outcome', [STARTED, UNKNOWN])
+    def test_a_task_at_work_starts_nowhere_else(
+        self, outcome: specs.StartOutcome
+    ) -> None:
+        for order in itertools.permutations(EVENTS):
+            restarted = RestartedWorker()
+            for number, event in enumerate(order):
+                now = 0.3 + 0.02 * number
+                restarted.observe(now, event, outcome)
+                assert restarted.starts_elsewhere(now + 0.01) == [], order
+            for number in range(10):
+                now = 0.5 + number
+                restarted.report(now, now, [restarted.run])
+                assert restarted.starts_elsewhere(now) == [], order
+
+    def test_a_run_of_the_earlier_process_starts_again_at_once(self) -> None:
+        restarted = RestartedWorker()
+        restarted.observe(0.2, 'answer')
+        restarted.world.report(0.3, restarted.worker_id, [restarted.run])
+        restarted.observe(0.4, 'row')
+        assert restarted.starts_elsewhere(0.5)
+
+    def test_an_answered_start_that_no_list_shows_starts_again(self) -> None:
+        restarted = RestartedWorker()
+        restarted.observe(0.2, 'answer')
+        restarted.observe(0.3, 'row')
+        restarted.report(0.4, 0.35)
+        assert restarted.starts_elsewhere(0.5)
+
+    def test_the_new_process_is_asked_at_once(self) -> None:
+        restarted = RestartedWorker()
+        restarted.observe(0.2, 'answer')
+        restarted.observe(0.3, 'row')
+        polls = [
+            action.worker_id
+            for action in restarted.world.plan(0.3)
+            if isinstance(action, actions.PollWorker)
+        ]
+        assert polls == [restarted.worker_id]
+
+
+class TestLeasesAcrossRestarts:
+    """Guards against runs that outlive the lease that is assumed for them."""
+
+    def test_a_worker_cut_off_after_its_restart_keeps_its_task(self) -> None:
+        # A call for the former process may still extend the lease.
+        until = 0.3 + tracking.LATE_ORDER_S + worlds.LEASE_S
+        for order in itertools.permutations(EVENTS):
+            restarted = RestartedWorker()
+            for number, event in enumerate(order):
+                restarted.observe(0.3 + 0.02 * number, event)
+            restarted.silence(0.5)
+            for tenth in range(5, int(until * 10)):
+                assert restarted.starts_elsewhere(tenth / 10) == [], order
+            assert restarted.starts_elsewhere(until + 2.0), order
