Keep runs that a restarted worker's new process may have begun

Cause: the answer to a start order names no process. It made the run confirmed, and a restart that was learned afterwards removed all confirmed runs that the first list lacked, or that no list had shown yet when a row was the news. The order may have been carried out by the new process.

Change: a run remembers which process listed it. A restart ends the runs that the former process listed; any other order stays open until a list of the new process that was requested after its answer shows the run or lacks it. An order without an answer so far keeps waiting for it. The crash is attributed once it is known which runs it took along.

A test of crashes took the row of a new process for a proof that an answered run was over; there the new process now reports that it has no run, and the assertions are the same.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -13,8 +13,7 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
+from samphirestack.fleet import losses
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
 from samphirestack.fleet import work
@@ -56,34 +55,19 @@
 """Time after the loss of a worker in which its return proves a crash."""
 
 
-class LostRun(msgspec.Struct, frozen=True):
-    """A run that was lost with its worker."""
-
-    task: work.Task
-    number: int
-    may_have_just_started: bool
-
-
-class LostWorker(msgspec.Struct, frozen=True):
-    """A worker that was lost with its runs."""
-
-    entry: specs.WorkerEntry
-    lost_at: float
-    """When it stopped answering."""
-    runs: tuple[LostRun, ...]
-
-
 class CrashTracker:
     """Tells crashes of workers from other losses."""
 
     def __init__(self) -> None:
         self._started_ms_by_machine: dict[str, int] = {}
         """Start time of the newest process on each machine."""
-        self._unproved_by_machine: dict[str, LostWorker] = {}
+        self._unproved_by_machine: dict[str, losses.LostWorker] = {}
         self._lost_by_machine: dict[str, tuple[float, str]] = {}
         """Time of the last loss of each machine's worker, and its rack."""
 
-    def record_process(self, entry: specs.WorkerEntry) -> LostWorker | None:
+    def record_process(
+        self, entry: specs.WorkerEntry
+    ) -> losses.LostWorker | None:
         """Record a registered process of a worker.
 
         :return: the lost predecessor whose crash it proves, if any.
@@ -108,7 +92,7 @@
         newest = self._started_ms_by_machine.get(worker.entry.machine, 0)
         return newest > worker.started_unix_ms > 0
 
-    def record_loss(self, lost: LostWorker) -> None:
+    def record_loss(self, lost: losses.LostWorker) -> None:
         """Record a worker whose crash isn't proved."""
         if lost.entry.machine:
             self._unproved_by_machine[lost.entry.machine] = lost
@@ -125,7 +109,9 @@
                 del self._unproved_by_machine[machine]
 
     def has_common_cause(
-        self, lost: LostWorker, workers: Iterable[tracking.TrackedWorker]
+        self,
+        lost: losses.LostWorker,
+        workers: Iterable[tracking.TrackedWorker],
     ) -> bool:
         """Return whether a large part of the rack was lost at about once.
 
@@ -158,33 +144,38 @@
     now: float,
     worker: tracking.TrackedWorker,
     runs: Iterable[tracking.Run],
-) -> LostWorker:
+) -> losses.LostWorker:
     """Return what is lost with a worker.
 
     :param runs: those of its runs that are lost.
     """
-    lost_at = now if worker.silent_since is None else worker.silent_since
-    return LostWorker(
+    return losses.LostWorker(
         worker.entry,
-        lost_at,
-        tuple(
-            LostRun(
-                run.task,
-                run.number,
-                run.started_at > worker.last_answer_at - START_WINDOW_S,
-            )
-            for run in runs
-            if run.order_sent
-        ),
+        _lost_at(now, worker),
+        tuple(_lost_run(worker, run) for run in runs if run.order_sent),
     )
 
 
-def may_have_begun(run: tracking.Run, restarted_at: float) -> bool:
-    """Return whether a run may have begun on the process that crashed.
+def unsettled_crash(
+    now: float, worker: tracking.TrackedWorker, restarted_at: float
+) -> losses.UnsettledCrash:
+    """Return the crash of a worker that was started again under its id.
+
+    Only a run that a list showed was on the former process for certain.
+
+    :param restarted_at: when the next process started.
+    """
+    crash = losses.UnsettledCrash(worker.entry, _lost_at(now, worker))
+    for run in worker.runs_by_key.values():
+        if run.order_sent and _may_have_begun(run, restarted_at):
+            crash.add(_lost_run(worker, run), run.listed_by_ms > 0)
+    return crash
 
-    A run that its worker has confirmed has begun, whatever the clocks say.
 
-    :param restarted_at: when the worker's next process started.
+def _may_have_begun(run: tracking.Run, restarted_at: float) -> bool:
+    """Return whether a run may have begun on the process that crashed.
+
+    A run that its worker has confirmed may have, whatever the clocks say.
     """
     return (
         run.state is tracking.RunState.CONFIRMED
@@ -192,7 +183,23 @@
     )
 
 
-def suspects_of(lost: LostWorker, has_common_cause: bool) -> list[LostRun]:
+def _lost_at(now: float, worker: tracking.TrackedWorker) -> float:
+    return now if worker.silent_since is None else worker.silent_since
+
+
+def _lost_run(
+    worker: tracking.TrackedWorker, run: tracking.Run
+) -> losses.LostRun:
+    return losses.LostRun(
+        run.task,
+        run.number,
+        run.started_at > worker.last_answer_at - START_WINDOW_S,
+    )
+
+
+def suspects_of(
+    lost: losses.LostWorker, has_common_cause: bool
+) -> list[losses.LostRun]:
     """Return the runs that may have caused a crash.
 
     If none had just started, each of them may have.
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -16,6 +16,7 @@
 from samphirestack.fleet import evacuation
 from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
+from samphirestack.fleet import losses
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
 from samphirestack.fleet import ports
@@ -410,6 +411,7 @@
             )
         if report.ends_complete:
             self._settle_unlisted_runs(now, sent_at, worker, listed)
+        self._settle_crash(now, worker, listed)
         if worker.last_handled_end > known_end:
             worker.last_end_at = now
         if not worker.has_reported:
@@ -431,6 +433,10 @@
         for key, run in list(worker.runs_by_key.items()):
             if key in listed or run.lists_valid_from >= sent_at:
                 continue
+            if worker.unsettled_crash is not None and (
+                run.state is not tracking.RunState.ORDERED
+            ):
+                worker.unsettled_crash.mark_lost(key)
             if run.state is tracking.RunState.CONFIRMED or (
                 run.stop is not None and run.stop.is_accepted
             ):
@@ -455,85 +461,99 @@
         started_unix_ms: int,
         report: specs.WorkerReport | None,
     ) -> None:
-        listed = _listed_runs(report) if report else set()
-        self._report_restart(worker, started_unix_ms, report, listed)
+        """Replace the process of a worker by a newer one.
+
+        Runs that the former process listed are over.  Any other order may
+        have been carried out by either process; lists of the new one tell.
+        """
+        runs = list(worker.runs_by_key.values())
+        lost = [run for run in runs if run.listed_by_ms]
+        self._report_restart(worker, started_unix_ms, report, lost)
+        self._attribute_unsettled_crash(now, worker)
+        if not _has_left(worker):
+            worker.unsettled_crash = crashes.unsettled_crash(
+                now,
+                worker,
+                started_unix_ms / 1000 - self.jobs.unix_offset_s,
+            )
         worker.started_unix_ms = started_unix_ms
         worker.last_handled_end = 0
         worker.last_stored_end = 0
         worker.last_acknowledged_end = 0
         worker.unstored_ends.clear()
         worker.reset_clock(now, self._max_lease_s)
-        for run in worker.runs_by_key.values():
+        for run in runs:
             if run.stop is not None:
                 run.stop.forget_orders()
-        if report is not None and not report.ends_complete:
-            # Runs of the new process may have ended beyond the list.
-            return
-        if not _has_left(worker):
-            self._attribute_crash(
-                now,
-                crashes.lost_worker(
-                    now,
-                    worker,
-                    [
-                        run
-                        for key, run in worker.runs_by_key.items()
-                        if key not in listed
-                        and crashes.may_have_begun(
-                            run,
-                            started_unix_ms / 1000 - self.jobs.unix_offset_s,
-                        )
-                    ],
-                ),
+            if run.state is tracking.RunState.UNCERTAIN:
+                # The order may still reach the new process.
+                run.lists_valid_from = now
+        for run in lost:
+            self._remove_lost_run(
+                now, worker, run, actions.LossEvidence.RESTARTED
             )
-        for key, run in list(worker.runs_by_key.items()):
-            if key in listed:
-                continue
-            pending = run.state in (
-                tracking.RunState.ORDERED,
-                tracking.RunState.UNCERTAIN,
+        if report is None and worker.runs_by_key:
+            self._pending_actions.append(
+                actions.PollWorker(worker.entry.worker_id)
             )
-            if pending:
-                # The order may still reach the restarted worker.
-                run.state = tracking.RunState.UNCERTAIN
-                run.lists_valid_from = now
-            else:
-                self._remove_lost_run(
-                    now, worker, run, actions.LossEvidence.RESTARTED
-                )
+        self._settle_crash(now, worker, set())
+
+    def _settle_crash(
+        self,
+        now: float,
+        worker: tracking.TrackedWorker,
+        listed: set[tuple[model.TaskId, specs.RunNumber]],
+    ) -> None:
+        """Clear the runs that a worker's new process has of its crash.
+
+        The crash is attributed once it is known of each run whether it was
+        lost.
+        """
+        crash = worker.unsettled_crash
+        if crash is None:
+            return
+        for key in crash.open_keys():
+            if key in listed or key not in worker.runs_by_key:
+                crash.clear(key)
+        if crash.is_settled:
+            self._attribute_unsettled_crash(now, worker)
+
+    def _attribute_unsettled_crash(
+        self, now: float, worker: tracking.TrackedWorker
+    ) -> None:
+        crash = worker.unsettled_crash
+        worker.unsettled_crash = None
+        if crash is not None:
+            self._attribute_crash(now, crash.lost_worker())
 
     def _report_restart(
         self,
         worker: tracking.TrackedWorker,
         started_unix_ms: int,
         report: specs.WorkerReport | None,
-        listed: set[tuple[model.TaskId, specs.RunNumber]],
+        lost: list[tracking.Run],
     ) -> None:
-        unlisted = [
-            run for key, run in worker.runs_by_key.items() if key not in listed
-        ]
+        source = (
+            actions.RestartSource.REPORT
+            if report
+            else actions.RestartSource.ROW
+        )
         self._pending_actions.append(
             actions.ReportRestart(
                 worker.entry.worker_id,
-                actions.RestartSource.REPORT
-                if report
-                else actions.RestartSource.ROW,
+                source,
                 worker.started_unix_ms,
                 started_unix_ms,
+                tuple(run.task.id for run in lost),
                 tuple(
                     run.task.id
-                    for run in unlisted
-                    if run.state is tracking.RunState.CONFIRMED
-                ),
-                tuple(
-                    run.task.id
-                    for run in unlisted
-                    if run.state is not tracking.RunState.CONFIRMED
+                    for run in worker.runs_by_key.values()
+                    if not run.listed_by_ms
                 ),
             )
         )
 
-    def _attribute_crash(self, now: float, lost: crashes.LostWorker) -> None:
+    def _attribute_crash(self, now: float, lost: losses.LostWorker) -> None:
         """Record a proved crash and give up the job that causes crashes."""
         if not lost.runs:
             return
@@ -605,6 +625,7 @@
                 )
             )
         run.state = tracking.RunState.CONFIRMED
+        run.listed_by_ms = worker.started_unix_ms
         run.lists_valid_from = now
         self.jobs.mark_running(run.task.step.job)
         self._send_due_stop(now, worker, run)
@@ -1063,9 +1084,7 @@
         run: tracking.Run,
         outcome: specs.StartOutcome,
     ) -> None:
-        self._remove_lost_run(
-            now, worker, run, actions.LossEvidence.REFUSED
-        )
+        self._remove_lost_run(now, worker, run, actions.LossEvidence.REFUSED)
         step = run.task.step
         step.blocked_until = now + STEP_RETRY_DELAY_S
         worker_id = worker.entry.worker_id
@@ -1313,6 +1332,7 @@
     ) -> None:
         """Remove the runs of a worker that is lost without a proved crash."""
         runs = list(worker.runs_by_key.values())
+        self._attribute_unsettled_crash(now, worker)
         lost = crashes.lost_worker(now, worker, runs)
         if not worker.entry.address:
             # Its row is gone: no later row can prove that it crashed.
@@ -1336,6 +1356,7 @@
         new one refuses.
         """
         runs = list(worker.runs_by_key.values())
+        self._attribute_unsettled_crash(now, worker)
         self._attribute_crash(now, crashes.lost_worker(now, worker, runs))
         for run in runs:
             self._remove_lost_run(
@@ -1526,13 +1547,6 @@
         return advanced
 
 
-def _listed_runs(
-    report: specs.WorkerReport,
-) -> set[tuple[model.TaskId, specs.RunNumber]]:
-    running = {(row.task_id, row.run) for row in report.running}
-    return running | {(row.task_id, row.run) for row in report.ended}
-
-
 def _serves(run: tracking.Run) -> bool:
     """Return whether a run of a long-running task is at work."""
     return run.task.step.spec.long_running and run.percent >= READY_PERCENT
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -3,6 +3,7 @@
 import collections
 import enum
 
+from samphirestack.fleet import losses
 from samphirestack.fleet import specs
 from samphirestack.fleet import stops
 from samphirestack.fleet import work
@@ -45,6 +46,7 @@
         'is_primary',
         'is_resumed',
         'last_progress_at',
+        'listed_by_ms',
         'lists_valid_from',
         'load',
         'number',
@@ -83,6 +85,10 @@
         """Only lists requested after this moment can prove that the run is
         over by not containing it.  Infinite while the run may start until its
         worker has accepted the stop."""
+        self.listed_by_ms = 0
+        """Start time in Unix milliseconds of the worker's process that listed
+        the run; 0 before.  An answer to an order names no process: another
+        one may have carried the order out."""
         self.started_at = float('inf')
         """Latest moment at which the run may have started, as far as is
         known."""
@@ -161,6 +167,9 @@
         """When the worker last answered a call."""
         self.last_end_at = float('-inf')
         """When a report with new ends was last applied."""
+        self.unsettled_crash: losses.UnsettledCrash | None = None
+        """Crash of the former process, until it is known what it took
+        along."""
         self.probation_run_count = 0
         self.late_orders_end_at = float('inf')
         """Since its restart, when no run of an order to the process before
--- a/tests/unit/fleet/test_crashes_before_orders.py
+++ b/tests/unit/fleet/test_crashes_before_orders.py
@@ -22,6 +22,7 @@
         (start,) = world.start_all(0.1)
         crashed = start.worker.worker_id
         _restart(world, crashed, began_at=0.8, now=0.9)
+        world.report(0.95, crashed, started=_started_ms(0.8))
         (start,) = world.plan_starts(1.0)
         other = start.worker.worker_id
         assert other != crashed
@@ -36,7 +37,10 @@
 def _restart(
     world: worlds.World, name: str, began_at: float, now: float
 ) -> None:
-    started = int((worlds.UNIX_AT_ZERO_S + began_at) * 1000)
     world.scheduler.update_worker(
-        now, worlds.make_worker(name, started=started)
+        now, worlds.make_worker(name, started=_started_ms(began_at))
     )
+
+
+def _started_ms(began_at: float) -> int:
+    return int((worlds.UNIX_AT_ZERO_S + began_at) * 1000)
