Keep a restarted worker's runs while former calls may hold its lease

Callers can see two runs of one task: a worker that is cut off soon after a restart under its id loses its runs at once, though they go on.

Cause: a restart forgot the lease. The first report of the new process made its clock known, so that the lease counted as expired from then on until the next call granted one.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1317,7 +1317,10 @@
             if worker.has_reported:
                 expired = worker.lease_expired(now)
             else:
-                expired = now >= self._inherited_leases_expire_at
+                expired = now >= max(
+                    self._inherited_leases_expire_at,
+                    worker.former_leases_end_at,
+                )
             if unavailable and (expired or not worker.runs_by_key):
                 self._remove_unproved_runs(now, worker)
                 if not worker.registered:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -171,9 +171,9 @@
         """Crash of the former process, until it is known what it took
         along."""
         self.probation_run_count = 0
-        self.late_orders_end_at = float('inf')
-        """Since its restart, when no run of an order to the process before
-        it can be active any more."""
+        self.former_leases_end_at = float('-inf')
+        """Since its restart, when every lease has expired that a call for the
+        process before it may have granted."""
         self.consecutive_failed_calls = 0
         """Failed calls since the last answer."""
         self.silent_since: float | None = None
@@ -259,17 +259,24 @@
         return int(self.clock_ms + (now - self.clock_read_at + lease_s) * 1000)
 
     def reset_clock(self, now: float, max_lease_s: float) -> None:
-        """Forget the clock and the lease of a worker that restarted."""
+        """Forget the clock and the lease of a worker that restarted.
+
+        A deadline on the former clock is far in the future on the new one,
+        and grants the longest lease.
+        """
         self.lease_deadline_ms = 0.0
         self.clock_read_at = float('-inf')
-        self.late_orders_end_at = (
+        self.former_leases_end_at = (
             now + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
         )
 
     def lease_expired(self, now: float) -> bool:
         """Return whether the lease has expired even on the slowest clock."""
+        if now < self.former_leases_end_at:
+            return False
         if self.clock_read_at == float('-inf'):
-            return now >= self.late_orders_end_at
+            # Without a restart, nothing is known of any lease.
+            return self.former_leases_end_at > float('-inf')
         passed_ms = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT) * 1000
         return self.clock_ms + passed_ms > self.lease_deadline_ms
 
