Count an unanswered order as no proof of a crash

Cause: a run whose order had no answer counted like one that had begun when its worker restarted. Such an order is often sent to a worker that is down, and never carried out. With one real crash it reached the limit of two.

Change: a crash is recorded with whether the run had begun, by an answer or a list. Only such crashes count for the limits of two and three. Unanswered orders still count for the limit of five, also for long-running tasks, so that a task whose orders never get an answer starts five times at most.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -6,6 +6,9 @@
 job's task starts on the worker at about the same time, so that one more crash
 identifies it.  A run that survives its start clears its task.
 
+A crash under a run whose order had no answer counts only towards MAX_CRASHES:
+no worker may ever have carried the order out.
+
 A crash makes suspects only if it is proved: by a new process with the worker's
 id or on its machine.  A worker that is merely silent may run on.  Runs that
 vanished with their worker before a takeover only count towards MAX_CRASHES.
@@ -24,12 +27,12 @@
 covers a worker that is several times slower than usual."""
 
 IDENTIFYING_CRASHES = 2
-"""Crashes of which a task was a suspect after which its job is given up, if
-no other job was a suspect of the last one."""
+"""Crashes of which a task was a suspect, once begun, after which its job is
+given up, if no other job was a suspect of the last one."""
 
 MAX_SUSPECTED_CRASHES = 3
-"""Crashes of which a task was a suspect after which its job is given up,
-although others were suspects as well."""
+"""Crashes of which a task was a suspect, once begun, after which its job is
+given up although others were suspects as well."""
 
 REPEATED_CRASHES = 3
 """Crashes under one task from which on it stays on probation until its run
@@ -194,6 +197,7 @@
         run.task,
         run.number,
         run.started_at > worker.last_answer_at - START_WINDOW_S,
+        run.has_begun,
     )
 
 
@@ -241,13 +245,13 @@
         if other_jobs_are_suspects
         else IDENTIFYING_CRASHES
     )
-    if task.suspected_crashes >= limit:
+    recorded = task.crashes_by_run.values()
+    if sum(one.suspected and one.had_begun for one in recorded) >= limit:
         return True
-    # Over the life of a long-running task, workers crash for other reasons.
-    return (
-        not task.step.spec.long_running
-        and len(task.crashes_by_run) >= MAX_CRASHES
-    )
+    if task.step.spec.long_running:
+        # Over the life of such a task, workers crash for other reasons.
+        return task.suspected_crashes >= MAX_CRASHES
+    return len(recorded) >= MAX_CRASHES
 
 
 def is_steady(unix_now: float, worker: tracking.TrackedWorker) -> bool:
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from samphirestack.fleet import archive as archives
 from samphirestack.fleet import crashes
 from samphirestack.fleet import occurrences
@@ -397,7 +399,7 @@
             task.crashes_by_run = {}
         else:
             task.crashes_by_run = {
-                run_number: records.TaskCrash(crash.worker_id, False)
+                run_number: msgspec.structs.replace(crash, suspected=False)
                 for run_number, crash in task.crashes_by_run.items()
             }
         self._store_crashes(task)
--- a/packages/core/src/samphirestack/fleet/losses.py
+++ b/packages/core/src/samphirestack/fleet/losses.py
@@ -13,6 +13,8 @@
     task: work.Task
     number: int
     may_have_just_started: bool
+    had_begun: bool
+    """Whether its worker had answered its order or listed it."""
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -57,6 +57,9 @@
     worker_id: model.WorkerId
     suspected: bool
     """Whether the task may have caused it, as far as is known."""
+    had_begun: bool = True
+    """Whether the worker had answered the order of the run or listed it.  An
+    order without an answer may never have been carried out."""
 
 
 class GroupedProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -565,7 +565,9 @@
             self.jobs.record_crash(
                 run.task,
                 run.number,
-                records.TaskCrash(lost.entry.worker_id, run in suspects),
+                records.TaskCrash(
+                    lost.entry.worker_id, run in suspects, run.had_begun
+                ),
             )
             if run in suspects:
                 self._observe_current_run(run.task)
@@ -625,6 +627,7 @@
                 )
             )
         run.state = tracking.RunState.CONFIRMED
+        run.has_begun = True
         run.listed_by_ms = worker.started_unix_ms
         run.lists_valid_from = now
         self.jobs.mark_running(run.task.step.job)
@@ -1062,6 +1065,7 @@
         if outcome is specs.StartOutcome.STARTED:
             worker.last_answer_at = now
             run.state = tracking.RunState.CONFIRMED
+            run.has_begun = True
             run.lists_valid_from = now
             run.last_progress_at = now
             run.began_at = now
@@ -1339,9 +1343,14 @@
         lost = crashes.lost_worker(now, worker, runs)
         if not worker.entry.address:
             # Its row is gone: no later row can prove that it crashed.
-            crash = records.TaskCrash(worker.entry.worker_id, False)
             for lost_run in lost.runs:
-                self.jobs.record_crash(lost_run.task, lost_run.number, crash)
+                self.jobs.record_crash(
+                    lost_run.task,
+                    lost_run.number,
+                    records.TaskCrash(
+                        worker.entry.worker_id, False, lost_run.had_begun
+                    ),
+                )
                 self._give_up_if_due(now, lost_run.task, True)
         elif runs and not _has_left(worker):
             self._crashes.record_loss(lost)
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -42,6 +42,7 @@
         'began_at',
         'first_listed_at',
         'first_percent',
+        'has_begun',
         'is_copy',
         'is_primary',
         'is_resumed',
@@ -89,6 +90,8 @@
         """Start time in Unix milliseconds of the worker's process that listed
         the run; 0 before.  An answer to an order names no process: another
         one may have carried the order out."""
+        self.has_begun = False
+        """Whether its worker accepted its order or listed it in this term."""
         self.started_at = float('inf')
         """Latest moment at which the run may have started, as far as is
         known."""
