Send no call to a process that it was not decided for

A hold call carries a lease deadline on the clock of a worker's process, and the number of an end of that process; a start carries such a deadline as well. While the connection is opened, up to 0.8 s, the worker may be started again under its id. The call then reached the new process, which took the longest lease and could forget ends that nobody had read.

Change: both calls check directly before sending that the worker's process is still the one that they were decided for. A hold call that is not sent counts as no failure.

The test restarts the worker while the connection is opened; both cases fail without the check.

--- a/packages/core/src/samphirestack/errors.py
+++ b/packages/core/src/samphirestack/errors.py
@@ -285,3 +285,10 @@
 
     code = 'worker_refused'
     http_status = 409
+
+
+class CallOutdated(PlatformError):
+    """A call was not sent: it was decided for an earlier process."""
+
+    code = 'call_outdated'
+    http_status = 409
--- a/packages/core/src/samphirestack/fleet/ports.py
+++ b/packages/core/src/samphirestack/fleet/ports.py
@@ -146,6 +146,7 @@
         last_seen: int,
         deadline_ms: int | None,
         wait_s: float,
+        may_send: Callable[[], bool],
     ) -> specs.WorkerReport:
         """Extend the lease, wait for a run to end and return the lists.
 
@@ -153,8 +154,10 @@
             it.  0 if it is to forget none.
         :param deadline_ms: new end of the lease; ``None`` to leave it.
         :param wait_s: maximum time to wait for an end.
+        :param may_send: whether the call still fits the worker's process;
+            checked directly before the call is sent.
 
-
+        :raises errors.CallOutdated: it did not, and nothing was sent.
         :raises errors.FencedOff: the worker knows of a newer term.
         :raises errors.WorkerRefused: it was restarted or is unhealthy.
         :raises errors.PlatformError: no answer.
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -486,6 +486,7 @@
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
         was_silent = worker.silent_since is not None
         acknowledged_end = worker.end_to_acknowledge
+        process_ms = worker.started_unix_ms
         try:
             report = await self._context.workers.hold(
                 worker.entry,
@@ -493,6 +494,7 @@
                 acknowledged_end,
                 deadline_ms,
                 wait_s,
+                lambda: worker.started_unix_ms == process_ms,
             )
             if not specs.is_plausible_start(
                 clock.unix_now(), report.started_unix_ms
@@ -504,6 +506,8 @@
             self.scheduler.fenced = True
             await asyncio.sleep(RETRY_AFTER_S)
             return
+        except errors.CallOutdated:
+            return
         except errors.PlatformError as error:
             worker.consecutive_failed_calls += 1
             if worker.consecutive_failed_calls < FAILURES_UNTIL_SILENT:
@@ -816,13 +820,18 @@
     async def _send_start(
         self, action: actions.Start, deadline_ms: int
     ) -> specs.StartOutcome:
+        worker = self.scheduler.workers_by_id[action.worker.worker_id]
+        process_ms = worker.started_unix_ms
         try:
             return await self._context.workers.start(
                 action.worker,
                 action.order,
                 self.scheduler.term,
                 deadline_ms,
-                lambda: self._may_send_start(action),
+                lambda: (
+                    worker.started_unix_ms == process_ms
+                    and self._may_send_start(action)
+                ),
             )
         except Exception as error:
             # Without an outcome, the run would count as ordered for ever.
--- a/tests/property/test_malformed_input.py
+++ b/tests/property/test_malformed_input.py
@@ -381,7 +381,9 @@
         world.start_all(0.1)
         try:
             report = run(
-                workers.Workers(client).hold(entry, 1, 0, None, 0.0)  # type: ignore[arg-type]
+                workers.Workers(client).hold(  # type: ignore[arg-type]
+                    entry, 1, 0, None, 0.0, lambda: True
+                )
             )
         except errors.PlatformError:
             return
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -60,8 +60,9 @@
         last_seen: int,
         deadline_ms: int | None,
         wait_s: float,
+        may_send: Callable[[], bool],
     ) -> specs.WorkerReport:
-        del term, last_seen, deadline_ms, wait_s
+        del term, last_seen, deadline_ms, wait_s, may_send
         await asyncio.sleep(0)
         if worker.worker_id == 'w0' and self.errors_left:
             self.errors_left -= 1
@@ -168,8 +169,11 @@
         last_seen: int,
         deadline_ms: int | None,
         wait_s: float,
+        may_send: Callable[[], bool],
     ) -> specs.WorkerReport:
-        await super().hold(worker, term, last_seen, deadline_ms, wait_s)
+        await super().hold(
+            worker, term, last_seen, deadline_ms, wait_s, may_send
+        )
         end = (1, f'{1:016x}.0.0.0', 1, specs.EndReason.DONE)
         return worlds.make_report(1000.0, ended=[end])
 
@@ -945,3 +949,69 @@
         assert 'samphirestack_fleet_placements_apart_total 1' in text
         assert 'samphirestack_fleet_image_pairs{apart="yes"} 0' in text
         assert 'samphirestack_fleet_slow_workers 0' in text
+
+
+class ConnectingWorkers(Workers):
+    """Workers that restart while a connection to them is opened."""
+
+    def __init__(self) -> None:
+        super().__init__(ZeroDivisionError(), 0)
+        self.sent_calls = 0
+        self.restart: Callable[[], None] = lambda: None
+
+    async def hold(
+        self,
+        worker: specs.WorkerEntry,
+        term: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+        may_send: Callable[[], bool],
+    ) -> specs.WorkerReport:
+        self.restart()
+        if not may_send():
+            raise errors.CallOutdated('the worker restarted')
+        self.sent_calls += 1
+        return worlds.make_report(1000.0)
+
+    async def start(
+        self,
+        worker: specs.WorkerEntry,
+        order: ports.TaskOrder,
+        term: int,
+        deadline_ms: int,
+        may_send: Callable[[], bool],
+    ) -> specs.StartOutcome:
+        self.restart()
+        if not may_send():
+            return specs.StartOutcome.NOT_SENT
+        self.sent_calls += 1
+        return specs.StartOutcome.STARTED
+
+
+class TestCallsForAnEarlierProcess:
+    """Guards against leases and acknowledgements that the next process takes.
+
+    Its clock and the numbers of its ends begin anew.
+    """
+
+    @pytest.mark.parametrize('kind', ['hold', 'start'])
+    async def test_a_call_is_not_sent_to_the_next_process(
+        self, kind: str
+    ) -> None:
+        workers = ConnectingWorkers()
+        holder = make_holder(row_store.MemoryRowStore(), workers)
+        start = plan_start(holder)
+        worker = holder.scheduler.workers_by_id[start.worker.worker_id]
+        workers.restart = lambda: (
+            holder.scheduler.update_worker(
+                clock.now(), worlds.make_worker('w0', started=2)
+            )
+            and None
+        )
+        if kind == 'hold':
+            await holder._renew_lease(start.worker.worker_id, 0.0)
+        else:
+            await holder._start(start)
+        assert not workers.sent_calls
+        assert not worker.consecutive_failed_calls
