Stop late orders again when their worker restarts

A start order without an answer may be carried out seconds later. Its run is taken for over once the worker has accepted a stop and lists it no more, and its task starts elsewhere. If the worker is started again under its id, the next process knows of no stop, and of no newer term either: the order then begins a second run (TWICE).

Change: a worker's unanswered orders are remembered for as long as they may be carried out, also those that an earlier holder may have sent. A restart sends the stops of those whose runs are over to the new process, which then refuses the order.

What is left is the time from the start of the new process until the stop reaches it.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -189,6 +189,7 @@
             task, run_number, worker_id, tracking.RunState.CONFIRMED, now
         )
         run.lists_valid_from = float('-inf')
+        worker.record_unanswered_order(now, task.id, run_number)
         self._add_run(worker, run)
         if task.state is work.TaskState.PLACED:
             run.is_primary = False
@@ -492,6 +493,10 @@
             self._remove_lost_run(
                 now, worker, run, actions.LossEvidence.RESTARTED
             )
+        self._pending_actions.extend(
+            actions.Stop(worker.entry, task_id, run_number, 'worker restarted')
+            for task_id, run_number in worker.late_orders(now)
+        )
         if report is None and worker.runs_by_key:
             self._pending_actions.append(
                 actions.PollWorker(worker.entry.worker_id)
@@ -1073,6 +1078,7 @@
             self._send_due_stop(now, worker, run)
             return
         if outcome is specs.StartOutcome.UNKNOWN:
+            worker.record_unanswered_order(now, task_id, run_number)
             run.state = tracking.RunState.UNCERTAIN
             run.lists_valid_from = now
             if run.stop is None:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -187,6 +187,9 @@
         """When the stop of each listed run without an active job was ordered.
         The size of such a run is not known, so that the worker's free
         resources are not known either."""
+        self._late_orders: dict[tuple[model.TaskId, int], float] = {}
+        """Until when each start order without a known answer may be carried
+        out, whether its run is still tracked or not."""
         self.avoid_until = 0.0
         """No new run is placed on the worker before."""
         self.closed_for_upkeep = False
@@ -283,6 +286,30 @@
         passed_ms = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT) * 1000
         return self.clock_ms + passed_ms > self.lease_deadline_ms
 
+    def record_unanswered_order(
+        self, now: float, task_id: model.TaskId, run_number: int
+    ) -> None:
+        """Record a start order that may be carried out later."""
+        self._late_orders[task_id, run_number] = now + LATE_ORDER_S
+
+    def late_orders(
+        self, now: float
+    ) -> list[tuple[model.TaskId, specs.RunNumber]]:
+        """Return the orders of runs that are over and may yet begin anew.
+
+        The process that refused them, or had stopped their runs, is gone.
+        """
+        self._late_orders = {
+            key: until
+            for key, until in self._late_orders.items()
+            if until > now
+        }
+        return [
+            (task_id, specs.RunNumber(number))
+            for task_id, number in self._late_orders
+            if (task_id, number) not in self.runs_by_key
+        ]
+
     def begin_probation(self, run: Run) -> None:
         """Let no other tasks start on the worker until the run settles."""
         self.probation_run_count += not run.on_probation
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -217,6 +217,20 @@
         assert self.scheduler.accept_job(now, UNIX_AT_ZERO_S + now, job)
         return job.job_id
 
+    def take_over(
+        self,
+        now: float,
+        job: records.JobRecord,
+        progress: records.JobProgress,
+    ) -> None:
+        """Let the holder of the next term load a job."""
+        self.scheduler = schedulers.FleetScheduler(
+            now, self.scheduler.term + 1, make_configuration(), LEASE_S
+        )
+        self.scheduler.jobs.unix_offset_s = UNIX_AT_ZERO_S
+        self.scheduler.set_workers(now, self.workers)
+        self.scheduler.load_job(now, UNIX_AT_ZERO_S + now, job, progress)
+
     def plan(self, now: float) -> list[actions.Action]:
         return self.scheduler.plan(now, UnlimitedAdviceCallers())
 
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -5,6 +5,7 @@
 import pytest
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
 from samphirestack import model
@@ -67,6 +68,14 @@
     def silence(self, now: float) -> None:
         self.world.scheduler.mark_worker_silent(now, self.worker_id)
 
+    def stops(self, now: float) -> list[tuple[model.TaskId, specs.RunNumber]]:
+        return [
+            (action.task_id, action.run)
+            for action in self.world.plan(now)
+            if isinstance(action, actions.Stop)
+            and action.worker.worker_id == self.worker_id
+        ]
+
     def starts_elsewhere(self, now: float) -> list[actions.Start]:
         return [
             start
@@ -135,6 +144,38 @@
             assert restarted.starts_elsewhere(until + 2.0), order
 
 
+class TestLateOrders:
+    """Guards against a run that begins after it was taken for over.
+
+    The process that had accepted its stop is gone.
+    """
+
+    def test_an_order_that_may_come_late_is_stopped_again(self) -> None:
+        restarted = RestartedWorker()
+        world = restarted.world
+        restarted.observe(0.3, 'answer', UNKNOWN)
+        world.report(0.4, restarted.worker_id)
+        assert restarted.stops(0.5) == [restarted.run]
+        world.scheduler.handle_stop_result(
+            0.6, restarted.worker_id, *restarted.run, True
+        )
+        world.report(0.8, restarted.worker_id, sent_at=0.7)
+        assert restarted.starts_elsewhere(0.9)
+        restarted.observe(1.0, 'row')
+        assert restarted.run in restarted.stops(1.1)
+
+    def test_an_order_of_an_earlier_holder_is_stopped_as_well(self) -> None:
+        restarted = RestartedWorker()
+        world = restarted.world
+        changes = world.scheduler.collect_changes()
+        progress = records.decode_progress(changes.puts[0].value)
+        world.take_over(1.0, worlds.make_job(1), progress)
+        world.report(1.1, restarted.worker_id)
+        assert restarted.starts_elsewhere(1.2)
+        restarted.observe(1.3, 'row')
+        assert restarted.run in restarted.stops(1.4)
+
+
 class TestOrdersThatNobodyAnswered:
     """Guards against jobs given up with a single crash under them."""
 
@@ -144,11 +185,10 @@
         restarted.observe(0.4, 'row')
         restarted.report(0.5, 0.45)
         world = restarted.world
-        for action in world.plan(0.6):
-            if isinstance(action, actions.Stop):
-                world.scheduler.handle_stop_result(
-                    0.7, action.worker.worker_id, *restarted.run, True
-                )
+        assert restarted.stops(0.6) == [restarted.run]
+        world.scheduler.handle_stop_result(
+            0.7, restarted.worker_id, *restarted.run, True
+        )
         restarted.report(0.9, 0.8)
         (start,) = world.start_all(1.0)
         worker_id = start.worker.worker_id
