Count all restarts of a rack before a task is blamed

Workers of a rack that lose power at once come back at once. Each crash was attributed when its restart was learned, so that the first ones saw too few others to recognize the common cause, and their tasks became suspects. Losses are now recorded when a restart is learned, and crashes attributed once the new processes have reported. The test fails before.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -100,6 +100,12 @@
         if lost.entry.machine:
             self._unproved_by_machine[lost.entry.machine] = lost
 
+    def record_lost_machine(
+        self, entry: specs.WorkerEntry, lost_at: float
+    ) -> None:
+        """Record when the worker of a machine was lost."""
+        self._lost_by_machine[entry.machine] = (lost_at, entry.rack)
+
     def mark_alive(self, machine: str) -> None:
         """Record that a worker taken for lost runs on."""
         self._unproved_by_machine.pop(machine, None)
@@ -121,7 +127,7 @@
         :param workers: all tracked workers.
         """
         rack = lost.entry.rack
-        self._lost_by_machine[lost.entry.machine] = (lost.lost_at, rack)
+        self.record_lost_machine(lost.entry, lost.lost_at)
         machines = set()
         lost_machines = {
             machine
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -477,6 +477,9 @@
                 worker,
                 started_unix_ms / 1000 - self.jobs.unix_offset_s,
             )
+            self._crashes.record_lost_machine(
+                worker.entry, worker.unsettled_crash.lost_at
+            )
         worker.started_unix_ms = started_unix_ms
         worker.last_handled_end = 0
         worker.last_stored_end = 0
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -195,3 +195,33 @@
         world.report(1.1, worker_id, started=NEW_PROCESS_MS + 900)
         assert world.plan_starts(2.0)
         assert restarted.job_id in world.scheduler.jobs.active_by_id
+
+
+class TestRestartsOfARack:
+    """Guards against blame for the tasks of a rack that lost power."""
+
+    def test_restarts_at_once_make_no_suspects(self) -> None:
+        entries = [
+            worlds.make_worker(name, machine=f'm-{name}') for name in 'abcd'
+        ]
+        world = worlds.World(entries)
+        size = model.Resources(9000, 1000)
+        for number in range(len(entries)):
+            step = worlds.make_step(size=size)
+            world.accept(0.0, worlds.make_job(number, [step]))
+        assert len(world.start_all(0.1)) == len(entries)
+        restarted = [
+            worlds.make_worker(
+                entry.worker_id, machine=entry.machine, started=NEW_PROCESS_MS
+            )
+            for entry in entries
+        ]
+        world.scheduler.set_workers(0.3, restarted)
+        for entry in restarted:
+            world.report(0.4, entry.worker_id, started=NEW_PROCESS_MS)
+        suspects = [
+            action.suspect_ids
+            for action in world.plan(0.5)
+            if isinstance(action, actions.ReportCrash)
+        ]
+        assert suspects == [()] * len(entries)
