Use no ticket that was requested before its worker restarted

A ticket is valid for one process of its worker. Advice that had been asked for before a restart and came after it was taken for advice about the new process; the start was refused, and the step waited 0.25 s. Such tickets are now dropped, and the step asks again. The test fails before.

--- a/packages/core/src/samphirestack/fleet/advising.py
+++ b/packages/core/src/samphirestack/fleet/advising.py
@@ -81,6 +81,9 @@
     for worker_id, ticket in advice.tickets_by_worker_id.items():
         worker = workers_by_id.get(worker_id)
         tickets.suitable_ids[worker_id] = None
+        if worker is not None and worker.restart_learned_at >= asked_at:
+            # It may be a ticket for the former process.
+            continue
         tickets.by_worker_id[worker_id] = (
             ticket,
             now + validity_s - TICKET_TRANSIT_S,
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -174,6 +174,8 @@
         """Crash of the former process, until it is known what it took
         along."""
         self.probation_run_count = 0
+        self.restart_learned_at = float('-inf')
+        """When a restart of the worker was last learned."""
         self.former_leases_end_at = float('-inf')
         """Since its restart, when every lease has expired that a call for the
         process before it may have granted."""
@@ -270,6 +272,7 @@
         A deadline on the former clock is far in the future on the new one,
         and grants the longest lease.
         """
+        self.restart_learned_at = now
         self.lease_deadline_ms = 0.0
         self.clock_read_at = float('-inf')
         self.former_leases_end_at = (
--- a/tests/unit/fleet/test_planner.py
+++ b/tests/unit/fleet/test_planner.py
@@ -299,6 +299,21 @@
         world.scheduler.update_worker(0.5, worlds.make_worker('w0', started=2))
         assert world.plan_starts(0.6) == []
 
+    def test_a_ticket_requested_before_a_restart_is_not_used(self) -> None:
+        world = self._world(1)
+        world.accept(0.0, worlds.make_job(1, queue=self._queue()))
+        (ask,) = plan_requests(world, 0.1)
+        world.report(0.35, 'w0', started=2)
+        world.scheduler.update_worker(
+            0.35, worlds.make_worker('w0', started=2)
+        )
+        advise(world, 0.4, ask, ['w0'])
+        later = world.plan(0.5)
+        assert not any(isinstance(action, actions.Start) for action in later)
+        assert any(
+            isinstance(action, actions.RequestAdvice) for action in later
+        )
+
     def test_no_advice_is_requested_without_a_caller(self) -> None:
         world = self._world()
         world.accept(0.0, worlds.make_job(1, queue=self._queue()))
