Keep a removed worker while its orders may come late

A worker that isn't registered and has no runs was removed at the next check, and with it the start orders without an answer, which may be carried out for 12 s. A worker that came back under its id was a new one to the scheduler: no restart was learned, no order was stopped again, and a late one began a second run of a task that was at work elsewhere.

The worker stays until its last order can no longer come. The test failed before: no stop was sent to the process that came back.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1336,7 +1336,7 @@
                 )
             if unavailable and (expired or not worker.runs_by_key):
                 self._remove_unproved_runs(now, worker)
-                if not worker.registered:
+                if not worker.registered and not worker.late_orders(now):
                     del self.workers_by_id[worker_id]
                     self.worker_speeds.forget(worker_id)
                     continue
