Wait for calls to former processes after a takeover

A holder that takes over counts the leases of a worker without a report as expired 11.7 s after its predecessor's last renewal. That is when a lease ends which was computed for the worker's present process. If the worker restarted shortly before, its row names the new process from the start, so that no restart is learned; a call of the predecessor for the process before, up to 12 s late, has a deadline far in the future there and grants the longest lease. The task of a late start was at work while the holder started it elsewhere.

The bound of a worker that restarted within about 16 s before the takeover now covers such calls, as it does for a restart that is learned. Others wait as before. The test failed before: the task started again while its first run could hold a lease.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1330,10 +1330,7 @@
             if worker.has_reported:
                 expired = worker.lease_expired(now)
             else:
-                expired = now >= max(
-                    self._inherited_leases_expire_at,
-                    worker.former_leases_end_at,
-                )
+                expired = now >= self._inherited_leases_end(worker)
             if unavailable and (expired or not worker.runs_by_key):
                 self._remove_unproved_runs(now, worker)
                 if not worker.registered and not worker.late_orders(now):
@@ -1343,6 +1340,23 @@
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
 
+    def _inherited_leases_end(self, worker: tracking.TrackedWorker) -> float:
+        """Return when the leases of a worker without a report have ended.
+
+        The earlier holder's calls for the process before the present one
+        grant the longest lease, however late they are carried out.
+        """
+        started_at = worker.started_unix_ms / 1000 - self.jobs.unix_offset_s
+        after_restart = tracking.former_leases_end(
+            started_at + tracking.RESTART_NOTICED_S, self._max_lease_s
+        )
+        latest = self._inherited_leases_expire_at + tracking.LATE_ORDER_S
+        return max(
+            self._inherited_leases_expire_at,
+            worker.former_leases_end_at,
+            min(after_restart, latest),
+        )
+
     def _remove_unproved_runs(
         self, now: float, worker: tracking.TrackedWorker
     ) -> None:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -16,6 +16,10 @@
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
 
+RESTART_NOTICED_S = 10.0
+"""Time after its start in which a new process of a worker is known to the
+holder, or else gets no more calls.  Covers clocks that differ by seconds."""
+
 UNKNOWN_PERCENT = -1
 """Stands for a speed limit that isn't known, which differs from all others."""
 
@@ -137,6 +141,14 @@
         surplus run of a task that is placed or done already."""
 
 
+def former_leases_end(noticed_at: float, max_lease_s: float) -> float:
+    """Return when leases by calls for a worker's former process have ended.
+
+    :param noticed_at: from when on no such call was sent.
+    """
+    return noticed_at + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
+
+
 class TrackedWorker:
     """A worker with its free resources, its runs and its lease."""
 
@@ -275,9 +287,7 @@
         self.restart_learned_at = now
         self.lease_deadline_ms = 0.0
         self.clock_read_at = float('-inf')
-        self.former_leases_end_at = (
-            now + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
-        )
+        self.former_leases_end_at = former_leases_end(now, max_lease_s)
 
     def lease_expired(self, now: float) -> bool:
         """Return whether the lease has expired even on the slowest clock."""
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -1,7 +1,10 @@
 """What is concluded from observations of another process of a worker."""
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack.fleet import term as terms
+from samphirestack.fleet import tracking
 from samphirestack_testing import fleet_world as worlds
 
 SECOND_MS = int((worlds.UNIX_AT_ZERO_S + 4.0) * 1000)
@@ -37,3 +40,45 @@
             4.5, worlds.make_worker('a', started=SECOND_MS)
         )
         assert run in stopped_runs(world.plan(4.6))
+
+
+class TestRestartsBeforeATakeover:
+    """Guards against a second run while a late call may extend the first.
+
+    The call of the earlier holder was meant for the process before, whose
+    clock was ahead.
+    """
+
+    def starts_again_by(
+        self, now: float, started_unix_ms: int = SECOND_MS
+    ) -> bool:
+        """Return whether a silent worker's task has started elsewhere."""
+        world = worlds.World([worlds.make_worker('a')])
+        job = worlds.make_job(1)
+        world.accept(0.0, job)
+        assert world.plan_starts(3.0)
+        changes = world.scheduler.collect_changes()
+        progress = records.decode_progress(changes.puts[0].value)
+        world.workers = [
+            worlds.make_worker('a', started=started_unix_ms),
+            worlds.make_worker('b'),
+        ]
+        world.take_over(5.0, job, progress)
+        world.report(5.1, 'b')
+        world.scheduler.mark_worker_silent(5.5, world.workers[0].worker_id)
+        steps = (5.5, now - 0.1, now)
+        return any(world.plan_starts(step) for step in steps)
+
+    def test_the_task_waits_for_all_leases(self) -> None:
+        # The earlier holder notices the restart or finds the worker silent
+        # after two calls.
+        calls_until = 4.0 + 2 * (2.0 + 0.8)
+        leases_until = calls_until + tracking.LATE_ORDER_S + worlds.LEASE_S
+        assert not self.starts_again_by(leases_until)
+        assert self.starts_again_by(leases_until + 6.0)
+
+    def test_it_waits_no_longer_if_the_restart_was_long_ago(self) -> None:
+        leases_until = 5.0 + terms.HOLD_LEASE_S + worlds.LEASE_S
+        long_ago_ms = SECOND_MS - 30_000
+        assert not self.starts_again_by(leases_until, long_ago_ms)
+        assert self.starts_again_by(leases_until + 0.5, long_ago_ms)
