Take no advice that an earlier holder asked for

Each holder numbered its calls for advice from 1, and an entry sends its reply to the holder that it is connected to by then. A reply to an earlier holder's call was taken for that of the call with the same number: tickets of another step, and all workers that it didn't name counted as unsuitable for good, though nobody had asked about them for this step.

The test failed before: two terms gave out the same three numbers.

--- a/packages/daemon/src/samphirestackd/fleet/advice_callers.py
+++ b/packages/daemon/src/samphirestackd/fleet/advice_callers.py
@@ -8,6 +8,10 @@
 
 from samphirestack.fleet import planner
 
+CALLS_PER_TERM = 10**9
+"""Numbers of calls reserved for each term: an entry's reply may be meant for
+an earlier holder, and names its call by the number alone."""
+
 MAX_URGENT_BACKLOG_S = 0.4
 """Longest backlog of an entry that gets an urgent call."""
 
@@ -42,12 +46,15 @@
 
 
 class AdviceCallerPool:
-    """Chooses entries for calls; implements ``planner.AdviceCallers``."""
+    """Chooses entries for calls; implements ``planner.AdviceCallers``.
+
+    :param term: number of the holder's term.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, term: int) -> None:
         self.callers_by_identity: dict[bytes, AdviceCaller] = {}
         self._callers_by_call: dict[int, AdviceCaller] = {}
-        self._last_call_number = 0
+        self._last_call_number = CALLS_PER_TERM * term
         self.reserved_calls: list[tuple[int, AdviceCaller]] = []
         """Numbers and callers of reserved calls, in order of reservation."""
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -101,7 +101,7 @@
         self._evacuation_reporter = evacuation_reporter.EvacuationReporter(
             self.scheduler, context.metrics
         )
-        self.advice_callers = advice_callers.AdviceCallerPool()
+        self.advice_callers = advice_callers.AdviceCallerPool(term.number)
         self.advice_callers.add(OWN_IDENTITY)
         self.writer = writers.TermWriter(
             context, term, self.scheduler, self._on_changes_stored
--- a/tests/unit/fleet/test_advice_callers.py
+++ b/tests/unit/fleet/test_advice_callers.py
@@ -3,8 +3,8 @@
 from samphirestackd.fleet import advice_callers
 
 
-def make_pool(count: int) -> advice_callers.AdviceCallerPool:
-    pool = advice_callers.AdviceCallerPool()
+def make_pool(count: int, term: int = 1) -> advice_callers.AdviceCallerPool:
+    pool = advice_callers.AdviceCallerPool(term)
     for number in range(count):
         pool.add(str(number).encode())
     return pool
@@ -43,3 +43,16 @@
         pool.remove(b'0')
         pool.release(number)
         pool.release(number)
+
+
+class TestTerms:
+    """Guards against replies that were meant for an earlier holder."""
+
+    def test_no_call_has_the_number_of_an_earlier_terms_call(self) -> None:
+        numbers = []
+        for term in (1, 2):
+            pool = make_pool(3, term)
+            for _ in range(3):
+                assert pool.reserve(True, 0.1)
+            numbers.extend(number for number, _ in pool.reserved_calls)
+        assert len(set(numbers)) == len(numbers)
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -34,7 +34,7 @@
     def __init__(self, loaded: bool) -> None:
         self.world = worlds.World([])
         self.scheduler = self.world.scheduler
-        self.advice_callers = advice_callers.AdviceCallerPool()
+        self.advice_callers = advice_callers.AdviceCallerPool(term=1)
         self.loaded = loaded
 
 
