Keep losses of a process when its successor reports

A report of a worker that had been silent showed that the worker was alive, and its recorded loss was forgotten. If the worker had restarted in the silence, the report is of another process and proves the contrary.

Two things followed. A crash whose runs had been given up at the end of the lease was never attributed if a report came before the new row, so that a deadly task could go on crashing workers without being suspected. And the idle workers of a rack that lost power no longer counted as lost by the time the crash of a busy one was attributed, whose tasks were suspected although the whole rack had gone.

A report now revokes a loss only if the silence began after the last restart. Both tests failed before: no crash was reported, and a task of the rack was a suspect.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -381,7 +381,8 @@
             for run in worker.runs_by_key.values():
                 run.last_progress_at = now
                 run.began_at = None
-            self._crashes.mark_alive(worker.entry.machine)
+            if worker.silent_since > worker.restart_learned_at:
+                self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
         worker.last_answer_at = now
         worker.record_clock(now, report.clock_ms)
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -19,6 +19,14 @@
     ]
 
 
+def crashed_with(planned: list[actions.Action]) -> list[tuple[str, ...]]:
+    return [
+        action.lost_task_ids
+        for action in planned
+        if isinstance(action, actions.ReportCrash)
+    ]
+
+
 class TestWorkersThatWereRemoved:
     """Guards against a late order for a worker that was away meanwhile."""
 
@@ -82,3 +90,44 @@
         long_ago_ms = SECOND_MS - 30_000
         assert not self.starts_again_by(leases_until, long_ago_ms)
         assert self.starts_again_by(leases_until + 0.5, long_ago_ms)
+
+
+class TestReportsOfTheNextProcess:
+    """Guards against a report that makes its former process look alive."""
+
+    def test_a_crash_is_proved_after_a_report_as_well(self) -> None:
+        world = worlds.World([worlds.make_worker('a', machine='m')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        worker_id = start.worker.worker_id
+        world.scheduler.mark_worker_silent(0.5, worker_id)
+        world.plan(worlds.LEASE_S + 1.0)
+        world.report(8.0, worker_id, started=SECOND_MS)
+        world.scheduler.update_worker(
+            8.1, worlds.make_worker('a', machine='m', started=SECOND_MS)
+        )
+        assert crashed_with(world.plan(8.2)) == [(start.order.task_id,)]
+
+    def test_idle_workers_of_a_rack_count_as_lost_with_the_others(
+        self,
+    ) -> None:
+        entries = [
+            worlds.make_worker(name, machine=f'm-{name}') for name in 'abcd'
+        ]
+        world = worlds.World(entries)
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        crashed_id = start.worker.worker_id
+        world.report(0.2, crashed_id, [(start.order.task_id, 1)])
+        for entry in entries:
+            world.scheduler.mark_worker_silent(0.5, entry.worker_id)
+        for entry in entries:
+            if entry.worker_id != crashed_id:
+                world.report(4.2, entry.worker_id, started=SECOND_MS)
+        world.report(4.3, crashed_id, started=SECOND_MS)
+        suspects = [
+            action.suspect_ids
+            for action in world.plan(4.4)
+            if isinstance(action, actions.ReportCrash)
+        ]
+        assert suspects == [()]
