Acknowledge no ends after a failed call

A hold call repeats the number of the last stored end until the worker has confirmed it, also while the worker is down. Such a call may be carried out late by the next process, which numbers its ends from 1 and forgets those that it has by then unread. The runs are missing in its list, and their tasks start again although they were done; by the rule, an end counts as taken note of when it is acknowledged.

After a failed call no end is acknowledged until the worker has reported again, which shows whether it restarted. It costs no call. What remains is the one call that is under way or that first fails when the worker restarts. The test failed before: the end was acknowledged again.

--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -234,8 +234,11 @@
 
         An end is acknowledged only until the worker has confirmed it.  A
         process that starts under the same id counts its ends anew, and must
-        not forget the first ones because of those of its predecessor.
+        not forget the first ones because of those of its predecessor.  None
+        is acknowledged after a failed call, which may be due to a restart.
         """
+        if self.consecutive_failed_calls:
+            return 0
         if self.last_stored_end > self.last_acknowledged_end:
             return self.last_stored_end
         return 0
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -131,3 +131,24 @@
             if isinstance(action, actions.ReportCrash)
         ]
         assert suspects == [()]
+
+
+class TestAcknowledgements:
+    """Guards against ends of a new process that it forgets unread.
+
+    It does if it carries out a call that acknowledged the former one's ends.
+    """
+
+    def test_none_is_sent_to_a_worker_that_may_have_restarted(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        end = (1, start.order.task_id, start.order.run, specs.EndReason.DONE)
+        world.report(0.2, 'a', ended=[end])
+        world.store_changes()
+        (worker,) = world.scheduler.workers_by_id.values()
+        assert worker.end_to_acknowledge == 1
+        worker.consecutive_failed_calls = 1
+        assert worker.end_to_acknowledge == 0
+        worker.consecutive_failed_calls = 0
+        assert worker.end_to_acknowledge == 1
