Apply ends of a former process that are read late

A report that its worker's former process had sent, and that was read after the row of the next process, was ignored with its ends. The runs counted as lost with the process, so that a task that was done started again, and a failed run didn't count as an attempt.

An end names its task and run and stays true whatever its worker does. Those that were not applied yet are applied now, by the numbers of the process that reported them. The holder counts and logs the ends that were new; it had compared those of one process with the numbers of another, so that the first ends after a restart were missing in its log and metrics.

Before, the job of a task that had ended `done` went on, and no call returned the ends that were applied.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -358,20 +358,21 @@
         worker_id: model.WorkerId,
         report: specs.WorkerReport,
         acknowledged_end: int = 0,
-    ) -> None:
+    ) -> list[specs.EndRow]:
         """Reconcile the tracked runs of a worker with its report.
 
-        A report of an earlier process of the worker is ignored.
+        Only the ends are applied of a report of the former process.
 
         :param sent_at: when the report was requested.
         :param acknowledged_end: end up to which the request let the worker
             forget its ends.
+        :return: the ends that are new.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
-            return
+            return []
         if report.started_unix_ms < worker.started_unix_ms:
-            return
+            return self._apply_former_ends(now, worker, report)
         if not worker.started_unix_ms:
             worker.started_unix_ms = report.started_unix_ms
         elif report.started_unix_ms > worker.started_unix_ms:
@@ -392,12 +393,13 @@
                 worker.lease_deadline_ms,
                 report.clock_ms + self._max_lease_s * 1000,
             )
-        known_end = worker.last_handled_end
+        new_ends = []
         for row in report.ended:
             if row.number > worker.last_handled_end:
                 worker.last_handled_end = row.number
                 worker.unstored_ends.append((row.number, row.task_id))
                 self._apply_end_row(now, worker, row)
+                new_ends.append(row)
         listed = set()
         for running in report.running:
             listed.add((running.task_id, running.run))
@@ -414,11 +416,33 @@
         if report.ends_complete:
             self._settle_unlisted_runs(now, sent_at, worker, listed)
         self._settle_crash(now, worker, listed)
-        if worker.last_handled_end > known_end:
+        if new_ends:
             worker.last_end_at = now
         if not worker.has_reported:
             worker.has_reported = True
             self._record_process(now, worker.entry)
+        return new_ends
+
+    def _apply_former_ends(
+        self,
+        now: float,
+        worker: tracking.TrackedWorker,
+        report: specs.WorkerReport,
+    ) -> list[specs.EndRow]:
+        """Apply the ends in a report of a worker's former process.
+
+        The process is gone and needs no acknowledgement.
+        """
+        former = worker.former_process
+        if report.started_unix_ms != former.started_unix_ms:
+            return []
+        new_ends = [
+            row for row in report.ended if row.number > former.last_handled_end
+        ]
+        for row in new_ends:
+            former.last_handled_end = row.number
+            self._apply_end_row(now, worker, row)
+        return new_ends
 
     def _settle_unlisted_runs(
         self,
@@ -481,6 +505,9 @@
             self._crashes.record_lost_machine(
                 worker.entry, worker.unsettled_crash.lost_at
             )
+        worker.former_process = tracking.FormerProcess(
+            worker.started_unix_ms, worker.last_handled_end
+        )
         worker.started_unix_ms = started_unix_ms
         worker.last_handled_end = 0
         worker.last_stored_end = 0
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -3,6 +3,8 @@
 import collections
 import enum
 
+import msgspec
+
 from samphirestack.fleet import losses
 from samphirestack.fleet import specs
 from samphirestack.fleet import stops
@@ -141,6 +143,14 @@
         surplus run of a task that is placed or done already."""
 
 
+class FormerProcess(msgspec.Struct):
+    """The process of a worker before the present one."""
+
+    started_unix_ms: int
+    last_handled_end: int
+    """Highest number of a run end that was applied to the jobs."""
+
+
 def former_leases_end(noticed_at: float, max_lease_s: float) -> float:
     """Return when leases by calls for a worker's former process have ended.
 
@@ -186,6 +196,7 @@
         """Crash of the former process, until it is known what it took
         along."""
         self.probation_run_count = 0
+        self.former_process = FormerProcess(0, 0)
         self.restart_learned_at = float('-inf')
         """When a restart of the worker was last learned."""
         self.former_leases_end_at = float('-inf')
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -523,21 +523,17 @@
         worker.consecutive_failed_calls = 0
         if was_silent:
             self._context.log.write('worker.regained', worker=worker_id)
-        for row in report.ended:
-            if row.number > worker.last_handled_end:
-                self._context.metrics.run_ends.inc(
-                    {'reason': row.reason.value}
-                )
-                self._context.log.write(
-                    'run.ended',
-                    worker=worker_id,
-                    task_id=row.task_id,
-                    run=row.run,
-                    reason=row.reason.value,
-                )
-        self.scheduler.apply_report(
+        for row in self.scheduler.apply_report(
             now, sent_at, worker_id, report, acknowledged_end
-        )
+        ):
+            self._context.metrics.run_ends.inc({'reason': row.reason.value})
+            self._context.log.write(
+                'run.ended',
+                worker=worker_id,
+                task_id=row.task_id,
+                run=row.run,
+                reason=row.reason.value,
+            )
         if self.scheduler.jobs.has_changes or report.ended:
             self.writer.write_requested.set()
         self._plan_requested.set()
--- a/packages/testing/src/samphirestack_testing/fleet_world.py
+++ b/packages/testing/src/samphirestack_testing/fleet_world.py
@@ -204,8 +204,8 @@
         started: int = 1,
         percent: float = 10.0,
         acknowledged_end: int = 0,
-    ) -> None:
-        self.scheduler.apply_report(
+    ) -> list[specs.EndRow]:
+        return self.scheduler.apply_report(
             now,
             now if sent_at is None else sent_at,
             model.WorkerId(worker_id),
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -152,3 +152,38 @@
         assert worker.end_to_acknowledge == 0
         worker.consecutive_failed_calls = 0
         assert worker.end_to_acknowledge == 1
+
+
+class TestEndsOfTheFormerProcess:
+    """Guards against work done twice because its end was read too late."""
+
+    def setup_method(self) -> None:
+        self.world = worlds.World([worlds.make_worker('a')])
+        self.job_id = self.world.accept(0.0, worlds.make_job(1))
+        (start,) = self.world.start_all(0.1)
+        self.task_id, self.run = start.order.task_id, start.order.run
+        self.world.report(0.2, 'a', [(self.task_id, self.run)])
+
+    def restart(self, now: float) -> None:
+        self.world.scheduler.update_worker(
+            now, worlds.make_worker('a', started=SECOND_MS)
+        )
+
+    def test_a_task_that_was_done_does_not_start_again(self) -> None:
+        self.restart(4.1)
+        end = (1, self.task_id, self.run, specs.EndReason.DONE)
+        self.world.report(4.2, 'a', ended=[end], sent_at=3.9)
+        assert self.job_id not in self.world.scheduler.jobs.active_by_id
+
+    def test_each_end_counts_once(self) -> None:
+        end = (1, self.task_id, self.run, specs.EndReason.FAILED)
+        assert len(self.world.report(3.9, 'a', ended=[end])) == 1
+        self.restart(4.1)
+        assert self.world.report(4.2, 'a', ended=[end], sent_at=3.9) == []
+
+    def test_a_later_end_of_the_new_process_has_a_low_number(self) -> None:
+        end = (1, self.task_id, self.run, specs.EndReason.FAILED)
+        self.world.report(3.9, 'a', ended=[end])
+        (start,) = self.world.start_all(4.0)
+        end = (1, self.task_id, start.order.run, specs.EndReason.DONE)
+        assert self.world.report(4.5, 'a', ended=[end], started=SECOND_MS)
