Match answers of stops with the process that was asked

A restart sends the stop of a run anew, and the answer to the earlier call was ignored until then. Once the order was repeated, the answer to the call for the former process counted for the new one: the first list without the run ended it and its task started elsewhere, although the start order had no answer and could still begin the run on the new process, which had accepted no stop.

The holder passes on when the order was sent, and answers to orders from before the last restart that is known are ignored. The test failed before: the task started a second time.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1152,10 +1152,15 @@
         task_id: model.TaskId,
         run_number: specs.RunNumber,
         accepted: bool,
+        sent_at: float = float('inf'),
     ) -> None:
-        """Apply a worker's answer to a stop order."""
+        """Apply a worker's answer to a stop order.
+
+        :param sent_at: when the order was sent; after all restarts that are
+            known by default.
+        """
         worker = self.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or sent_at <= worker.restart_learned_at:
             return
         run = worker.runs_by_key.get((task_id, run_number))
         if run is None or run.stop is None:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -844,6 +844,7 @@
 
     async def _stop(self, action: actions.Stop) -> None:
         worker_id = action.worker.worker_id
+        sent_at = clock.now()
         try:
             accepted = await self._context.workers.stop(
                 action.worker, action.task_id, action.run, self.scheduler.term
@@ -863,7 +864,12 @@
             accepted=accepted,
         )
         self.scheduler.handle_stop_result(
-            clock.now(), worker_id, action.task_id, action.run, accepted
+            clock.now(),
+            worker_id,
+            action.task_id,
+            action.run,
+            accepted,
+            sent_at,
         )
 
     async def _throttle(self, action: actions.Throttle) -> None:
--- a/tests/unit/fleet/test_stops_across_restarts.py
+++ b/tests/unit/fleet/test_stops_across_restarts.py
@@ -22,6 +22,19 @@
         world.report(0.7, worker_id, started=2)
         assert not world.plan_starts(0.8)
 
+    def test_a_late_answer_is_none_to_the_order_that_was_repeated(
+        self,
+    ) -> None:
+        world, start = _stop_unanswered_start()
+        worker_id = start.worker.worker_id
+        world.scheduler.update_worker(
+            0.5, worlds.make_worker(worker_id, started=2)
+        )
+        assert _stops(world.plan(0.6))
+        _accept_stop(world, 0.7, start, sent_at=0.4)
+        world.report(0.8, worker_id, started=2)
+        assert not world.plan_starts(0.9)
+
     def test_an_incomplete_first_report_keeps_no_answer(self) -> None:
         world, start = _stop_unanswered_start()
         worker_id = start.worker.worker_id
@@ -56,11 +69,19 @@
 
 
 def _accept_stop(
-    world: worlds.World, now: float, start: actions.Start
+    world: worlds.World,
+    now: float,
+    start: actions.Start,
+    sent_at: float | None = None,
 ) -> None:
     order, worker_id = start.order, start.worker.worker_id
     world.scheduler.handle_stop_result(
-        now, worker_id, order.task_id, order.run, True
+        now,
+        worker_id,
+        order.task_id,
+        order.run,
+        True,
+        now if sent_at is None else sent_at,
     )
 
 
