Plan no starts on a process that has not reported

A report of the former process let the planner use a worker whose restart was learned from its row. No lease can be granted before the new process has shown its clock, so each start was stored, not sent, and its task blocked for 0.25 s; the worker was asked at once only if it had runs.

A restart that a row shows takes the worker out of the plan until its first report, which it is asked for without delay, as any new worker. The test failed before: a start was planned on the process.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -509,6 +509,7 @@
             worker.started_unix_ms, worker.last_handled_end
         )
         worker.started_unix_ms = started_unix_ms
+        worker.has_reported = False
         worker.last_handled_end = 0
         worker.last_stored_end = 0
         worker.last_acknowledged_end = 0
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -169,7 +169,8 @@
         self.free_memory = entry.capacity.memory_mb
         self.free_gpu = entry.capacity.accelerators
         self.has_reported = False
-        """Whether a report of the worker was read in this term."""
+        """Whether a report of this process of the worker was read in this
+        term."""
         self.started_unix_ms = entry.started_unix_ms
         self.last_handled_end = 0
         """Highest number of a run end that was applied to the jobs."""
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -187,3 +187,20 @@
         (start,) = self.world.start_all(4.0)
         end = (1, self.task_id, start.order.run, specs.EndReason.DONE)
         assert self.world.report(4.5, 'a', ended=[end], started=SECOND_MS)
+
+
+class TestProcessesThatHaveNotAnswered:
+    """Guards against starts that can't be sent, as no lease can be granted.
+
+    Each delays its task, and costs a write to the store.
+    """
+
+    def test_no_start_is_planned_before_the_first_report(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.scheduler.update_worker(
+            4.1, worlds.make_worker('a', started=SECOND_MS)
+        )
+        world.accept(4.1, worlds.make_job(1))
+        assert world.plan_starts(4.2) == []
+        world.report(4.3, 'a', started=SECOND_MS)
+        assert world.plan_starts(4.4)
