--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -358,20 +358,21 @@
         worker_id: model.WorkerId,
         report: specs.WorkerReport,
         acknowledged_end: int = 0,
-    ) -> None:
+    ) -> list[specs.EndRow]:
         """Reconcile the tracked runs of a worker with its report.
 
-        A report of an earlier process of the worker is ignored.
+        Only the ends are applied of a report of the former process.
 
         :param sent_at: when the report was requested.
         :param acknowledged_end: end up to which the request let the worker
             forget its ends.
+        :return: the ends that are new.
         """
         worker = self.workers_by_id.get(worker_id)
         if worker is None:
-            return
+            return []
         if report.started_unix_ms < worker.started_unix_ms:
-            return
+            return self._apply_former_ends(now, worker, report)
         if not worker.started_unix_ms:
             worker.started_unix_ms = report.started_unix_ms
         elif report.started_unix_ms > worker.started_unix_ms:
@@ -381,7 +382,8 @@
             for run in worker.runs_by_key.values():
                 run.last_progress_at = now
                 run.began_at = None
-            self._crashes.mark_alive(worker.entry.machine)
+            if worker.silent_since > worker.restart_learned_at:
+                self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
         worker.last_answer_at = now
         worker.record_clock(now, report.clock_ms)
@@ -391,12 +393,13 @@
                 worker.lease_deadline_ms,
                 report.clock_ms + self._max_lease_s * 1000,
             )
-        known_end = worker.last_handled_end
+        new_ends = []
         for row in report.ended:
             if row.number > worker.last_handled_end:
                 worker.last_handled_end = row.number
                 worker.unstored_ends.append((row.number, row.task_id))
                 self._apply_end_row(now, worker, row)
+                new_ends.append(row)
         listed = set()
         for running in report.running:
             listed.add((running.task_id, running.run))
@@ -413,11 +416,33 @@
         if report.ends_complete:
             self._settle_unlisted_runs(now, sent_at, worker, listed)
         self._settle_crash(now, worker, listed)
-        if worker.last_handled_end > known_end:
+        if new_ends:
             worker.last_end_at = now
         if not worker.has_reported:
             worker.has_reported = True
             self._record_process(now, worker.entry)
+        return new_ends
+
+    def _apply_former_ends(
+        self,
+        now: float,
+        worker: tracking.TrackedWorker,
+        report: specs.WorkerReport,
+    ) -> list[specs.EndRow]:
+        """Apply the ends in a report of a worker's former process.
+
+        The process is gone and needs no acknowledgement.
+        """
+        former = worker.former_process
+        if report.started_unix_ms != former.started_unix_ms:
+            return []
+        new_ends = [
+            row for row in report.ended if row.number > former.last_handled_end
+        ]
+        for row in new_ends:
+            former.last_handled_end = row.number
+            self._apply_end_row(now, worker, row)
+        return new_ends
 
     def _settle_unlisted_runs(
         self,
@@ -480,7 +505,11 @@
             self._crashes.record_lost_machine(
                 worker.entry, worker.unsettled_crash.lost_at
             )
+        worker.former_process = tracking.FormerProcess(
+            worker.started_unix_ms, worker.last_handled_end
+        )
         worker.started_unix_ms = started_unix_ms
+        worker.has_reported = False
         worker.last_handled_end = 0
         worker.last_stored_end = 0
         worker.last_acknowledged_end = 0
@@ -1124,10 +1153,15 @@
         task_id: model.TaskId,
         run_number: specs.RunNumber,
         accepted: bool,
+        sent_at: float = float('inf'),
     ) -> None:
-        """Apply a worker's answer to a stop order."""
+        """Apply a worker's answer to a stop order.
+
+        :param sent_at: when the order was sent; after all restarts that are
+            known by default.
+        """
         worker = self.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or sent_at <= worker.restart_learned_at:
             return
         run = worker.runs_by_key.get((task_id, run_number))
         if run is None or run.stop is None:
@@ -1330,19 +1364,33 @@
             if worker.has_reported:
                 expired = worker.lease_expired(now)
             else:
-                expired = now >= max(
-                    self._inherited_leases_expire_at,
-                    worker.former_leases_end_at,
-                )
+                expired = now >= self._inherited_leases_end(worker)
             if unavailable and (expired or not worker.runs_by_key):
                 self._remove_unproved_runs(now, worker)
-                if not worker.registered:
+                if not worker.registered and not worker.late_orders(now):
                     del self.workers_by_id[worker_id]
                     self.worker_speeds.forget(worker_id)
                     continue
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
 
+    def _inherited_leases_end(self, worker: tracking.TrackedWorker) -> float:
+        """Return when the leases of a worker without a report have ended.
+
+        The earlier holder's calls for the process before the present one
+        grant the longest lease, however late they are carried out.
+        """
+        started_at = worker.started_unix_ms / 1000 - self.jobs.unix_offset_s
+        after_restart = tracking.former_leases_end(
+            started_at + tracking.RESTART_NOTICED_S, self._max_lease_s
+        )
+        latest = self._inherited_leases_expire_at + tracking.LATE_ORDER_S
+        return max(
+            self._inherited_leases_expire_at,
+            worker.former_leases_end_at,
+            min(after_restart, latest),
+        )
+
     def _remove_unproved_runs(
         self, now: float, worker: tracking.TrackedWorker
     ) -> None:
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -3,6 +3,8 @@
 import collections
 import enum
 
+import msgspec
+
 from samphirestack.fleet import losses
 from samphirestack.fleet import specs
 from samphirestack.fleet import stops
@@ -16,6 +18,10 @@
 """Workers' clocks may run 2 % slow; the rest covers rounding."""
 
 
+RESTART_NOTICED_S = 10.0
+"""Time after its start in which a new process of a worker is known to the
+holder, or else gets no more calls.  Covers clocks that differ by seconds."""
+
 UNKNOWN_PERCENT = -1
 """Stands for a speed limit that isn't known, which differs from all others."""
 
@@ -137,6 +143,22 @@
         surplus run of a task that is placed or done already."""
 
 
+class FormerProcess(msgspec.Struct):
+    """The process of a worker before the present one."""
+
+    started_unix_ms: int
+    last_handled_end: int
+    """Highest number of a run end that was applied to the jobs."""
+
+
+def former_leases_end(noticed_at: float, max_lease_s: float) -> float:
+    """Return when leases by calls for a worker's former process have ended.
+
+    :param noticed_at: from when on no such call was sent.
+    """
+    return noticed_at + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
+
+
 class TrackedWorker:
     """A worker with its free resources, its runs and its lease."""
 
@@ -147,7 +169,8 @@
         self.free_memory = entry.capacity.memory_mb
         self.free_gpu = entry.capacity.accelerators
         self.has_reported = False
-        """Whether a report of the worker was read in this term."""
+        """Whether a report of this process of the worker was read in this
+        term."""
         self.started_unix_ms = entry.started_unix_ms
         self.last_handled_end = 0
         """Highest number of a run end that was applied to the jobs."""
@@ -174,6 +197,7 @@
         """Crash of the former process, until it is known what it took
         along."""
         self.probation_run_count = 0
+        self.former_process = FormerProcess(0, 0)
         self.restart_learned_at = float('-inf')
         """When a restart of the worker was last learned."""
         self.former_leases_end_at = float('-inf')
@@ -222,8 +246,11 @@
 
         An end is acknowledged only until the worker has confirmed it.  A
         process that starts under the same id counts its ends anew, and must
-        not forget the first ones because of those of its predecessor.
+        not forget the first ones because of those of its predecessor.  None
+        is acknowledged after a failed call, which may be due to a restart.
         """
+        if self.consecutive_failed_calls:
+            return 0
         if self.last_stored_end > self.last_acknowledged_end:
             return self.last_stored_end
         return 0
@@ -275,9 +302,7 @@
         self.restart_learned_at = now
         self.lease_deadline_ms = 0.0
         self.clock_read_at = float('-inf')
-        self.former_leases_end_at = (
-            now + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
-        )
+        self.former_leases_end_at = former_leases_end(now, max_lease_s)
 
     def lease_expired(self, now: float) -> bool:
         """Return whether the lease has expired even on the slowest clock."""
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -101,7 +101,7 @@
         self._evacuation_reporter = evacuation_reporter.EvacuationReporter(
             self.scheduler, context.metrics
         )
-        self.advice_callers = advice_callers.AdviceCallerPool()
+        self.advice_callers = advice_callers.AdviceCallerPool(term.number)
         self.advice_callers.add(OWN_IDENTITY)
         self.writer = writers.TermWriter(
             context, term, self.scheduler, self._on_changes_stored
@@ -523,21 +523,17 @@
         worker.consecutive_failed_calls = 0
         if was_silent:
             self._context.log.write('worker.regained', worker=worker_id)
-        for row in report.ended:
-            if row.number > worker.last_handled_end:
-                self._context.metrics.run_ends.inc(
-                    {'reason': row.reason.value}
-                )
-                self._context.log.write(
-                    'run.ended',
-                    worker=worker_id,
-                    task_id=row.task_id,
-                    run=row.run,
-                    reason=row.reason.value,
-                )
-        self.scheduler.apply_report(
+        for row in self.scheduler.apply_report(
             now, sent_at, worker_id, report, acknowledged_end
-        )
+        ):
+            self._context.metrics.run_ends.inc({'reason': row.reason.value})
+            self._context.log.write(
+                'run.ended',
+                worker=worker_id,
+                task_id=row.task_id,
+                run=row.run,
+                reason=row.reason.value,
+            )
         if self.scheduler.jobs.has_changes or report.ended:
             self.writer.write_requested.set()
         self._plan_requested.set()
@@ -848,6 +844,7 @@
 
     async def _stop(self, action: actions.Stop) -> None:
         worker_id = action.worker.worker_id
+        sent_at = clock.now()
         try:
             accepted = await self._context.workers.stop(
                 action.worker, action.task_id, action.run, self.scheduler.term
@@ -867,7 +864,12 @@
             accepted=accepted,
         )
         self.scheduler.handle_stop_result(
-            clock.now(), worker_id, action.task_id, action.run, accepted
+            clock.now(),
+            worker_id,
+            action.task_id,
+            action.run,
+            accepted,
+            sent_at,
         )
 
     async def _throttle(self, action: actions.Throttle) -> None:
