Repeat the stop of a late order until the new process accepts it

A start order whose run is over is stopped again when its worker restarts, once: nothing repeated the stop when the worker refused it or did not answer. The order could then begin a second run up to 12 s later. The stop is now repeated at the usual interval until this process of the worker accepts it or the order can't come any more.

The new unit test failed before.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -525,10 +525,8 @@
             self._remove_lost_run(
                 now, worker, run, actions.LossEvidence.RESTARTED
             )
-        self._pending_actions.extend(
-            actions.Stop(worker.entry, task_id, run_number, 'worker restarted')
-            for task_id, run_number in worker.late_orders(now)
-        )
+        worker.stop_late_orders(now, 'worker restarted')
+        self._send_late_stops(now, worker)
         if report is None and worker.runs_by_key:
             self._pending_actions.append(
                 actions.PollWorker(worker.entry.worker_id)
@@ -1078,6 +1076,16 @@
             )
         )
 
+    def _send_late_stops(
+        self, now: float, worker: tracking.TrackedWorker
+    ) -> None:
+        self._pending_actions.extend(
+            actions.Stop(worker.entry, task_id, run_number, reason)
+            for task_id, run_number, reason in (
+                worker.record_due_late_stops(now)
+            )
+        )
+
     # Answers to actions
 
     def handle_start_result(
@@ -1163,6 +1171,8 @@
         worker = self.workers_by_id.get(worker_id)
         if worker is None or sent_at <= worker.restart_learned_at:
             return
+        if accepted:
+            worker.record_accepted_stop(task_id, run_number)
         run = worker.runs_by_key.get((task_id, run_number))
         if run is None or run.stop is None:
             return
@@ -1367,10 +1377,12 @@
                 expired = now >= self._inherited_leases_end(worker)
             if unavailable and (expired or not worker.runs_by_key):
                 self._remove_unproved_runs(now, worker)
-                if not worker.registered and not worker.late_orders(now):
+                if not worker.registered and not worker.has_late_orders(now):
                     del self.workers_by_id[worker_id]
                     self.worker_speeds.forget(worker_id)
                     continue
+            if not silent:
+                self._send_late_stops(now, worker)
             for run in list(worker.runs_by_key.values()):
                 self._check_run(now, worker, run)
 
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -159,6 +159,18 @@
     return noticed_at + LATE_ORDER_S + max_lease_s * (1 + MAX_CLOCK_DRIFT)
 
 
+class _LateOrder:
+    """A start order without a known answer."""
+
+    __slots__ = ('stop', 'until')
+
+    def __init__(self, until: float) -> None:
+        self.until = until
+        """Until when it may be carried out."""
+        self.stop: stops.StopDecision | None = None
+        """Since the worker's last restart."""
+
+
 class TrackedWorker:
     """A worker with its free resources, its runs and its lease."""
 
@@ -213,9 +225,9 @@
         """When the stop of each listed run without an active job was ordered.
         The size of such a run is not known, so that the worker's free
         resources are not known either."""
-        self._late_orders: dict[tuple[model.TaskId, int], float] = {}
-        """Until when each start order without a known answer may be carried
-        out, whether its run is still tracked or not."""
+        self._late_orders: dict[tuple[model.TaskId, int], _LateOrder] = {}
+        """Start orders without a known answer, whether their runs are still
+        tracked or not."""
         self.avoid_until = 0.0
         """No new run is placed on the worker before."""
         self.closed_for_upkeep = False
@@ -318,25 +330,49 @@
         self, now: float, task_id: model.TaskId, run_number: int
     ) -> None:
         """Record a start order that may be carried out later."""
-        self._late_orders[task_id, run_number] = now + LATE_ORDER_S
+        self._late_orders[task_id, run_number] = _LateOrder(now + LATE_ORDER_S)
 
-    def late_orders(
-        self, now: float
-    ) -> list[tuple[model.TaskId, specs.RunNumber]]:
-        """Return the orders of runs that are over and may yet begin anew.
+    def has_late_orders(self, now: float) -> bool:
+        """Return whether a start order may yet be carried out."""
+        return any(order.until > now for order in self._late_orders.values())
+
+    def stop_late_orders(self, now: float, reason: str) -> None:
+        """Stop the orders again that the next process may carry out.
 
         The process that refused them, or had stopped their runs, is gone.
         """
-        self._late_orders = {
-            key: until
-            for key, until in self._late_orders.items()
-            if until > now
-        }
-        return [
-            (task_id, specs.RunNumber(number))
-            for task_id, number in self._late_orders
-            if (task_id, number) not in self.runs_by_key
-        ]
+        for order in self._late_orders.values():
+            order.stop = stops.StopDecision(now, reason)
+
+    def record_due_late_stops(
+        self, now: float
+    ) -> list[tuple[model.TaskId, specs.RunNumber, str]]:
+        """Return the orders to stop now, with the reason.
+
+        Their runs are over, and would begin anew.
+        """
+        due = []
+        for (task_id, number), order in list(self._late_orders.items()):
+            stop = order.stop
+            if order.until <= now:
+                del self._late_orders[task_id, number]
+            elif (
+                stop is not None
+                and not stop.is_accepted
+                and (task_id, number) not in self.runs_by_key
+                and stop.is_order_due(now)
+            ):
+                stop.record_order(now)
+                due.append((task_id, specs.RunNumber(number), stop.reason))
+        return due
+
+    def record_accepted_stop(
+        self, task_id: model.TaskId, run_number: int
+    ) -> None:
+        """Record that the process won't carry out an order any more."""
+        order = self._late_orders.get((task_id, run_number))
+        if order is not None and order.stop is not None:
+            order.stop.is_accepted = True
 
     def begin_probation(self, run: Run) -> None:
         """Let no other tasks start on the worker until the run settles."""
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -164,6 +164,29 @@
         restarted.observe(1.0, 'row')
         assert restarted.run in restarted.stops(1.1)
 
+    def test_its_stop_is_repeated_until_the_new_process_accepts_it(
+        self,
+    ) -> None:
+        restarted = RestartedWorker()
+        world = restarted.world
+        restarted.observe(0.3, 'answer', UNKNOWN)
+        world.report(0.4, restarted.worker_id)
+        assert restarted.stops(0.5) == [restarted.run]
+        world.scheduler.handle_stop_result(
+            0.6, restarted.worker_id, *restarted.run, True
+        )
+        world.report(0.8, restarted.worker_id, sent_at=0.7)
+        restarted.observe(1.0, 'row')
+        assert restarted.run in restarted.stops(1.1)
+        world.scheduler.handle_stop_result(
+            1.8, restarted.worker_id, *restarted.run, False
+        )
+        assert restarted.run in restarted.stops(2.5)
+        world.scheduler.handle_stop_result(
+            2.6, restarted.worker_id, *restarted.run, True
+        )
+        assert restarted.stops(4.0) == []
+
     def test_an_order_of_an_earlier_holder_is_stopped_as_well(self) -> None:
         restarted = RestartedWorker()
         world = restarted.world
