Blame no task for an answer of the next process

The tasks that had started just before their worker's last answer are the suspects of its crash. The answer to a start counts as well, and names no process: one that came from the next process, before the restart was known, made the crash look later than the start of the task that had caused it. None had just started then, and all tasks on the worker were suspects.

An answer after the start of the next process doesn't count any more. As before, times of the two clocks are compared for blame only. The test failed before: a task that had run for seconds was a suspect as well.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -161,7 +161,11 @@
     return losses.LostWorker(
         worker.entry,
         _lost_at(now, worker),
-        tuple(_lost_run(worker, run) for run in runs if run.order_sent),
+        tuple(
+            _lost_run(run, worker.last_answer_at)
+            for run in runs
+            if run.order_sent
+        ),
     )
 
 
@@ -177,7 +181,8 @@
     crash = losses.UnsettledCrash(worker.entry, _lost_at(now, worker))
     for run in worker.runs_by_key.values():
         if run.order_sent and _may_have_begun(run, restarted_at):
-            crash.add(_lost_run(worker, run), run.listed_by_ms > 0)
+            lost = _lost_run(run, min(worker.last_answer_at, restarted_at))
+            crash.add(lost, run.listed_by_ms > 0)
     return crash
 
 
@@ -196,13 +201,15 @@
     return now if worker.silent_since is None else worker.silent_since
 
 
-def _lost_run(
-    worker: tracking.TrackedWorker, run: tracking.Run
-) -> losses.LostRun:
+def _lost_run(run: tracking.Run, answered_at: float) -> losses.LostRun:
+    """Return a run that was lost with its worker.
+
+    :param answered_at: when the lost process last answered.
+    """
     return losses.LostRun(
         run.task,
         run.number,
-        run.started_at > worker.last_answer_at - START_WINDOW_S,
+        run.started_at > answered_at - START_WINDOW_S,
         run.has_begun,
     )
 
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -204,3 +204,33 @@
         assert world.plan_starts(4.2) == []
         world.report(4.3, 'a', started=SECOND_MS)
         assert world.plan_starts(4.4)
+
+
+class TestAnswersBeforeARestartIsKnown:
+    """Guards against blame for tasks at work when their worker crashes.
+
+    An answer of the next process doesn't show that the former one survived
+    the start of the task that crashed it.
+    """
+
+    def test_only_the_task_that_had_just_started_is_a_suspect(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        jobs = [worlds.make_job(number) for number in range(3)]
+        started = []
+        for job, now in zip(jobs, (0.1, 3.8, 4.5), strict=True):
+            world.accept(now, job)
+            (start,) = world.start_all(now)
+            started.append((start.order.task_id, start.order.run))
+            if now < 1.0:
+                world.report(0.9, 'a', started)
+        _, deadly, in_next_process = started
+        world.scheduler.update_worker(
+            4.6, worlds.make_worker('a', started=SECOND_MS)
+        )
+        world.report(4.7, 'a', [in_next_process], started=SECOND_MS)
+        suspects = [
+            action.suspect_ids
+            for action in world.plan(4.8)
+            if isinstance(action, actions.ReportCrash)
+        ]
+        assert suspects == [(deadly[0],)]
