Keep losses of a process whose successor is silent first

A new process whose row was read, and that didn't answer its first calls, became silent after the restart; its first report still revoked the loss of the former process.

What counts is whether the present process has reported before. The test failed before for a silence after the restart: the task of a rack that was lost as a whole was a suspect.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -382,7 +382,7 @@
             for run in worker.runs_by_key.values():
                 run.last_progress_at = now
                 run.began_at = None
-            if worker.silent_since > worker.restart_learned_at:
+            if not worker.is_next_process:
                 self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
         worker.last_answer_at = now
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -240,6 +240,13 @@
             and self.last_handled_end == self.last_acknowledged_end
         )
 
+    @property
+    def is_next_process(self) -> bool:
+        """Return whether the worker restarted and hasn't reported since."""
+        return not self.has_reported and (
+            self.restart_learned_at > float('-inf')
+        )
+
     @property
     def end_to_acknowledge(self) -> int:
         """Return up to which end the worker may forget its ends; 0 for none.
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -1,5 +1,8 @@
 """What is concluded from observations of another process of a worker."""
 
+import msgspec
+import pytest
+
 from samphirestack.fleet import actions
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
@@ -108,8 +111,9 @@
         )
         assert crashed_with(world.plan(8.2)) == [(start.order.task_id,)]
 
+    @pytest.mark.parametrize('silent_at', [0.5, 4.2])
     def test_idle_workers_of_a_rack_count_as_lost_with_the_others(
-        self,
+        self, silent_at: float
     ) -> None:
         entries = [
             worlds.make_worker(name, machine=f'm-{name}') for name in 'abcd'
@@ -119,11 +123,20 @@
         (start,) = world.start_all(0.1)
         crashed_id = start.worker.worker_id
         world.report(0.2, crashed_id, [(start.order.task_id, 1)])
+        if silent_at > 4.1:
+            world.scheduler.set_workers(
+                4.1,
+                [
+                    msgspec.structs.replace(entry, started_unix_ms=SECOND_MS)
+                    for entry in entries
+                    if entry.worker_id != crashed_id
+                ],
+            )
         for entry in entries:
-            world.scheduler.mark_worker_silent(0.5, entry.worker_id)
+            world.scheduler.mark_worker_silent(silent_at, entry.worker_id)
         for entry in entries:
             if entry.worker_id != crashed_id:
-                world.report(4.2, entry.worker_id, started=SECOND_MS)
+                world.report(4.3, entry.worker_id, started=SECOND_MS)
         world.report(4.3, crashed_id, started=SECOND_MS)
         suspects = [
             action.suspect_ids
