--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -434,7 +434,7 @@
         The process is gone and needs no acknowledgement.
         """
         former = worker.former_process
-        if report.started_unix_ms != former.started_unix_ms:
+        if former is None or report.started_unix_ms != former.started_unix_ms:
             return []
         new_ends = [
             row for row in report.ended if row.number > former.last_handled_end
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -209,7 +209,7 @@
         """Crash of the former process, until it is known what it took
         along."""
         self.probation_run_count = 0
-        self.former_process = FormerProcess(0, 0)
+        self.former_process: FormerProcess | None = None
         self.restart_learned_at = float('-inf')
         """When a restart of the worker was last learned."""
         self.former_leases_end_at = float('-inf')
