Observe the run of a task that became a suspect after it had started

If the crash is its third, it becomes a suspect although it was none of this crash, but only the runs of the crash's suspects were put on probation. Nothing cleared the run, and the other suspects of the step wait until one is cleared.

Change: the run of every task that is a suspect after the crash is put on probation, so that its next reports clear it.

The test fails before at the last assertion.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -604,7 +604,7 @@
                     lost.entry.worker_id, run in suspects, run.had_begun
                 ),
             )
-            if run in suspects:
+            if crashes.is_suspect(run.task):
                 self._observe_current_run(run.task)
         self._pending_actions.append(
             actions.ReportCrash(
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -5,6 +5,7 @@
 import pytest
 
 from samphirestack.fleet import actions
+from samphirestack.fleet import crashes
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
@@ -248,3 +249,34 @@
             if isinstance(action, actions.ReportCrash)
         ]
         assert suspects == [()] * len(entries)
+
+
+class TestTasksThatStartBeforeTheBlame:
+    """Guards against suspects that wait for a run that nothing clears."""
+
+    def test_a_run_that_started_before_its_third_crash_clears_it(
+        self,
+    ) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        task_id = start.order.task_id
+        world.report(0.5, 'a', [(task_id, start.order.run)])
+        task = world.scheduler.jobs.find_task(task_id)
+        assert task is not None
+        for run_number in (-2, -1):
+            world.scheduler.jobs.record_crash(
+                task, run_number, records.TaskCrash(model.WorkerId('x'), False)
+            )
+        world.accept(5.0, worlds.make_job(2))
+        assert world.start_all(5.1)
+        process_ms = int((worlds.UNIX_AT_ZERO_S + 5.15) * 1000)
+        world.scheduler.update_worker(
+            5.2, worlds.make_worker('a', started=process_ms)
+        )
+        (start,) = world.start_all(5.25)
+        world.report(5.3, 'a', started=process_ms, sent_at=5.22)
+        run = (task_id, start.order.run)
+        world.report(6.0, 'a', [run], started=process_ms)
+        assert len(task.crashes_by_run) == crashes.REPEATED_CRASHES
+        assert not task.step.suspects_must_wait
