--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -8,6 +8,7 @@
 from samphirestack.fleet import crashes
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
+from samphirestack.fleet import term as terms
 from samphirestack.fleet import tracking
 from samphirestack import model
 from samphirestack_testing import fleet_world as worlds
@@ -144,6 +145,32 @@
                 assert restarted.starts_elsewhere(tenth / 10) == [], order
             assert restarted.starts_elsewhere(until + 2.0), order
 
+    def test_a_deadline_of_the_former_clock_holds_no_task(self) -> None:
+        restarted = RestartedWorker()
+        scheduler = restarted.world.scheduler
+        scheduler.record_lease_deadline(restarted.worker_id, 10**9)
+        restarted.observe(0.3, 'report after start')
+        restarted.silence(0.5)
+        until = 0.3 + tracking.LATE_ORDER_S + worlds.LEASE_S
+        assert restarted.starts_elsewhere(until + 2.0)
+
+    def test_a_new_holder_waits_for_calls_of_the_last_one(self) -> None:
+        restarted = RestartedWorker()
+        world = restarted.world
+        changes = world.scheduler.collect_changes()
+        progress = records.decode_progress(changes.puts[0].value)
+        world.workers = [
+            worlds.make_worker(name, started=NEW_PROCESS_MS) for name in 'ab'
+        ]
+        world.take_over(1.0, worlds.make_job(1), progress)
+        other_id = 'b' if restarted.worker_id == 'a' else 'a'
+        world.report(1.1, other_id, started=NEW_PROCESS_MS)
+        restarted.silence(1.1)
+        until = 1.0 + tracking.LATE_ORDER_S + worlds.LEASE_S
+        for tenth in range(12, int(until * 10)):
+            assert restarted.starts_elsewhere(tenth / 10) == []
+        assert restarted.starts_elsewhere(until + terms.HOLD_LEASE_S + 1.0)
+
 
 class TestLateOrders:
     """Guards against a run that begins after it was taken for over.
@@ -251,6 +278,74 @@
         assert suspects == [()] * len(entries)
 
 
+class CrashBesideAnOpenRun:
+    """A crash under a listed run, and maybe under one that was answered."""
+
+    def __init__(self, state: specs.WorkerState) -> None:
+        self.world = worlds.World([worlds.make_worker('a')])
+        self.lost, self.open = (self._start(number) for number in (1, 2))
+        self.world.report(0.3, 'a', [self.lost], sent_at=0.15)
+        self.world.scheduler.update_worker(
+            0.4, worlds.make_worker('a', state=state)
+        )
+        self.restart(0.6, state)
+
+    def _start(self, number: int) -> tuple[model.TaskId, specs.RunNumber]:
+        now = 0.1 * number
+        self.world.accept(now, worlds.make_job(number))
+        (start,) = self.world.start_all(now)
+        return start.order.task_id, start.order.run
+
+    def restart(
+        self, now: float, state: specs.WorkerState = specs.WorkerState.READY
+    ) -> None:
+        self.started_ms = int((worlds.UNIX_AT_ZERO_S + now) * 1000)
+        self.world.scheduler.update_worker(
+            now,
+            worlds.make_worker('a', started=self.started_ms, state=state),
+        )
+
+    def blamed_ids(self, now: float) -> list[tuple[model.TaskId, ...]]:
+        return [
+            action.lost_task_ids
+            for action in self.world.plan(now)
+            if isinstance(action, actions.ReportCrash)
+        ]
+
+
+class TestBlameAcrossRestarts:
+    """Guards against blame that is lost, late or falls on a run at work."""
+
+    @pytest.mark.parametrize('state', specs.WorkerState)
+    @pytest.mark.parametrize('listed_as', ['running', 'ended'])
+    def test_a_run_of_the_new_process_is_cleared(
+        self, listed_as: str, state: specs.WorkerState
+    ) -> None:
+        crash = CrashBesideAnOpenRun(state)
+        running = [crash.open] if listed_as == 'running' else []
+        ended = [(1, *crash.open, specs.EndReason.DONE)]
+        crash.world.report(
+            0.8, 'a', running, () if running else ended, 0.7, crash.started_ms
+        )
+        expected = (
+            [(crash.lost[0],)] if state is specs.WorkerState.READY else []
+        )
+        assert crash.blamed_ids(0.9) == expected
+
+    def test_a_second_restart_settles_the_crash(self) -> None:
+        crash = CrashBesideAnOpenRun(specs.WorkerState.READY)
+        assert crash.blamed_ids(0.7) == []
+        crash.restart(0.8)
+        assert crash.blamed_ids(0.9) == [(crash.lost[0],)]
+
+    def test_the_end_of_all_leases_settles_the_crash(self) -> None:
+        crash = CrashBesideAnOpenRun(specs.WorkerState.READY)
+        crash.world.scheduler.mark_worker_silent(0.7, model.WorkerId('a'))
+        now = 0.6 + tracking.LATE_ORDER_S + worlds.LEASE_S
+        assert crash.blamed_ids(now) == []
+        assert crash.blamed_ids(now + 1.0) == [(crash.lost[0],)]
+
+
 class TestTasksThatStartBeforeTheBlame:
     """Guards against suspects that wait for a run that nothing clears."""
 
