Let workers of the soak be dark while they restart

A worker of the stand-in restarted within one call and was registered at once, so that no order was under way meanwhile and the new process never answered before its row was written.

--- a/tests/integration/test_platform_entry.py
+++ b/tests/integration/test_platform_entry.py
@@ -16,7 +16,7 @@
 
 from samphirestack_platform import entry as platform_entry
 from samphirestack_platform_standin import deployment as deployments
-from samphirestack_platform_standin import soak
+from samphirestack_platform_standin import oracle
 from samphirestack_platform_standin import store as stores
 from samphirestack_platform_standin import workers
 
@@ -514,6 +514,36 @@
         assert_no_task_ran_twice(deployment)
 
 
+class TestRestartsUnderOldIds:
+    """Guards against a second run of a task that the new process runs."""
+
+    async def test_orders_for_the_former_process_that_the_new_one_takes(
+        self, deployment: deployments.Deployment
+    ) -> None:
+        entry, body = deployment.entries[0], job(run_ms=2000)
+        await deployment.call(entry, 'POST', path(100), job(run_ms=10))
+        await wait_for_state(deployment, 100, 'completed')
+        # The next tasks are packed on the same worker.
+        used_id = deployment.runs[-1].worker
+        worker = next(
+            one for one in deployment.workers if one.worker_id == used_id
+        )
+        # The row is written before a hold call can time out.
+        outage = deployments.Outage(
+            down_s=0.6, keeps_id=True, keeps_address=True, row_delay_s=0.1
+        )
+        deployment.crash_worker(worker, outage)
+        await asyncio.gather(
+            *(
+                deployment.call(entry, 'POST', path(number), body)
+                for number in range(6)
+            )
+        )
+        for number in range(6):
+            await wait_for_state(deployment, number, 'completed')
+        assert_no_task_ran_twice(deployment)
+
+
 class TestCapacity:
     """Guards against starts beyond a capacity that has shrunk."""
 
@@ -537,14 +567,14 @@
                 entry, 'POST', path(next(numbers)), body
             )
             assert status == 200
-            late = shrank_at + soak.SHRINK_EFFECT_S
+            late = shrank_at + oracle.SHRINK_EFFECT_S
             return sum(run.started_at > late for run in deployment.runs) >= 20
 
         await until(enough_late_starts)
         for number in range(next(numbers)):
             await wait_for_state(deployment, number, 'completed')
         for worker in deployment.workers:
-            assert soak.overcommitted(worker, deployment.runs) == []
+            assert oracle.overcommitted(worker, deployment.runs) == []
 
     async def test_a_worker_that_grew_gets_larger_tasks(
         self, deployment: deployments.Deployment
--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from samphirestack_platform_standin import oracle
 from samphirestack_platform_standin import soak
 from samphirestack_platform_standin import workers
 
@@ -42,7 +43,7 @@
         worker.acknowledge_ends(1)
         assert first.ended_at is not None
         second = workers.Run('t', 2, 'w-1', first.ended_at + 1.0)
-        found = soak._findings_of_task('t', [first, second])
+        found = oracle.findings_of_task('t', [first, second])
         assert len(found) == (0 if lapses else 1)
 
     @pytest.mark.parametrize(
@@ -52,11 +53,11 @@
     def test_a_run_that_nobody_stops_is_found_after_the_bounds(
         self, ended_at: float | None, is_found: bool
     ) -> None:
-        job = soak.Job('j', {}, cancelled_at=2.0)
+        job = oracle.Job('j', {}, cancelled_at=2.0)
         run = workers.Run('j.0.0.0', 1, 'w-0', 1.0, ended_at=ended_at)
-        found = soak.unstopped(job, [run], calm_since=7.0)
+        found = oracle.unstopped(job, [run], calm_since=7.0)
         assert bool(found) == is_found
 
     def test_a_run_of_a_job_that_was_not_cancelled_goes_on(self) -> None:
         run = workers.Run('j.0.0.0', 1, 'w-0', 1.0)
-        assert not soak.unstopped(soak.Job('j', {}), [run], calm_since=7.0)
+        assert not oracle.unstopped(oracle.Job('j', {}), [run], calm_since=7.0)
