Bound the leases of a restart that is learned by that moment alone

has_reported is false again after a restart, so that the bound for new holders, from the start of the process on, applied to restarts learned in the term as well, and kept the tasks of a silent worker up to 5 s longer.

A test placed a run on a restarted worker before its first report, which the planner no longer does; another worker takes that run there, and the test still fails without the observation that it is about.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -1392,15 +1392,17 @@
         The earlier holder's calls for the process before the present one
         grant the longest lease, however late they are carried out.
         """
+        if worker.is_next_process:
+            return max(
+                self._inherited_leases_expire_at, worker.former_leases_end_at
+            )
         started_at = worker.started_unix_ms / 1000 - self.jobs.unix_offset_s
         after_restart = tracking.former_leases_end(
             started_at + tracking.RESTART_NOTICED_S, self._max_lease_s
         )
         latest = self._inherited_leases_expire_at + tracking.LATE_ORDER_S
         return max(
-            self._inherited_leases_expire_at,
-            worker.former_leases_end_at,
-            min(after_restart, latest),
+            self._inherited_leases_expire_at, min(after_restart, latest)
         )
 
     def _remove_unproved_runs(
