Give up a task of unanswered orders after four crashes

By the rule, a task may start twice more once three workers have crashed under it.

Change: four crashes of which a task was a suspect, begun or not, end its job. With one that a takeover loses, it starts five times. A task that survives a start is no suspect any more, so that orders which were never carried out rarely add up. The bound of the test goes from five to four; it fails before.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -6,8 +6,9 @@
 job's task starts on the worker at about the same time, so that one more crash
 identifies it.  A run that survives its start clears its task.
 
-A crash under a run whose order had no answer counts only towards MAX_CRASHES:
-no worker may ever have carried the order out.
+A crash under a run whose order had no answer counts only towards
+MAX_UNPROVED_CRASHES and MAX_CRASHES: no worker may ever have carried the order
+out.
 
 A crash makes suspects only if it is proved: by a new process with the worker's
 id or on its machine.  A worker that is merely silent may run on.  Runs that
@@ -34,6 +35,10 @@
 """Crashes of which a task was a suspect, once begun, after which its job is
 given up although others were suspects as well."""
 
+MAX_UNPROVED_CRASHES = 4
+"""Crashes of which a task was a suspect, begun or not, after which its job is
+given up.  A takeover may lose one that is not attributed yet."""
+
 REPEATED_CRASHES = 3
 """Crashes under one task from which on it stays on probation until its run
 ends: it may crash workers later than START_WINDOW_S."""
@@ -261,10 +266,10 @@
     recorded = task.crashes_by_run.values()
     if sum(one.suspected and one.had_begun for one in recorded) >= limit:
         return True
-    if task.step.spec.long_running:
-        # Over the life of such a task, workers crash for other reasons.
-        return task.suspected_crashes >= MAX_CRASHES
-    return len(recorded) >= MAX_CRASHES
+    if task.suspected_crashes >= MAX_UNPROVED_CRASHES:
+        return True
+    # Over the life of a long-running task, workers crash for other reasons.
+    return not task.step.spec.long_running and len(recorded) >= MAX_CRASHES
 
 
 def is_steady(unix_now: float, worker: tracking.TrackedWorker) -> bool:
--- a/tests/unit/fleet/test_crashes.py
+++ b/tests/unit/fleet/test_crashes.py
@@ -134,7 +134,7 @@
             fleet.world.answer_start(now, start, specs.StartOutcome.UNKNOWN)
             fleet.crash(now + MOMENT_S, start.worker.worker_id)
             now += 2.0
-            assert count <= crashes.MAX_CRASHES
+            assert count <= crashes.MAX_UNPROVED_CRASHES
         assert fleet.state(job_id) is specs.JobState.FAILED
 
     def test_a_worker_that_restarts_under_its_id_counts_as_well(self) -> None:
