--- a/tests/unit/fleet/test_http_client.py
+++ b/tests/unit/fleet/test_http_client.py
@@ -127,6 +127,19 @@
             assert server.calls == 1
             client.close()
 
+    async def test_an_outdated_hold_call_is_not_sent(self) -> None:
+        client = http_client.HttpClient()
+        async with serving() as (server, address):
+            entry = msgspec.structs.replace(
+                worlds.make_worker('w0'), address=address
+            )
+            with pytest.raises(errors.CallOutdated):
+                await workers.Workers(client).hold(
+                    entry, 1, 0, None, 0.0, lambda: False
+                )
+            assert not server.calls
+            client.close()
+
     async def test_the_order_counts_as_not_sent(self) -> None:
         client = http_client.HttpClient()
         async with serving() as (server, address):
