Check restarts of workers against random orders of calls

The fake fleet did not allow what happened: calls named the process that they were meant for, and a restarted worker answered only once it was registered.

Now its calls reach whatever process has the id, up to 12 s late; a crashed worker is down before its new process starts, and entries stay those of the former process until they are replaced.

--- a/packages/testing/src/samphirestack_testing/fake_fleet.py
+++ b/packages/testing/src/samphirestack_testing/fake_fleet.py
@@ -24,15 +24,19 @@
 STOP_S = 0.4
 CONTACT_S = 3.0
 GANG_TIMEOUT_S = 3.0
+CRASHES = 2
 """Bounds of the platform's rules."""
 
 ORDER_TIMEOUT_S = 0.8
-MAX_LATE_S = 8.0
-"""Longest delay of an order whose answer is lost."""
+MAX_LATE_S = 12.0
+"""Longest delay of a call that is carried out."""
 
 TICK_S = 0.1
 HOLD_INTERVAL_S = 0.3
-RETRY_S = 0.15
+REACTION_S = 1.5
+"""Time in which a holder stops a late order that it knows of, and repeats
+that while it gets no answer."""
+
 FAILURES_UNTIL_SILENT = 2
 HEARTBEAT_S = 1.5
 CALM_S = CONTACT_S + CANCEL_S + STOP_S + 1.0
@@ -104,14 +108,30 @@
         self.clock_rate = clock_rate
         self.started_unix_ms = 0
         self.silent_until = 0.0
+        """Until when it is cut off."""
         self.state = specs.WorkerState.READY
         self.sticks = False
         """Whether its next run makes no progress."""
+        self.deadline_ms = 0.0
+        self.failed_tasks: list[str] = []
+        """Task of each run that failed."""
+        self.stopped_runs: set[tuple[str, int]] = set()
+        """Runs whose stop any of its processes accepted."""
+        self.highest_term = 0
+        """Highest term that any of its processes accepted."""
+        self.lapsed_at = float('-inf')
+        """When a process whose lease had lapsed last crashed."""
         self.restart(0.0)
 
-    def restart(self, now: float) -> None:
-        self.started_unix_ms += 1
-        self.born_at = now
+    def restart(self, born_at: float) -> None:
+        """Replace its process by one that starts now or later."""
+        if 0 < self.deadline_ms < self.clock_ms(born_at):
+            self.lapsed_at = born_at
+        self.started_unix_ms = max(
+            self.started_unix_ms + 1,
+            int((worlds.UNIX_AT_ZERO_S + born_at) * 1000),
+        )
+        self.born_at = born_at
         self.deadline_ms = 0.0
         self.term = 0
         self.state = specs.WorkerState.READY
@@ -119,6 +139,10 @@
         self.ended: list[tuple[int, str, int, specs.EndReason]] = []
         self.end_times_by_number: dict[int, float] = {}
         self.last_lapsed_end = 0
+        self.last_read_end = 0
+        self.in_touch_since = float('inf')
+        """Since when this process answers each report of one holder."""
+        self.stops_sent: dict[tuple[str, int], float] = {}
         self.last_end = 0
         self.last_runs_by_task: dict[str, int] = {}
         """Highest run of each task that was stopped or ended."""
@@ -126,6 +150,10 @@
     def clock_ms(self, now: float) -> float:
         return 1.0 + (now - self.born_at) * 1000 * self.clock_rate
 
+    @property
+    def reachable_from(self) -> float:
+        return max(self.silent_until, self.born_at)
+
     def entry(self) -> specs.WorkerEntry:
         return worlds.make_worker(
             self.name,
@@ -138,6 +166,7 @@
         if term < self.term:
             return False
         self.term = term
+        self.highest_term = max(self.highest_term, term)
         return True
 
     def extend_lease(self, now: float, deadline_ms: float | None) -> None:
@@ -150,6 +179,7 @@
         )
 
     def stop(self, task: str, number: int, ends_at: float) -> None:
+        self.stopped_runs.add((task, number))
         self.last_runs_by_task[task] = max(
             number, self.last_runs_by_task.get(task, 0)
         )
@@ -168,6 +198,8 @@
 
     def end(self, now: float, run: Run, reason: specs.EndReason) -> None:
         del self.running[run.key]
+        if reason is Reason.FAILED:
+            self.failed_tasks.append(run.task)
         self.last_runs_by_task[run.task] = max(
             run.number, self.last_runs_by_task.get(run.task, 0)
         )
@@ -175,6 +207,26 @@
         self.ended.append((self.last_end, *run.key, reason))
         self.end_times_by_number[self.last_end] = now
 
+    def tasks_without_known_end(self) -> list[str]:
+        """Return the tasks whose runs may be taken for lost in a crash.
+
+        An end that no report showed can't be told from a crash.
+        """
+        unread = [
+            task
+            for number, task, _, _ in self.ended
+            if number > self.last_read_end
+        ]
+        return [run.task for run in self.running.values()] + unread
+
+    def record_read(self, now: float, report: specs.WorkerReport) -> None:
+        """Record that a holder has read a report."""
+        if report.started_unix_ms != self.started_unix_ms:
+            return
+        self.in_touch_since = min(self.in_touch_since, now)
+        for row in report.ended:
+            self.last_read_end = max(self.last_read_end, row.number)
+
     def report(self, now: float) -> specs.WorkerReport:
         report = worlds.make_report(
             self.clock_ms(now), (), self.ended, self.started_unix_ms
@@ -201,6 +253,13 @@
     over_at: float = float('inf')
     """When it was cancelled or its end was stored."""
 
+    @property
+    def task_ids(self) -> list[str]:
+        return [
+            specs.task_id_of(self.record.job_id, 0, 0, index)
+            for index in range(self.step.count)
+        ]
+
     @property
     def step(self) -> specs.StepSpec:
         assert self.record.spec is not None
@@ -222,10 +281,18 @@
             name: FakeWorker(name, rate)
             for name, rate in zip(NAMES, (1.0, 0.98, 1.0), strict=True)
         }
+        self.entries_by_id = {
+            name: worker.entry() for name, worker in self.workers_by_id.items()
+        }
+        """Registered entries."""
+        self.lost_names: set[str] = set()
+        """Workers that are cut off for good."""
         self.jobs_by_id: dict[str, Job] = {}
         self.progress_by_id: dict[str, bytes] = {}
         self.begun_gangs: set[tuple[str, int]] = set()
         self.starts_by_task: dict[str, list[float]] = {}
+        self.crashes_by_task: dict[str, int] = {}
+        """Number of crashes of workers that ran each task."""
         self.done_tasks: set[str] = set()
         """Tasks whose success was acknowledged to the worker."""
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -298,6 +365,8 @@
     def take_over(self) -> None:
         self._disturb(0.0)
         self.term += 1
+        for worker in self.workers_by_id.values():
+            worker.in_touch_since = float('inf')
         scheduler = schedulers.FleetScheduler(
             self.now,
             self.term,
@@ -306,10 +375,7 @@
         )
         self.scheduler = scheduler
         scheduler.jobs.unix_offset_s = worlds.UNIX_AT_ZERO_S
-        scheduler.set_workers(
-            self.now,
-            [worker.entry() for worker in self.workers_by_id.values()],
-        )
+        scheduler.set_workers(self.now, self.entries_by_id.values())
         for job_id, job in self.jobs_by_id.items():
             row = self.progress_by_id.get(job_id)
             scheduler.load_job(
@@ -327,35 +393,54 @@
             self._hold_regularly(name)
 
     def restart(self, name: str, down_s: float, entry_delay_s: float) -> None:
-        """Restart a worker; its entry may follow later than its reports."""
+        """Restart a worker; its entry may follow later than its reports.
+
+        Calls for the former process may be carried out by the new one.
+        """
         worker = self.workers_by_id[name]
-        worker.restart(self.now)
-        self.silence(name, down_s)
+        worker.end_runs(self.now)
+        for task in worker.tasks_without_known_end():
+            self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
+        worker.restart(self.now + down_s)
+        process_ms = worker.started_unix_ms
         self._disturb(down_s + entry_delay_s)
-        self._after(entry_delay_s, lambda: self._register(worker))
+        self._after(
+            down_s + entry_delay_s,
+            lambda: (
+                self._register(worker)
+                if worker.started_unix_ms == process_ms
+                else None
+            ),
+        )
 
     def silence(self, name: str, seconds: float) -> None:
         worker = self.workers_by_id[name]
         worker.silent_until = max(worker.silent_until, self.now + seconds)
         self._disturb(seconds)
 
+    def cut_off_for_good(self, name: str) -> None:
+        self.lost_names.add(name)
+        self._disturb(0.0)
+        self.workers_by_id[name].silent_until = float('inf')
+
     def drain(self, name: str, seconds: float) -> None:
         """Let a worker announce that it leaves, and leave."""
         worker = self.workers_by_id[name]
         worker.state = specs.WorkerState.DRAINING
         self._register(worker)
         self._disturb(seconds)
-        life = worker.started_unix_ms
+        process_ms = worker.started_unix_ms
         self._after(
             seconds,
             lambda: (
                 self.restart(name, 0.0, 0.0)
-                if worker.started_unix_ms == life
+                if worker.started_unix_ms == process_ms
                 else None
             ),
         )
 
     def _register(self, worker: FakeWorker) -> None:
+        self.entries_by_id[worker.name] = worker.entry()
         self.scheduler.update_worker(self.now, worker.entry())
 
     # Holder
@@ -391,9 +476,11 @@
         for put in changes.puts:
             if put.table == records.PROGRESS_TABLE:
                 self.progress_by_id[put.key] = put.value
-                if records.decode_progress(put.value).ended is not None:
+                ended = records.decode_progress(put.value).ended
+                if ended is not None:
                     job = self.jobs_by_id[put.key]
                     job.over_at = min(job.over_at, self.now)
+                    self._check_end(job, ended)
         starts, self._unsent_starts = self._unsent_starts, []
         for start in starts:
             if (
@@ -435,14 +522,18 @@
             worker_id, start.order.task_id, start.order.run
         )
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
+        process_ms = self.scheduler.workers_by_id[worker_id].started_unix_ms
         # The order waits for a connection.
         self._later(
             self.random.choice([0.0, 0.0, 0.2]),
-            lambda: self._send_start(start, deadline_ms),
+            lambda: self._send_start(start, deadline_ms, process_ms),
         )
 
-    def _send_start(self, start: actions.Start, deadline_ms: int) -> None:
-        if not self._may_send(start):
+    def _send_start(
+        self, start: actions.Start, deadline_ms: int, process_ms: int
+    ) -> None:
+        tracked = self.scheduler.workers_by_id[start.worker.worker_id]
+        if tracked.started_unix_ms != process_ms or not self._may_send(start):
             self._answer(start, Outcome.NOT_SENT)
             return
         job = self.jobs_by_id[start.order.task_id.split('.')[0]]
@@ -451,23 +542,51 @@
             f'was over'
         )
         term = self.term
+        worker = self.workers_by_id[start.worker.worker_id]
+        sent_at, sent_to_ms = self.now, worker.started_unix_ms
         self._call(
-            self.workers_by_id[start.worker.worker_id],
+            worker,
             self.order_fates,
-            lambda: self._carry_out_start(term, start, deadline_ms),
+            lambda: (
+                None
+                if worker.started_unix_ms != sent_to_ms
+                and self._is_excluded(worker, term, start, sent_at)
+                else self._carry_out_start(term, start, deadline_ms)
+            ),
             lambda outcome: self._answer(start, outcome or Outcome.UNKNOWN),
             Outcome.UNHEALTHY,
         )
 
+    def _is_excluded(
+        self,
+        worker: FakeWorker,
+        term: int,
+        start: actions.Start,
+        sent_at: float,
+    ) -> bool:
+        """Return whether this model keeps a late order from a new process.
+
+        A run that is over for its holder may begin until the stop or the
+        newer term reaches the new process, which no holder can prevent.
+        """
+        key = (start.order.task_id, start.order.run)
+        is_over = (
+            key in worker.stopped_runs
+            or term < worker.highest_term
+            or sent_at < worker.lapsed_at
+        )
+        return is_over and (
+            self.now - worker.in_touch_since < REACTION_S
+            or self.now - worker.stops_sent.get(key, -REACTION_S) < REACTION_S
+        )
+
     def _send_stop(self, action: actions.Stop) -> None:
         worker = self.workers_by_id[action.worker.worker_id]
+        worker.stops_sent[action.task_id, action.run] = self.now
         term = self.term
 
         def carry_out() -> bool:
-            if (
-                action.worker.started_unix_ms != worker.started_unix_ms
-                or not worker.accepts(term)
-            ):
+            if not worker.accepts(term):
                 return False
             ends_at = self.now + self.random.uniform(0.0, STOP_S)
             worker.stop(action.task_id, action.run, ends_at)
@@ -504,22 +623,28 @@
         deadline_ms = self.scheduler.lease_deadline(self.now, name)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
         last_seen = tracked.end_to_acknowledge
+        process_ms = tracked.started_unix_ms
 
         def carry_out() -> specs.WorkerReport | None:
             if not worker.accepts(term):
                 return None
             worker.extend_lease(self.now, deadline_ms)
-            self._acknowledge(worker, last_seen)
+            # A number for the former process may make the new one forget an
+            # end that nobody has read, which no holder can prevent.
+            if worker.started_unix_ms == process_ms:
+                self._acknowledge(worker, last_seen)
             return worker.report(self.now)
 
         def answer(report: specs.WorkerReport | None) -> None:
             if report is not None:
                 tracked.consecutive_failed_calls = 0
+                worker.record_read(self.now, report)
                 self.scheduler.apply_report(
                     self.now, sent_at, worker_id, report, last_seen
                 )
             else:
                 tracked.consecutive_failed_calls += 1
+                worker.in_touch_since = float('inf')
                 if tracked.consecutive_failed_calls >= FAILURES_UNTIL_SILENT:
                     self.scheduler.mark_worker_silent(self.now, worker_id)
             then()
@@ -538,7 +663,7 @@
     ) -> None:
         """Send a call; ``answer`` gets its result once, ``None`` for none."""
         fate = self.random.choice(fates)
-        term, life = self.term, worker.started_unix_ms
+        term, sent_at = self.term, self.now
         is_open = True
         uniform = self.random.uniform
         reached_s = uniform(0.0, 0.03)
@@ -558,10 +683,13 @@
                 answer(result)
 
         def reach() -> None:
-            if self.now < worker.silent_until:
-                return
-            if worker.started_unix_ms != life:
-                deliver(refusal)
+            if self.now < worker.reachable_from:
+                retry_at = worker.reachable_from + uniform(0.0, 0.05)
+                if uniform(0.0, 1.0) < 0.5 and (
+                    retry_at - sent_at <= MAX_LATE_S
+                ):
+                    self._disturb(retry_at - self.now)
+                    self._after(retry_at - self.now, reach)
                 return
             worker.end_runs(self.now)
             result = refusal if fate is Fate.REFUSED else carry_out()
@@ -593,8 +721,6 @@
     ) -> Outcome:
         order = start.order
         worker = self.workers_by_id[start.worker.worker_id]
-        if start.worker.started_unix_ms != worker.started_unix_ms:
-            return Outcome.OTHER_LIFE
         if not worker.accepts(term):
             return Outcome.FENCED
         if deadline_ms < worker.clock_ms(self.now):
@@ -660,6 +786,24 @@
 
     # Oracle
 
+    def _check_end(self, job: Job, ended: records.JobRecord) -> None:
+        if ended.ended_as is not specs.JobState.FAILED:
+            return
+        assert any(
+            self.crashes_by_task.get(task, 0) >= CRASHES
+            or self._failures(task) >= ended.queue.max_attempts
+            for task in job.task_ids
+        ), (
+            f'{ended.job_id} was given up; crashes of its workers: '
+            f'{[self.crashes_by_task.get(task, 0) for task in job.task_ids]}'
+        )
+
+    def _failures(self, task: str) -> int:
+        return sum(
+            worker.failed_tasks.count(task)
+            for worker in self.workers_by_id.values()
+        )
+
     def _check_lone_member(self, run: Run) -> None:
         job = self.jobs_by_id[run.task.split('.')[0]]
         assert (
@@ -697,10 +841,9 @@
             for run in worker.running.values()
         }
         return [
-            specs.task_id_of(model.JobId(job_id), 0, 0, index)
-            for job_id, job in self.jobs_by_id.items()
+            task
+            for job in self.jobs_by_id.values()
             if job.step.long_running and job.over_at == float('inf')
-            for index in range(job.step.count)
-            if specs.task_id_of(model.JobId(job_id), 0, 0, index)
-            not in present
+            for task in job.task_ids
+            if task not in present
         ]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,8 +36,17 @@
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
-    """Add the option that also runs known failures."""
-    parser.addoption('--run-known-red', action='store_true')
+    """Add the options of these tests."""
+    parser.addoption(
+        '--run-known-red',
+        action='store_true',
+        help='also run the tests that are listed as known failures',
+    )
+    parser.addoption(
+        '--fleet-seeds',
+        default='0+300',
+        help='seeds of the model of restarts: FIRST+COUNT',
+    )
 
 
 def pytest_terminal_summary(
