--- a/packages/testing/src/samphirestack_testing/fake_fleet.py
+++ b/packages/testing/src/samphirestack_testing/fake_fleet.py
@@ -38,7 +38,9 @@
 that while it gets no answer."""
 
 FAILURES_UNTIL_SILENT = 2
-HEARTBEAT_S = 1.5
+ENTRY_EXPIRY_S = 4.5
+"""Silence of a worker after which its entry is removed."""
+
 CALM_S = CONTACT_S + CANCEL_S + STOP_S + 1.0
 COMPLETION_S = 150.0
 """Time after the last fault within which all jobs end."""
@@ -112,21 +114,20 @@
         self.state = specs.WorkerState.READY
         self.sticks = False
         """Whether its next run makes no progress."""
-        self.deadline_ms = 0.0
         self.failed_tasks: list[str] = []
         """Task of each run that failed."""
         self.stopped_runs: set[tuple[str, int]] = set()
         """Runs whose stop any of its processes accepted."""
         self.highest_term = 0
         """Highest term that any of its processes accepted."""
-        self.lapsed_at = float('-inf')
-        """When a process whose lease had lapsed last crashed."""
+        self.last_read_at = 0.0
+        """When a holder last read a report of any of its processes."""
+        self.regained_at = float('-inf')
+        """When that last took so long that its lease counted as expired."""
         self.restart(0.0)
 
     def restart(self, born_at: float) -> None:
         """Replace its process by one that starts now or later."""
-        if 0 < self.deadline_ms < self.clock_ms(born_at):
-            self.lapsed_at = born_at
         self.started_unix_ms = max(
             self.started_unix_ms + 1,
             int((worlds.UNIX_AT_ZERO_S + born_at) * 1000),
@@ -221,6 +222,9 @@
 
     def record_read(self, now: float, report: specs.WorkerReport) -> None:
         """Record that a holder has read a report."""
+        if now - self.last_read_at > worlds.LEASE_S:
+            self.regained_at = now
+        self.last_read_at = now
         if report.started_unix_ms != self.started_unix_ms:
             return
         self.in_touch_since = min(self.in_touch_since, now)
@@ -389,8 +393,9 @@
                 scheduler.cancel(self.now, model.JobId(job_id))
         self._unsent_starts: list[actions.Start] = []
         self._is_writing = False
-        for name in NAMES:
-            self._hold_regularly(name)
+        self._held_names: set[str] = set()
+        for name in self.entries_by_id:
+            self._begin_holding(name)
 
     def restart(self, name: str, down_s: float, entry_delay_s: float) -> None:
         """Restart a worker; its entry may follow later than its reports.
@@ -403,6 +408,15 @@
             self.crashes_by_task[task] = self.crashes_by_task.get(task, 0) + 1
         worker.restart(self.now + down_s)
         process_ms = worker.started_unix_ms
+        if down_s + entry_delay_s > ENTRY_EXPIRY_S:
+            self._after(
+                ENTRY_EXPIRY_S,
+                lambda: (
+                    self._unregister(name)
+                    if worker.started_unix_ms == process_ms
+                    else None
+                ),
+            )
         self._disturb(down_s + entry_delay_s)
         self._after(
             down_s + entry_delay_s,
@@ -442,6 +456,11 @@
     def _register(self, worker: FakeWorker) -> None:
         self.entries_by_id[worker.name] = worker.entry()
         self.scheduler.update_worker(self.now, worker.entry())
+        self._begin_holding(worker.name)
+
+    def _unregister(self, name: str) -> None:
+        self.entries_by_id.pop(name, None)
+        self.scheduler.mark_worker_unregistered(model.WorkerId(name))
 
     # Holder
 
@@ -532,8 +551,12 @@
     def _send_start(
         self, start: actions.Start, deadline_ms: int, process_ms: int
     ) -> None:
-        tracked = self.scheduler.workers_by_id[start.worker.worker_id]
-        if tracked.started_unix_ms != process_ms or not self._may_send(start):
+        tracked = self.scheduler.workers_by_id.get(start.worker.worker_id)
+        if (
+            tracked is None
+            or tracked.started_unix_ms != process_ms
+            or not self._may_send(start)
+        ):
             self._answer(start, Outcome.NOT_SENT)
             return
         job = self.jobs_by_id[start.order.task_id.split('.')[0]]
@@ -543,14 +566,13 @@
         )
         term = self.term
         worker = self.workers_by_id[start.worker.worker_id]
-        sent_at, sent_to_ms = self.now, worker.started_unix_ms
+        sent_at = self.now
         self._call(
             worker,
             self.order_fates,
             lambda: (
                 None
-                if worker.started_unix_ms != sent_to_ms
-                and self._is_excluded(worker, term, start, sent_at)
+                if self._is_excluded(worker, term, start, sent_at)
                 else self._carry_out_start(term, start, deadline_ms)
             ),
             lambda outcome: self._answer(start, outcome or Outcome.UNKNOWN),
@@ -573,9 +595,11 @@
         is_over = (
             key in worker.stopped_runs
             or term < worker.highest_term
-            or sent_at < worker.lapsed_at
+            or sent_at < worker.regained_at
+            or self.now - worker.last_read_at > worlds.LEASE_S
         )
-        return is_over and (
+        is_late = sent_at < worker.born_at
+        return (is_late and is_over) and (
             self.now - worker.in_touch_since < REACTION_S
             or self.now - worker.stops_sent.get(key, -REACTION_S) < REACTION_S
         )
@@ -606,7 +630,15 @@
             False,
         )
 
+    def _begin_holding(self, name: str) -> None:
+        if name not in self._held_names:
+            self._held_names.add(name)
+            self._hold_regularly(name)
+
     def _hold_regularly(self, name: str) -> None:
+        if name not in self.scheduler.workers_by_id:
+            self._held_names.discard(name)
+            return
         self._hold(
             name,
             lambda: self._later(
@@ -618,7 +650,9 @@
         """Renew the lease of a worker and read its report."""
         worker_id = model.WorkerId(name)
         worker = self.workers_by_id[name]
-        tracked = self.scheduler.workers_by_id[worker_id]
+        tracked = self.scheduler.workers_by_id.get(worker_id)
+        if tracked is None:
+            return
         term, sent_at = self.term, self.now
         deadline_ms = self.scheduler.lease_deadline(self.now, name)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
