--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -154,6 +154,13 @@
         until = 0.3 + tracking.LATE_ORDER_S + worlds.LEASE_S
         assert restarted.starts_elsewhere(until + 2.0)
 
+    def test_no_deadline_is_sent_on_the_former_clock(self) -> None:
+        restarted = RestartedWorker()
+        scheduler = restarted.world.scheduler
+        assert scheduler.lease_deadline(0.2, restarted.worker_id)
+        restarted.observe(0.3, 'row')
+        assert scheduler.lease_deadline(0.4, restarted.worker_id) is None
+
     def test_a_new_holder_waits_for_calls_of_the_last_one(self) -> None:
         restarted = RestartedWorker()
         world = restarted.world
