Take no crash for proved under a run whose lease may have lapsed

Found in review by random histories: a job was given up with one real crash under it (LOST). A worker that is cut off for longer than a lease ends its runs itself; started again before it reported, it counted as crashed under all of them.

Change: if the next process started more than a lease after the last answer, only runs that had just started count as proved. A task that crashes its workers does so at its start, and they are back within a lease. Times of two clocks are compared for blame only.

The test fails before: two such restarts ended the job.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -17,6 +17,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from samphirestack.fleet import losses
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
@@ -202,6 +204,28 @@
     )
 
 
+def without_lapsed_runs(
+    lost: losses.LostWorker, restarted_at: float, max_lease_s: float
+) -> losses.LostWorker:
+    """Return a loss without proofs against runs whose leases may have lapsed.
+
+    A worker that is cut off for longer than a lease ends its runs itself.
+
+    :param restarted_at: when the next process started.
+    """
+    if restarted_at - lost.lost_at <= max_lease_s:
+        return lost
+    return msgspec.structs.replace(
+        lost,
+        runs=tuple(
+            msgspec.structs.replace(
+                run, had_begun=run.had_begun and run.may_have_just_started
+            )
+            for run in lost.runs
+        ),
+    )
+
+
 def _lost_at(now: float, worker: tracking.TrackedWorker) -> float:
     return now if worker.silent_since is None else worker.silent_since
 
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -310,7 +310,14 @@
         """
         lost = self._crashes.record_process(entry)
         if lost is not None:
-            self._attribute_crash(now, lost)
+            self._attribute_crash(
+                now,
+                crashes.without_lapsed_runs(
+                    lost,
+                    entry.started_unix_ms / 1000 - self.jobs.unix_offset_s,
+                    self._max_lease_s,
+                ),
+            )
 
     def close_machines(self, machines: Iterable[str]) -> None:
         """Close these machines to new work, and open all others again.
@@ -559,7 +566,14 @@
         crash = worker.unsettled_crash
         worker.unsettled_crash = None
         if crash is not None:
-            self._attribute_crash(now, crash.lost_worker())
+            self._attribute_crash(
+                now,
+                crashes.without_lapsed_runs(
+                    crash.lost_worker(),
+                    worker.started_unix_ms / 1000 - self.jobs.unix_offset_s,
+                    self._max_lease_s,
+                ),
+            )
 
     def _report_restart(
         self,
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -383,3 +383,31 @@
         world.report(6.0, 'b', [(task_id, start.order.run)])
         assert len(task.crashes_by_run) == crashes.REPEATED_CRASHES
         assert not task.step.suspects_must_wait
+
+
+class TestLapsedRuns:
+    """Guards against blame for runs that their cut-off worker has ended."""
+
+    def test_a_restart_after_the_lease_is_no_proof(self) -> None:
+        world = worlds.World([])
+        now = 0.0
+        job_id = world.accept(now, worlds.make_job(1))
+        for name in 'abc':
+            entry = worlds.make_worker(name, machine=f'm-{name}')
+            world.scheduler.update_worker(now, entry)
+            world.report(now, name)
+            (start,) = world.start_all(now + 0.1)
+            run = (start.order.task_id, start.order.run)
+            world.report(now + 1.0, name, [run])
+            world.report(now + 2.0, name, [run])
+            world.scheduler.mark_worker_silent(now + 2.5, entry.worker_id)
+            now += 12.0
+            world.plan(now)
+            restarted = worlds.make_worker(
+                name,
+                machine=entry.machine,
+                started=int((worlds.UNIX_AT_ZERO_S + now) * 1000),
+                state=specs.WorkerState.DRAINING,
+            )
+            world.scheduler.update_worker(now, restarted)
+            assert job_id in world.scheduler.jobs.active_by_id
