Name what a run remembers of lists, and the two kinds of runs of a crash

From the review: the start of the process that listed a run was only used as a flag, and add(run, is_lost) had two meanings. No behaviour changes.

--- a/packages/core/src/samphirestack/fleet/crashes.py
+++ b/packages/core/src/samphirestack/fleet/crashes.py
@@ -189,7 +189,10 @@
     for run in worker.runs_by_key.values():
         if run.order_sent and _may_have_begun(run, restarted_at):
             lost = _lost_run(run, min(worker.last_answer_at, restarted_at))
-            crash.add(lost, run.listed_by_ms > 0)
+            if run.was_listed:
+                crash.add_lost(lost)
+            else:
+                crash.add_open(lost)
     return crash
 
 
--- a/packages/core/src/samphirestack/fleet/losses.py
+++ b/packages/core/src/samphirestack/fleet/losses.py
@@ -49,12 +49,13 @@
         """Return whether it is known which runs were lost."""
         return not self._open_by_key
 
-    def add(self, run: LostRun, is_lost: bool) -> None:
-        """Add a run that was lost, or may have been."""
-        if is_lost:
-            self._lost.append(run)
-        else:
-            self._open_by_key[run.key] = run
+    def add_lost(self, run: LostRun) -> None:
+        """Add a run that the process took along."""
+        self._lost.append(run)
+
+    def add_open(self, run: LostRun) -> None:
+        """Add a run that either process may have."""
+        self._open_by_key[run.key] = run
 
     def open_keys(self) -> list[tuple[model.TaskId, int]]:
         """Return the keys of the runs that may have been lost."""
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -7,6 +7,7 @@
 start.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from samphirestack.fleet import actions
@@ -500,7 +501,7 @@
         have been carried out by either process; lists of the new one tell.
         """
         runs = list(worker.runs_by_key.values())
-        lost = [run for run in runs if run.listed_by_ms]
+        lost = [run for run in runs if run.was_listed]
         self._report_restart(worker, started_unix_ms, report, lost)
         self._attribute_unsettled_crash(now, worker)
         if not _has_left(worker):
@@ -538,13 +539,13 @@
             self._pending_actions.append(
                 actions.PollWorker(worker.entry.worker_id)
             )
-        self._settle_crash(now, worker, set())
+        self._settle_crash(now, worker)
 
     def _settle_crash(
         self,
         now: float,
         worker: tracking.TrackedWorker,
-        listed: set[tuple[model.TaskId, specs.RunNumber]],
+        listed: Collection[tuple[model.TaskId, specs.RunNumber]] = (),
     ) -> None:
         """Clear the runs that a worker's new process has of its crash.
 
@@ -597,7 +598,7 @@
                 tuple(
                     run.task.id
                     for run in worker.runs_by_key.values()
-                    if not run.listed_by_ms
+                    if not run.was_listed
                 ),
             )
         )
@@ -677,7 +678,7 @@
             )
         run.state = tracking.RunState.CONFIRMED
         run.has_begun = True
-        run.listed_by_ms = worker.started_unix_ms
+        run.was_listed = True
         run.lists_valid_from = now
         self.jobs.mark_running(run.task.step.job)
         self._send_due_stop(now, worker, run)
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -53,7 +53,6 @@
         'is_primary',
         'is_resumed',
         'last_progress_at',
-        'listed_by_ms',
         'lists_valid_from',
         'load',
         'number',
@@ -72,6 +71,7 @@
         'throttle_pending',
         'throttle_percent',
         'throttle_unsettled_until',
+        'was_listed',
         'worker_id',
     )
 
@@ -92,10 +92,9 @@
         """Only lists requested after this moment can prove that the run is
         over by not containing it.  Infinite while the run may start until its
         worker has accepted the stop."""
-        self.listed_by_ms = 0
-        """Start time in Unix milliseconds of the worker's process that listed
-        the run; 0 before.  An answer to an order names no process: another
-        one may have carried the order out."""
+        self.was_listed = False
+        """Whether a list of its worker's process contained it.  An answer to
+        an order names no process: another one may have carried it out."""
         self.has_begun = False
         """Whether its worker accepted its order or listed it in this term."""
         self.started_at = float('inf')
--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -78,7 +78,7 @@
             and action.worker.worker_id == self.worker_id
         ]
 
-    def starts_elsewhere(self, now: float) -> list[actions.Start]:
+    def starts_again(self, now: float) -> list[actions.Start]:
         return [
             start
             for start in self.world.plan_starts(now)
@@ -98,25 +98,25 @@
             for number, event in enumerate(order):
                 now = 0.3 + 0.02 * number
                 restarted.observe(now, event, outcome)
-                assert restarted.starts_elsewhere(now + 0.01) == [], order
+                assert restarted.starts_again(now + 0.01) == [], order
             for number in range(10):
                 now = 0.5 + number
                 restarted.report(now, now, [restarted.run])
-                assert restarted.starts_elsewhere(now) == [], order
+                assert restarted.starts_again(now) == [], order
 
     def test_a_run_of_the_earlier_process_starts_again_at_once(self) -> None:
         restarted = RestartedWorker()
         restarted.observe(0.2, 'answer')
         restarted.world.report(0.3, restarted.worker_id, [restarted.run])
         restarted.observe(0.4, 'row')
-        assert restarted.starts_elsewhere(0.5)
+        assert restarted.starts_again(0.5)
 
     def test_an_answered_start_that_no_list_shows_starts_again(self) -> None:
         restarted = RestartedWorker()
         restarted.observe(0.2, 'answer')
         restarted.observe(0.3, 'row')
         restarted.report(0.4, 0.35)
-        assert restarted.starts_elsewhere(0.5)
+        assert restarted.starts_again(0.5)
 
     def test_the_new_process_is_asked_at_once(self) -> None:
         restarted = RestartedWorker()
@@ -142,8 +142,8 @@
                 restarted.observe(0.3 + 0.02 * number, event)
             restarted.silence(0.5)
             for tenth in range(5, int(until * 10)):
-                assert restarted.starts_elsewhere(tenth / 10) == [], order
-            assert restarted.starts_elsewhere(until + 2.0), order
+                assert restarted.starts_again(tenth / 10) == [], order
+            assert restarted.starts_again(until + 2.0), order
 
     def test_a_deadline_of_the_former_clock_holds_no_task(self) -> None:
         restarted = RestartedWorker()
@@ -152,7 +152,7 @@
         restarted.observe(0.3, 'report after start')
         restarted.silence(0.5)
         until = 0.3 + tracking.LATE_ORDER_S + worlds.LEASE_S
-        assert restarted.starts_elsewhere(until + 2.0)
+        assert restarted.starts_again(until + 2.0)
 
     def test_no_deadline_is_sent_on_the_former_clock(self) -> None:
         restarted = RestartedWorker()
@@ -175,8 +175,8 @@
         restarted.silence(1.1)
         until = 1.0 + tracking.LATE_ORDER_S + worlds.LEASE_S
         for tenth in range(12, int(until * 10)):
-            assert restarted.starts_elsewhere(tenth / 10) == []
-        assert restarted.starts_elsewhere(until + terms.HOLD_LEASE_S + 1.0)
+            assert restarted.starts_again(tenth / 10) == []
+        assert restarted.starts_again(until + terms.HOLD_LEASE_S + 1.0)
 
 
 class TestLateOrders:
@@ -195,7 +195,7 @@
             0.6, restarted.worker_id, *restarted.run, True
         )
         world.report(0.8, restarted.worker_id, sent_at=0.7)
-        assert restarted.starts_elsewhere(0.9)
+        assert restarted.starts_again(0.9)
         restarted.observe(1.0, 'row')
         assert restarted.run in restarted.stops(1.1)
 
@@ -229,7 +229,7 @@
         progress = records.decode_progress(changes.puts[0].value)
         world.take_over(1.0, worlds.make_job(1), progress)
         world.report(1.1, restarted.worker_id)
-        assert restarted.starts_elsewhere(1.2)
+        assert restarted.starts_again(1.2)
         restarted.observe(1.3, 'row')
         assert restarted.run in restarted.stops(1.4)
 
