Expect no bound of orders that a worker carries out late

The trace: the orders went out at 4.72 s, 0.01 s before the cancellation, while the worker was dark; its next process carried them out at 7.96 s and 8.03 s, and stopped them at 9.10 s. Until now the stand-in carried out none.

Runs record whether their order was sent to the former process, and only those are exempt from that check; the checks that they are stopped, and that no task runs twice, hold for them as before.

--- a/tests/integration/test_platform_soak.py
+++ b/tests/integration/test_platform_soak.py
@@ -58,6 +58,14 @@
         found = oracle.unstopped(job, [run], calm_since=7.0)
         assert bool(found) == is_found
 
+    @pytest.mark.parametrize('is_late', [False, True])
+    def test_a_start_after_a_cancellation_is_found_unless_it_came_late(
+        self, is_late: bool
+    ) -> None:
+        job = oracle.Job('j', {'specification': ''}, [200], cancelled_at=2.0)
+        run = workers.Run('j.0.0.0', 1, 'w-0', 5.1, is_late=is_late)
+        assert bool(oracle.findings_of(job, [run])) != is_late
+
     def test_a_run_of_a_job_that_was_not_cancelled_goes_on(self) -> None:
         run = workers.Run('j.0.0.0', 1, 'w-0', 1.0)
         assert not oracle.unstopped(oracle.Job('j', {}), [run], calm_since=7.0)
