Acknowledge ends only after a recent report of their process

After a failed call none is acknowledged since; the first call was left, and it was sent up to 0.5 s after the last report, while ends waited for the store.

Change: an end is acknowledged only within 0.2 s of a report of the process that listed it. Otherwise the worker is asked for a report first, which costs one more call where the store is slow. A report that is recent is followed by the acknowledgement even if newer ends are not stored yet, so that a slow store can't put it off for ever.

The unit test fails before. Two models of the holder did not hold again right after a report, as it does; they now do. What is left is a call that is under way when the worker restarts and arrives after the next process has ended a run.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -394,6 +394,7 @@
                 self._crashes.mark_alive(worker.entry.machine)
         worker.silent_since = None
         worker.last_answer_at = now
+        worker.reported_at = now
         worker.record_clock(now, report.clock_ms)
         if not worker.has_reported:
             # An earlier holder may have extended the lease up to here.
--- a/packages/core/src/samphirestack/fleet/tracking.py
+++ b/packages/core/src/samphirestack/fleet/tracking.py
@@ -22,6 +22,10 @@
 """Time after its start in which a new process of a worker is known to the
 holder, or else gets no more calls.  Covers clocks that differ by seconds."""
 
+ACKNOWLEDGE_WITHIN_S = 0.2
+"""Time after a report of a worker in which the next process can't have ended
+a run unread."""
+
 UNKNOWN_PERCENT = -1
 """Stands for a speed limit that isn't known, which differs from all others."""
 
@@ -202,6 +206,8 @@
         """When the worker's clock was read, on the scheduler's clock."""
         self.last_answer_at = float('-inf')
         """When the worker last answered a call."""
+        self.reported_at = float('-inf')
+        """When the last report of the present process came."""
         self.last_end_at = float('-inf')
         """When a report with new ends was last applied."""
         self.unsettled_crash: losses.UnsettledCrash | None = None
@@ -259,19 +265,26 @@
         )
 
     @property
-    def end_to_acknowledge(self) -> int:
+    def has_ends_to_acknowledge(self) -> bool:
+        """Return whether the worker holds ends that it may forget."""
+        return self.last_stored_end > self.last_acknowledged_end
+
+    def end_to_acknowledge(self, now: float) -> int:
         """Return up to which end the worker may forget its ends; 0 for none.
 
         An end is acknowledged only until the worker has confirmed it.  A
         process that starts under the same id counts its ends anew, and must
         not forget the first ones because of those of its predecessor.  None
-        is acknowledged after a failed call, which may be due to a restart.
+        is acknowledged after a failed call, which may be due to a restart, or
+        without a recent report, which shows that the process is still there.
         """
-        if self.consecutive_failed_calls:
+        if (
+            self.consecutive_failed_calls
+            or now - self.reported_at > ACKNOWLEDGE_WITHIN_S
+            or not self.has_ends_to_acknowledge
+        ):
             return 0
-        if self.last_stored_end > self.last_acknowledged_end:
-            return self.last_stored_end
-        return 0
+        return self.last_stored_end
 
     @property
     def is_draining(self) -> bool:
@@ -318,6 +331,7 @@
         and grants the longest lease.
         """
         self.restart_learned_at = now
+        self.reported_at = float('-inf')
         self.lease_deadline_ms = 0.0
         self.clock_read_at = float('-inf')
         self.former_leases_end_at = former_leases_end(now, max_lease_s)
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -438,12 +438,14 @@
                 continue
             event.clear()
             unstored = worker.last_handled_end > worker.last_stored_end
+            may_acknowledge = worker.end_to_acknowledge(now) > 0
+            needs_report = not worker.has_reported or (
+                worker.has_ends_to_acknowledge and not may_acknowledge
+            )
             wait_s = (
-                0.0
-                if unstored or not worker.has_reported
-                else self._hold_pace().wait_s
+                0.0 if unstored or needs_report else self._hold_pace().wait_s
             )
-            if unstored:
+            if unstored and not may_acknowledge:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(pacing.MIN_HOLD_WAIT_S):
                         await event.wait()
@@ -485,7 +487,7 @@
         deadline_ms = self.scheduler.lease_deadline(sent_at, worker_id)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
         was_silent = worker.silent_since is not None
-        acknowledged_end = worker.end_to_acknowledge
+        acknowledged_end = worker.end_to_acknowledge(sent_at)
         process_ms = worker.started_unix_ms
         try:
             report = await self._context.workers.hold(
--- a/packages/testing/src/samphirestack_testing/fake_fleet.py
+++ b/packages/testing/src/samphirestack_testing/fake_fleet.py
@@ -639,12 +639,15 @@
         if name not in self.scheduler.workers_by_id:
             self._held_names.discard(name)
             return
-        self._hold(
-            name,
-            lambda: self._later(
-                HOLD_INTERVAL_S, lambda: self._hold_regularly(name)
-            ),
-        )
+        tracked = self.scheduler.workers_by_id[model.WorkerId(name)]
+
+        def hold_again() -> None:
+            interval_s = (
+                0.0 if tracked.has_ends_to_acknowledge else HOLD_INTERVAL_S
+            )
+            self._later(interval_s, lambda: self._hold_regularly(name))
+
+        self._hold(name, hold_again)
 
     def _hold(self, name: str, then: Callable[[], None]) -> None:
         """Renew the lease of a worker and read its report."""
@@ -656,7 +659,7 @@
         term, sent_at = self.term, self.now
         deadline_ms = self.scheduler.lease_deadline(self.now, name)
         self.scheduler.record_lease_deadline(worker_id, deadline_ms)
-        last_seen = tracked.end_to_acknowledge
+        last_seen = tracked.end_to_acknowledge(self.now)
         process_ms = tracked.started_unix_ms
 
         def carry_out() -> specs.WorkerReport | None:
--- a/tests/property/test_report_pages.py
+++ b/tests/property/test_report_pages.py
@@ -145,7 +145,14 @@
     def hold(self, choice: int) -> None:
         name = sorted(self.workers)[choice % len(self.workers)]
         tracked = self.world.scheduler.workers_by_id[model.WorkerId(name)]
-        last_seen = tracked.end_to_acknowledge
+        last_seen = tracked.end_to_acknowledge(self.now)
+        if tracked.has_ends_to_acknowledge and not last_seen:
+            # The holder asks for a report first.
+            report = self.workers[name].hold(self.now, 0)
+            self.world.scheduler.apply_report(
+                self.now, self.now, model.WorkerId(name), report
+            )
+            last_seen = tracked.end_to_acknowledge(self.now)
         report = self.workers[name].hold(self.now, last_seen)
         self.answers.append(Answer(name, self.now, report, last_seen))
 
--- a/tests/unit/fleet/test_evidence_across_restarts.py
+++ b/tests/unit/fleet/test_evidence_across_restarts.py
@@ -160,11 +160,24 @@
         world.report(0.2, 'a', ended=[end])
         world.store_changes()
         (worker,) = world.scheduler.workers_by_id.values()
-        assert worker.end_to_acknowledge == 1
+        assert worker.end_to_acknowledge(0.3) == 1
         worker.consecutive_failed_calls = 1
-        assert worker.end_to_acknowledge == 0
+        assert worker.end_to_acknowledge(0.3) == 0
         worker.consecutive_failed_calls = 0
-        assert worker.end_to_acknowledge == 1
+        assert worker.end_to_acknowledge(0.3) == 1
+
+    def test_none_is_sent_without_a_recent_report(self) -> None:
+        world = worlds.World([worlds.make_worker('a')])
+        world.accept(0.0, worlds.make_job(1))
+        (start,) = world.start_all(0.1)
+        end = (1, start.order.task_id, start.order.run, specs.EndReason.DONE)
+        world.report(0.2, 'a', ended=[end])
+        world.store_changes()
+        (worker,) = world.scheduler.workers_by_id.values()
+        late = 0.3 + tracking.ACKNOWLEDGE_WITHIN_S
+        assert worker.end_to_acknowledge(late) == 0
+        world.report(late, 'a', ended=[end])
+        assert worker.end_to_acknowledge(late) == 1
 
 
 class TestEndsOfTheFormerProcess:
--- a/tests/unit/fleet/test_pacing.py
+++ b/tests/unit/fleet/test_pacing.py
@@ -45,10 +45,10 @@
         assert not worker.is_idle
         world.store_changes(1.0)
         assert world.scheduler.jobs.is_known(job_id)
-        assert worker.end_to_acknowledge == 1
+        assert worker.end_to_acknowledge(1.0) == 1
         assert not worker.is_idle
         world.report(1.1, 'w', acknowledged_end=1)
-        assert worker.end_to_acknowledge == 0
+        assert worker.end_to_acknowledge(1.1) == 0
         assert worker.is_idle
 
 
