--- a/tests/unit/fleet/test_restarts_under_old_ids.py
+++ b/tests/unit/fleet/test_restarts_under_old_ids.py
@@ -118,6 +118,13 @@
         restarted.report(0.4, 0.35)
         assert restarted.starts_again(0.5)
 
+    def test_a_start_that_is_answered_after_the_restart_goes_on(self) -> None:
+        restarted = RestartedWorker()
+        restarted.observe(0.3, 'row')
+        restarted.report(0.36, 0.34)
+        restarted.observe(0.38, 'answer')
+        assert restarted.stops(0.4) == []
+
     def test_the_new_process_is_asked_at_once(self) -> None:
         restarted = RestartedWorker()
         restarted.observe(0.2, 'answer')
