Count refusals by cause and log which job a refused call was about

Cause: callers whose query of a state is refused, or gets no answer, can't be told apart by metrics: samphirestack_fleet_calls_total has the operation and the outcome only. A call that the check of its key or of the age of the configuration refuses was even logged and counted as a query of a queue, without its job. Change: samphirestack_fleet_calls_refused_total by operation and cause, samphirestack_fleet_state_queries_total by what the holder answered, the field holder in call.answered; the operation and the job are read from the path before the key is checked.

--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -52,6 +52,23 @@
     WAITING = 'waiting'
 
 
+class HolderAnswer(enum.Enum):
+    """What the holder of the term said about the state of a job."""
+
+    NONE = 'none'
+    """It is unknown or unreachable, still loads the jobs, or was too slow."""
+    UNKNOWN_JOB = 'unknown_job'
+    KNOWN_JOB = 'known_job'
+
+
+OPERATIONS = {
+    'POST': Operation.SUBMIT,
+    'GET': Operation.STATE,
+    'DELETE': Operation.CANCEL,
+}
+"""Operation on a job by method."""
+
+
 class Call(msgspec.Struct):
     """A call of a client."""
 
@@ -69,6 +86,8 @@
     operation: Operation = Operation.WAITING
     handed_over: bool = False
     """Whether another entry handed the call over to this one."""
+    holder_answer: HolderAnswer | None = None
+    """Set once the holder was asked for the state of the job."""
 
 
 class Outcome(enum.Enum):
@@ -88,6 +107,20 @@
     """The call may have taken effect."""
 
 
+class Cause(enum.Enum):
+    """Why a call was refused or has an unknown outcome."""
+
+    NO_CONFIGURATION = 'no_configuration'
+    OUTDATED_CONFIGURATION = 'outdated_configuration'
+    STORE_UNREACHABLE = 'store_unreachable'
+    """An earlier call to the store failed, and it has not answered since."""
+    STORE_FAILED = 'store_failed'
+    UNREADABLE_ROW = 'unreadable_row'
+    HOLDER_REFUSED = 'holder_refused'
+    NO_COUNT = 'no_count'
+    UNEXPECTED_ERROR = 'unexpected_error'
+
+
 class Reply(msgspec.Struct, frozen=True):
     """The reply to a call."""
 
@@ -97,6 +130,8 @@
     state: specs.JobState | None = None
     waiting: int | None = None
     retry_after_s: float | None = None
+    cause: Cause | None = None
+    """Set for the outcomes UNAVAILABLE and UNKNOWN."""
 
 
 class JobDecoder(Protocol):
@@ -153,8 +188,13 @@
     return Reply(outcome, verdicts.Verdict.NOT_RUN, detail)
 
 
-def _unknown(detail: str) -> Reply:
-    return Reply(Outcome.UNKNOWN, verdicts.Verdict.MAY_HAVE_RUN, detail)
+def _unknown(detail: str, cause: Cause) -> Reply:
+    return Reply(
+        Outcome.UNKNOWN,
+        verdicts.Verdict.MAY_HAVE_RUN,
+        detail,
+        cause=cause,
+    )
 
 
 def _may_access(
@@ -173,6 +213,14 @@
     return call.host == host and call.path.startswith(prefix)
 
 
+def _holder_answer(reply: messages.StateReply | None) -> HolderAnswer:
+    if reply is None:
+        return HolderAnswer.NONE
+    if reply.state is None:
+        return HolderAnswer.UNKNOWN_JOB
+    return HolderAnswer.KNOWN_JOB
+
+
 def _may_access_record(call: Call, record: records.JobRecord) -> bool:
     return _may_access(
         call, record.customer_id, record.queue.host, record.queue.prefix
@@ -204,7 +252,7 @@
             self._require_configuration,
             self._find_queue,
             self._check_key,
-            self._find_operation,
+            self._check_operation,
         )
 
     @property
@@ -229,7 +277,10 @@
                 reply = await self._run(call)
             except Exception as error:
                 logs.unexpected('call.failed', call.operation.value, error)
-                reply = _unknown('the call failed by an unexpected error')
+                reply = _unknown(
+                    'the call failed by an unexpected error',
+                    Cause.UNEXPECTED_ERROR,
+                )
         took_s = clock.now() - started_at
         metrics = self._context.metrics
         labels = {
@@ -237,6 +288,15 @@
             'outcome': reply.outcome.value,
         }
         metrics.calls.inc(labels)
+        if reply.cause is not None:
+            metrics.calls_refused.inc(
+                {
+                    'operation': call.operation.value,
+                    'cause': reply.cause.value,
+                }
+            )
+        if call.holder_answer is not None:
+            metrics.state_queries.inc({'answer': call.holder_answer.value})
         metrics.call_time.observe({'operation': call.operation.value}, took_s)
         if call.operation is not Operation.STATE or (
             reply.outcome is not Outcome.OK
@@ -251,6 +311,7 @@
                 outcome=reply.outcome.value,
                 verdict=reply.verdict.value,
                 detail=reply.detail,
+                holder=call.holder_answer.value if call.holder_answer else '',
                 took_s=round(took_s, 4),
                 version=configuration.version if configuration else 0,
                 version_age_s=round(
@@ -263,7 +324,9 @@
 
     def _require_configuration(self, call: Call) -> Reply | None:
         if self._configuration_feed.configuration is None:
-            return self._unavailable('this node has no configuration yet')
+            return self._unavailable(
+                'this node has no configuration yet', Cause.NO_CONFIGURATION
+            )
         return None
 
     def _find_queue(self, call: Call) -> Reply | None:
@@ -274,6 +337,12 @@
             return _not_run(
                 Outcome.NO_QUEUE, 'no queue has this host and path'
             )
+        # A call that is refused by a later filter is logged with these.
+        rest = call.path[len(call.queue.prefix) :].strip('/')
+        if rest:
+            call.operation = OPERATIONS.get(call.method, call.operation)
+        if JOB_ID.fullmatch(rest) is not None:
+            call.job_id = model.JobId(rest)
         return None
 
     def _check_key(self, call: Call) -> Reply | None:
@@ -288,32 +357,25 @@
         if call.queue.open_to_all:
             return None
         if age_s > bound_s:
-            return self._unavailable('the configuration may be out of date')
+            return self._unavailable(
+                'the configuration may be out of date',
+                Cause.OUTDATED_CONFIGURATION,
+            )
         if customer_id is None:
             return _not_run(Outcome.UNAUTHORIZED, 'the API key is unknown')
         return None
 
-    def _find_operation(self, call: Call) -> Reply | None:
+    def _check_operation(self, call: Call) -> Reply | None:
         assert call.queue is not None
-        rest = call.path[len(call.queue.prefix) :].strip('/')
-        if not rest:
+        if call.method not in OPERATIONS:
+            return _not_run(Outcome.NOT_ALLOWED, 'the method is not supported')
+        if call.operation is Operation.WAITING:
             if call.method != 'GET':
                 return _not_run(Outcome.NOT_ALLOWED, 'the path has no job id')
-            call.operation = Operation.WAITING
-            return None
-        operation = {
-            'POST': Operation.SUBMIT,
-            'GET': Operation.STATE,
-            'DELETE': Operation.CANCEL,
-        }.get(call.method)
-        if operation is None:
-            return _not_run(Outcome.NOT_ALLOWED, 'the method is not supported')
-        call.operation = operation
-        if JOB_ID.fullmatch(rest) is None:
+        elif not call.job_id:
             return _not_run(
                 Outcome.BAD_REQUEST, 'the job id must be 16 hexadecimal digits'
             )
-        call.job_id = model.JobId(rest)
         return None
 
     # Operations
@@ -321,7 +383,9 @@
     async def _run(self, call: Call) -> Reply:
         needs_store = call.operation in (Operation.SUBMIT, Operation.CANCEL)
         if needs_store and self._is_store_unreachable():
-            return await self._hand_over(call, 'the store is unreachable')
+            return await self._hand_over(
+                call, 'the store is unreachable', Cause.STORE_UNREACHABLE
+            )
         try:
             if call.operation is Operation.SUBMIT:
                 return await self._submit(call)
@@ -331,16 +395,20 @@
                 return await self._state(call)
         except errors.StoreUnavailable as error:
             self._store_failed_at = clock.now()
-            return await self._hand_over(call, error.message)
+            return await self._hand_over(
+                call, error.message, Cause.STORE_FAILED
+            )
         except errors.OutcomeUnknown as error:
             self._store_failed_at = clock.now()
             return await self._find_outcome(call, error.message)
         except msgspec.DecodeError as error:
             logs.limited_warning('job.bad_row', call.job_id, error)
-            return self._refuse(call, 'the stored job cannot be read')
+            return self._refuse(
+                call, 'the stored job cannot be read', Cause.UNREADABLE_ROW
+            )
         return self._count_waiting(call)
 
-    def _unavailable(self, detail: str) -> Reply:
+    def _unavailable(self, detail: str, cause: Cause) -> Reply:
         """Refuse a call that had no effect and may be retried."""
         elsewhere = self._holder.reaches_store(clock.now())
         return Reply(
@@ -350,13 +418,14 @@
             retry_after_s=RETRY_OTHER_ENTRY_S
             if elsewhere
             else RETRY_ANY_ENTRY_S,
+            cause=cause,
         )
 
-    def _unknown_outcome(self, call: Call, detail: str) -> Reply:
+    def _unknown_outcome(self, call: Call, detail: str, cause: Cause) -> Reply:
         self._unknown_job_ids[call.job_id] = None
         if len(self._unknown_job_ids) > MAX_UNKNOWN_JOBS:
             del self._unknown_job_ids[next(iter(self._unknown_job_ids))]
-        return _unknown(detail)
+        return _unknown(detail, cause)
 
     def _may_hand_over(self, call: Call) -> bool:
         """Return whether the holder may serve a call that this entry can't."""
@@ -368,7 +437,7 @@
             and self._holder.takes_submissions(clock.now())
         )
 
-    async def _hand_over(self, call: Call, detail: str) -> Reply:
+    async def _hand_over(self, call: Call, detail: str, cause: Cause) -> Reply:
         """Let the holder serve a call, or refuse it.
 
         :param detail: why this entry can't serve it, which had no effect.
@@ -377,11 +446,13 @@
         if self._may_hand_over(call):
             reply = await self._holder.submit(call)
         if reply is None:
-            return self._refuse(call, detail)
+            return self._refuse(call, detail, cause)
         if reply.outcome is Outcome.UNKNOWN:
-            return self._unknown_outcome(call, reply.detail)
+            return self._unknown_outcome(
+                call, reply.detail, Cause.HOLDER_REFUSED
+            )
         if reply.outcome is Outcome.UNAVAILABLE:
-            return self._refuse(call, reply.detail)
+            return self._refuse(call, reply.detail, Cause.HOLDER_REFUSED)
         return reply
 
     async def _find_outcome(self, call: Call, detail: str) -> Reply:
@@ -394,17 +465,17 @@
             reply = await self._holder.submit(call)
             if reply is not None and reply.outcome is Outcome.ACCEPTED:
                 return reply
-        return self._unknown_outcome(call, detail)
+        return self._unknown_outcome(call, detail, Cause.STORE_FAILED)
 
-    def _refuse(self, call: Call, detail: str) -> Reply:
+    def _refuse(self, call: Call, detail: str, cause: Cause) -> Reply:
         """Refuse a call that had no effect.
 
         If an earlier call of the same job has an unknown outcome, the job may
         still run, and the reply must not state that it did not run.
         """
         if call.job_id in self._unknown_job_ids:
-            return _unknown(detail)
-        return self._unavailable(detail)
+            return _unknown(detail, cause)
+        return self._unavailable(detail, cause)
 
     def _is_store_unreachable(self) -> bool:
         """Return whether the store has not answered since a call to it failed.
@@ -525,6 +596,7 @@
 
     async def _state(self, call: Call) -> Reply:
         reply = await self._holder.state_of(call.job_id, QUERY_TIMEOUT_S)
+        call.holder_answer = _holder_answer(reply)
         if (
             reply is not None
             and reply.state is not None
@@ -538,7 +610,8 @@
             return Reply(Outcome.OK, verdicts.Verdict.RAN, state=reply.state)
         if self._is_store_unreachable():
             return self._unavailable(
-                'the state is unknown while the store is unreachable'
+                'the state is unknown while the store is unreachable',
+                Cause.STORE_UNREACHABLE,
             )
         found = await self._read_job(call.job_id)
         if found is None or not _may_access_record(call, found[0]):
@@ -564,7 +637,9 @@
         assert call.queue is not None
         waiting = self._holder.waiting_by_queue(clock.now())
         if waiting is None:
-            return self._unavailable('the number of waiting jobs is unknown')
+            return self._unavailable(
+                'the number of waiting jobs is unknown', Cause.NO_COUNT
+            )
         return Reply(
             Outcome.OK,
             verdicts.Verdict.RAN,
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -17,6 +17,16 @@
             'samphirestack_fleet_calls_total',
             'Calls of clients by operation and status.',
         )
+        self.calls_refused = self._counter(
+            'samphirestack_fleet_calls_refused_total',
+            'Calls of clients that were refused or have an unknown outcome, '
+            'by operation and cause.',
+        )
+        self.state_queries = self._counter(
+            'samphirestack_fleet_state_queries_total',
+            'Queries of the states of jobs by what the holder of the term '
+            'answered; without an answer the store is read.',
+        )
         self.handed_over = self._counter(
             'samphirestack_fleet_handed_over_total',
             'Submissions that entries without the store handed over to this '
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -111,6 +111,19 @@
     return edge.Edge(context, feed, holder, lambda body: decoded), feed
 
 
+class BrieflyFailingStore(row_store.MemoryRowStore):
+    """Store whose reads fail while ``broken``."""
+
+    broken = False
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        if self.broken:
+            raise errors.StoreUnavailable('broken')
+        return await super().read(table, first, end, part)
+
+
 def make_call(method: str = 'POST', key: str = 'key') -> edge.Call:
     return edge.Call(method, 'host', f'/q/{JOB}', key, b'{}', None)
 
@@ -225,6 +238,48 @@
         }
 
 
+class TestCauses:
+    """Guards against refusals that metrics and logs don't tell apart."""
+
+    async def test_each_cause_of_an_unknown_state_is_counted(self) -> None:
+        store = BrieflyFailingStore()
+        entry, feed = make_edge(store)
+        await entry.handle(make_call())
+        counted = entry._context.metrics.calls_refused
+
+        def count(cause: edge.Cause) -> object:
+            return counted.get({'operation': 'state', 'cause': cause.value})
+
+        store.broken = True
+        reply = await entry.handle(make_call('GET'))
+        assert reply.cause is edge.Cause.STORE_FAILED
+        reply = await entry.handle(make_call('GET'))
+        assert reply.cause is edge.Cause.STORE_UNREACHABLE
+        store.broken = False
+        feed.answered_at = clock.now()
+        put = ports.Put(records.JOBS_TABLE, JOB, b'no record')
+        await store.transact([], [put], (), records.job_part(JOB))
+        reply = await entry.handle(make_call('GET'))
+        assert reply.cause is edge.Cause.UNREADABLE_ROW
+        feed.confirmed_at = clock.now() - 4.0
+        reply = await entry.handle(make_call('GET'))
+        assert reply.cause is edge.Cause.OUTDATED_CONFIGURATION
+        for cause in (
+            edge.Cause.STORE_FAILED,
+            edge.Cause.STORE_UNREACHABLE,
+            edge.Cause.UNREADABLE_ROW,
+            edge.Cause.OUTDATED_CONFIGURATION,
+        ):
+            assert count(cause) == 1
+
+    async def test_what_the_holder_answered_is_counted(self) -> None:
+        entry, _ = make_edge(row_store.MemoryRowStore())
+        await entry.handle(make_call())
+        await entry.handle(make_call('GET'))
+        answers = entry._context.metrics.state_queries
+        assert answers.get({'answer': edge.HolderAnswer.NONE.value}) == 1
+
+
 class AppliedWithoutAnswer(row_store.MemoryRowStore):
     """Store whose first write is applied without an answer."""
 
