Load jobs over narrow links instead of timing out all reads together

Cause: a new holder reads the 64 parts of the table of jobs at once, and each read must be complete after 0.9 s. Over a link that doesn't carry all parts in that time they time out together, over and over; the renewals of the term share the link and fail as well, so the holder yields the term to the next entry, which does the same.

--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -56,6 +56,10 @@
 """Interval between writes of the learned run times; a holder that takes over
 lacks those of the last interval."""
 
+PARTS_AT_ONCE = 8
+"""Parts of the table of jobs that are read at once.  Over a narrow link, more
+would delay each other and the renewals of the term."""
+
 RETRY_AFTER_S = 0.15
 FAILURES_UNTIL_SILENT = 2
 """Consecutive failed calls after which a worker counts as silent; one lost
@@ -271,11 +275,14 @@
 
     async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
         """Return the rows of all jobs and a version that all rows reflect."""
+        reading = asyncio.Semaphore(PARTS_AT_ONCE)
+
+        async def read(part: str) -> tuple[list[ports.StoredRow], int]:
+            async with reading:
+                return await self._read_table(records.JOBS_TABLE, part)
+
         found = await asyncio.gather(
-            *(
-                self._read_table(records.JOBS_TABLE, part)
-                for part in records.all_job_parts()
-            )
+            *(read(part) for part in records.all_job_parts())
         )
         rows = [row for part_rows, _ in found for row in part_rows]
         return rows, min(version for _, version in found)
--- a/packages/daemon/src/samphirestackd/http_client.py
+++ b/packages/daemon/src/samphirestackd/http_client.py
@@ -52,6 +52,8 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.closed = False
+        self.on_progress: Callable[[], None] | None = None
+        """Called when a part of the response arrives."""
         self._waiter: asyncio.Future[Response] | None = None
         self._reset()
 
@@ -71,6 +73,8 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
+        if self.on_progress is not None:
+            self.on_progress()
         try:
             self._parser.feed_data(data)
         except (
@@ -152,18 +156,26 @@
         headers: dict[str, str] | None = None,
         *,
         timeout_s: float,
+        progress_timeout_s: float = 0.0,
+        max_s: float = 0.0,
         fresh: bool = False,
         may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param address: ``IP:PORT``.
+        :param timeout_s: time for a response, or for its first part if
+            parts extend it.
+        :param progress_timeout_s: time for which each part of the response
+            extends the call, so that a large response may take long over a
+            narrow link while a silent server is still detected soon.
+        :param max_s: limit of the time for a response that is extended.
         :param fresh: open a new connection instead of reusing an idle one.
         :param may_send: checked when the connection is ready, which takes up
             to ``CONNECT_TIMEOUT_S``, and longer if this process is paused.
         :raises NotSent: no connection could be opened.
         :raises PermissionExpired: ``may_send`` returned false.
-        :raises NoAnswer: no complete response came within ``timeout_s``.
+        :raises NoAnswer: no complete response came in time.
         """
         lines = [f'{method} {target} HTTP/1.1', f'Host: {address}']
         if body:
@@ -180,16 +192,26 @@
         if may_send is not None and not may_send():
             self._return_idle(address, connection)
             raise PermissionExpired(f'a call to {address} came too late')
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         waiter = connection.send(data)
         done = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                if progress_timeout_s:
+                    connection.on_progress = lambda: _extend(
+                        limit,
+                        loop.time() + progress_timeout_s,
+                        started_at + max_s,
+                    )
                 response = await waiter
             done = True
             return response
         except TimeoutError:
-            raise NoAnswer(f'no answer within {timeout_s:.1f} s') from None
+            took_s = loop.time() - started_at
+            raise NoAnswer(f'no answer within {took_s:.1f} s') from None
         finally:
+            connection.on_progress = None
             if not done or connection.closed:
                 connection.abort()
             else:
@@ -247,6 +269,13 @@
             self.forget(address)
 
 
+def _extend(limit: asyncio.Timeout, until: float, latest: float) -> None:
+    """Move the deadline of a call, unless that would shorten it."""
+    deadline = limit.when()
+    if deadline is not None and not limit.expired():
+        limit.reschedule(max(deadline, min(until, latest)))
+
+
 async def refuses_connections(address: str) -> bool:
     """Return whether a host is up but no process listens at the address."""
     host, _, port = address.rpartition(':')
