Show a job with unreadable progress as running instead of refusing queries

What callers saw: in the form that fits the users' record best, a few jobs of which no entry tells the state: after a restart of all entries, a query of a job whose progress doesn't decode is refused with 503 at every entry, for good. Cause: the entry decodes the progress only to tell running jobs from ended ones, and refused the query when that failed, although the row of the job, with its customer, was read. Change: the job is shown as running, since the row of progress is first written when a job begins; the row is logged and counted. Evidence: test_a_job_with_unreadable_progress_has_a_state fails without the change (the reply has no state).

--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -628,7 +628,13 @@
         )
         if not page.rows:
             return specs.JobState.QUEUED
-        progress = progress_rows.decode(page.rows[0].value)
+        try:
+            progress = progress_rows.decode(page.rows[0].value)
+        except msgspec.DecodeError as error:
+            # The row exists only once the job has begun.
+            self._context.metrics.set_aside.inc({'source': 'row'})
+            logs.limited_warning('progress.bad_row', job_id, error)
+            return specs.JobState.RUNNING
         if progress.ended is not None and progress.ended.ended_as is not None:
             return progress.ended.ended_as
         return specs.JobState.RUNNING
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -216,6 +216,15 @@
         reply = await entry.handle(make_call('GET'))
         assert reply.state is specs.JobState.COMPLETED
 
+    async def test_a_job_with_unreadable_progress_has_a_state(self) -> None:
+        store = row_store.MemoryRowStore()
+        entry, _ = make_edge(store)
+        await entry.handle(make_call())
+        put = ports.Put(records.PROGRESS_TABLE, JOB, b'no record')
+        await store.transact([], [put])
+        reply = await entry.handle(make_call('GET'))
+        assert reply.state is specs.JobState.RUNNING
+
     async def test_a_second_submission_adds_nothing(self) -> None:
         store = row_store.MemoryRowStore()
         entry, _ = make_edge(store)
