Answer state queries at once while the holder has not loaded the jobs

What callers saw: after a takeover, each query of a state took 0.35 s more, until the new holder had read all jobs; while it can't read them, always. A query that costs that much of the caller's time is the first to get no answer when the store is slow as well. Cause: a holder that is not loaded, and a process that no longer holds the term, ignored the query, and the entry waited for its timeout before it read the store. Evidence: test_a_process_that_knows_no_jobs_says_so_at_once fails without the change (nothing is sent).

--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -72,7 +72,11 @@
 
 
 class StateReply(msgspec.Struct, tag='state_reply', frozen=True):
-    """Answer to a state query; ``state`` is absent for an unknown job."""
+    """Answer to a state query.
+
+    ``state`` is absent for an unknown job, and for all jobs if the process
+    does not hold the term or still loads the jobs.
+    """
 
     number: int
     state: specs.JobState | None
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -56,8 +56,9 @@
     """What the holder of the term said about the state of a job."""
 
     NONE = 'none'
-    """It is unknown or unreachable, still loads the jobs, or was too slow."""
+    """It is unknown or unreachable, or was too slow."""
     UNKNOWN_JOB = 'unknown_job'
+    """It doesn't know the job, or not yet: it still loads the jobs."""
     KNOWN_JOB = 'known_job'
 
 
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -498,18 +498,20 @@
                 self._submissions.handle_request(
                     identity, message, holder is not None
                 )
+        elif isinstance(message, messages.StateQuery):
+            # Without a state, the entry reads the store at once.
+            self._listener.send(
+                identity,
+                _state_reply(holder, message.number, message.job_id)
+                if holder is not None and holder.loaded
+                else messages.StateReply(message.number, None, None),
+            )
         elif holder is None:
             return
         elif isinstance(message, messages.JobStored):
             holder.add_job(message.row, message.version)
         elif isinstance(message, messages.CancelStored):
             holder.cancel_job(message.job_id, message.version)
-        elif isinstance(message, messages.StateQuery):
-            if holder.loaded:
-                self._listener.send(
-                    identity,
-                    _state_reply(holder, message.number, message.job_id),
-                )
         elif isinstance(message, messages.AdviceReply):
             holder.handle_advice_reply(message)
 
--- a/tests/unit/fleet/test_node.py
+++ b/tests/unit/fleet/test_node.py
@@ -77,6 +77,20 @@
     return messages.Ping(model.VmId('other'), 3, life, store_age_s, 1.0)
 
 
+class TestStateQueries:
+    """Guards against entries that wait in vain before they read the store."""
+
+    @pytest.mark.parametrize('holder', [None, StubHolder(loaded=False)])
+    async def test_a_process_that_knows_no_jobs_says_so_at_once(
+        self, holder: StubHolder | None
+    ) -> None:
+        async with running_node() as (fleet_node, recorder):
+            fleet_node._holder = holder  # type: ignore[assignment]
+            query = messages.StateQuery(7, model.JobId('5c0e7a21d94b36f8'))
+            fleet_node._handle_entry_message(b'e', query)
+            assert recorder.sent == [messages.StateReply(7, None, None)]
+
+
 class TestCounts:
     """Guards against counts of waiting jobs that are too low or too old."""
 
