Use a late answer of the holder when the store does not tell a state

What callers saw: 'the state is unknown while the store is unreachable', or a failed read, although the holder of the term knows the job: its answer came after 0.35 s, because it was planning, or its link or processor were busy. Cause: after 0.35 s the entry dropped the query to the holder and relied on the store alone; a failed call of any other client then refused all states. Change: the query goes on for 1.5 s beside the read of the store, and its answer counts if the read fails. Evidence: test_a_late_answer_counts_if_the_store_fails fails without the change (no state). Whether it changes the users' case isn't known.

--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -1,5 +1,6 @@
 """Handling of client calls: a chain of filters, then the operation."""
 
+import asyncio
 import enum
 import re
 from typing import Protocol
@@ -39,8 +40,11 @@
 entry receives during an outage that clients wait out."""
 
 QUERY_TIMEOUT_S = 0.35
-"""Timeout of a query to the holder, which answers within milliseconds.  The
-store is queried after it."""
+"""Time after which a query to the holder, which answers within milliseconds,
+is late.  The store is queried then."""
+
+LATE_ANSWER_S = 1.5
+"""Time after which a query to the holder has failed."""
 
 
 class Operation(enum.Enum):
@@ -596,24 +600,56 @@
         return Reply(Outcome.OK, verdicts.Verdict.RAN)
 
     async def _state(self, call: Call) -> Reply:
-        reply = await self._holder.state_of(call.job_id, QUERY_TIMEOUT_S)
-        call.holder_answer = _holder_answer(reply)
+        """Return the state of a job by the holder, else by the store.
+
+        A late answer of the holder still counts if the store fails.
+        """
+        query = asyncio.create_task(
+            self._holder.state_of(call.job_id, LATE_ANSWER_S)
+        )
+        try:
+            await asyncio.wait([query], timeout=QUERY_TIMEOUT_S)
+            if query.done():
+                reply = self._held_state(call, query.result())
+                if reply is not None:
+                    return reply
+            failure: errors.StoreUnavailable | None = None
+            if not self._is_store_unreachable():
+                try:
+                    return await self._state_in_store(call)
+                except errors.StoreUnavailable as error:
+                    failure = error
+            reply = self._held_state(call, await query)
+        finally:
+            query.cancel()
+        if reply is not None:
+            return reply
+        if failure is not None:
+            raise failure
+        return self._unavailable(
+            'the state is unknown while the store is unreachable',
+            Cause.STORE_UNREACHABLE,
+        )
+
+    def _held_state(
+        self, call: Call, answer: messages.StateReply | None
+    ) -> Reply | None:
+        """Return the reply by an answer of the holder, if it has a state."""
+        call.holder_answer = _holder_answer(answer)
         if (
-            reply is not None
-            and reply.state is not None
-            and reply.host is not None
-            and reply.prefix is not None
+            answer is None
+            or answer.state is None
+            or answer.host is None
+            or answer.prefix is None
         ):
-            if not _may_access(
-                call, reply.customer_id, reply.host, reply.prefix
-            ):
-                return _not_run(Outcome.NO_JOB, 'there is no such job')
-            return Reply(Outcome.OK, verdicts.Verdict.RAN, state=reply.state)
-        if self._is_store_unreachable():
-            return self._unavailable(
-                'the state is unknown while the store is unreachable',
-                Cause.STORE_UNREACHABLE,
-            )
+            return None
+        if not _may_access(
+            call, answer.customer_id, answer.host, answer.prefix
+        ):
+            return _not_run(Outcome.NO_JOB, 'there is no such job')
+        return Reply(Outcome.OK, verdicts.Verdict.RAN, state=answer.state)
+
+    async def _state_in_store(self, call: Call) -> Reply:
         found = await self._read_job(call.job_id)
         if found is None or not _may_access_record(call, found[0]):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import pytest
+
 from samphirestack import errors
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
@@ -11,6 +13,7 @@
 from samphirestack import verdict as verdicts
 from samphirestack_testing import fleet_world as worlds
 from samphirestack_testing import row_store
+from samphirestack_testing import waiting
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import configuration_feed
 from samphirestackd.fleet import edge
@@ -247,6 +250,41 @@
         }
 
 
+class LateHolder(NoHolder):
+    """Holder that answers once the store was tried."""
+
+    def __init__(self, store: FailingStore) -> None:
+        super().__init__()
+        self.store = store
+
+    async def state_of(
+        self, job_id: model.JobId, timeout_s: float
+    ) -> messages.StateReply | None:
+        del job_id
+        await waiting.until(
+            lambda: self.store.calls > 0, timeout_s, 'a call to the store'
+        )
+        return messages.StateReply(
+            1, specs.JobState.RUNNING, model.TeamId('team'), 'host', '/q/'
+        )
+
+
+class TestLateAnswers:
+    """Guards against states that are refused although the holder knows them.
+
+    It may be slow at the moment at which the store fails.
+    """
+
+    async def test_a_late_answer_counts_if_the_store_fails(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(edge, 'QUERY_TIMEOUT_S', 0.0)
+        store = FailingStore(errors.StoreUnavailable)
+        entry, _ = make_edge(store, holder=LateHolder(store))
+        reply = await entry.handle(make_call('GET'))
+        assert reply.state is specs.JobState.RUNNING
+
+
 class TestCauses:
     """Guards against refusals that metrics and logs don't tell apart."""
 
