Keep transactions of the holder within the store's number of entries

Nothing starts or ends meanwhile. Cause: the number of rows of jobs was bounded, that of the others wasn't. Change: eight other rows in one write; the rest follows in the next ones. Evidence: test_many_waves_beside_many_jobs_fit fails without the change (110 entries); the tests of writer, upkeep, node and holder pass.

--- a/packages/daemon/src/samphirestackd/fleet/writer.py
+++ b/packages/daemon/src/samphirestackd/fleet/writer.py
@@ -25,6 +25,9 @@
 cost.  It delays a start by half the pause on average."""
 
 RETRY_AFTER_S = 0.1
+MAX_EXTRA_PUTS = 8
+"""Rows other than those of jobs in one write; see ``job_tracker.MAX_ENTRIES``.
+The others wait for the next one."""
 
 
 class TermLost(Exception):
@@ -50,8 +53,8 @@
         self._on_stored = on_stored
         self._releasing = False
         self._extra_puts_by_key: dict[tuple[str, str], ports.Put] = {}
-        """Rows other than those of jobs for the next transaction, by table
-        and key; a few."""
+        """Rows other than those of jobs for the next transactions, by table
+        and key, oldest first."""
         self._extra_puts_stored = asyncio.Event()
         self.write_requested = asyncio.Event()
         self.last_write_s = float('inf')
@@ -75,21 +78,35 @@
                 pass
             self.write_requested.clear()
             changes = self._scheduler.collect_changes()
-            extra_puts = tuple(self._extra_puts_by_key.values())
-            extra_puts_stored = self._extra_puts_stored
-            self._extra_puts_by_key = {}
-            self._extra_puts_stored = asyncio.Event()
+            extra_puts, extra_puts_stored = self._collect_extra_puts()
             await self._write(
                 changes, self._term.renewal_record(self._releasing), extra_puts
             )
-            extra_puts_stored.set()
+            if extra_puts_stored is not None:
+                extra_puts_stored.set()
             self._on_stored(changes)
             if self._releasing:
                 raise TermLost('this process released the term')
-            if self._scheduler.jobs.has_changes:
+            if self._scheduler.jobs.has_changes or self._extra_puts_by_key:
                 self.write_requested.set()
             await asyncio.sleep(BATCH_INTERVAL_S)
 
+    def _collect_extra_puts(
+        self,
+    ) -> tuple[tuple[ports.Put, ...], asyncio.Event | None]:
+        """Remove rows for one transaction from those that wait.
+
+        :return: the rows, and the event to set once they are stored, unless
+            others wait that were added before it was requested.
+        """
+        keys = list(self._extra_puts_by_key)[:MAX_EXTRA_PUTS]
+        puts = tuple(self._extra_puts_by_key.pop(key) for key in keys)
+        if self._extra_puts_by_key:
+            return puts, None
+        stored = self._extra_puts_stored
+        self._extra_puts_stored = asyncio.Event()
+        return puts, stored
+
     def store(self, puts: Iterable[ports.Put]) -> asyncio.Event:
         """Add rows to the next transaction; newer ones replace older ones.
 
