Report jobs that are set aside because of the size of their progress

What operators saw: nothing. A job whose progress exceeds the limit of a row is set aside for the rest of the term, and neither the metric samphirestack_fleet_set_aside_total nor job.progress_too_large said so. Cause: the function that reports them was never called. Change: it is called after each write. Evidence: test_a_job_that_is_set_aside_is_counted fails without the change.

--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -684,6 +684,7 @@
 
     def _on_changes_stored(self, changes: actions.Changes) -> None:
         self._send_starts(changes)
+        self._report_oversized()
         for worker_id in self.scheduler.mark_stored(clock.now(), changes):
             event = self._stored_events.get(worker_id)
             if event is not None:
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -1015,3 +1015,19 @@
             await holder._start(start)
         assert not workers.sent_calls
         assert not worker.consecutive_failed_calls
+
+
+class TestOversizedProgress:
+    """Guards against jobs that are set aside without a trace."""
+
+    async def test_a_job_that_is_set_aside_is_counted(self) -> None:
+        workers = Workers(ZeroDivisionError(), 0)
+        holder = make_holder(row_store.MemoryRowStore(), workers)
+        plan_start(holder)
+        (job,) = holder.scheduler.jobs.active_by_id.values()
+        job.progress.done_by_step = {
+            f'{number}.0': [0] for number in range(9000)
+        }
+        holder._on_changes_stored(holder.scheduler.collect_changes())
+        counted = holder._context.metrics.set_aside
+        assert counted.get({'source': 'progress'}) == 1
