--- a/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
+++ b/packages/daemon/src/samphirestackd/fleet/configuration_feed.py
@@ -93,18 +93,13 @@
         while True:
             sent_at = clock.now()
             try:
-                if version is None:
+                if version is None or sent_at - read_at > REREAD_INTERVAL_S:
                     rows, version = await table_reader.read_table(
                         self._store, self._registry.operator_table
                     )
                     read_at = sent_at
                     self._apply_table(rows, version)
                 else:
-                    if sent_at - read_at > REREAD_INTERVAL_S:
-                        # The feed goes on to confirm the configuration while
-                        # a read of the table takes long or fails.
-                        read_at = sent_at
-                        self.request_read()
                     # After a failure, the first call does not wait for
                     # changes, so that recovery is detected at once.
                     page = await self._store.feed(
