--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -56,7 +56,7 @@
 """Interval between writes of the learned run times; a holder that takes over
 lacks those of the last interval."""
 
-PARTS_AT_ONCE = 8
+PARTS_AT_ONCE = 16
 """Parts of the table of jobs that are read at once.  Over a narrow link, more
 would delay each other and the renewals of the term."""
 
--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -10,12 +10,14 @@
 import pytest
 
 from samphirestack import errors
+from samphirestack.fleet import ports
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack.fleet import term as terms
 from samphirestack import model
 from samphirestack_platform import store as stores
 from samphirestack_testing import fleet_world as worlds
+from samphirestack_testing import row_store
 from samphirestackd.fleet import clock
 from samphirestackd.fleet import holder as holders
 from samphirestackd import http_client
@@ -23,6 +25,9 @@
 TIMEOUT_S = 20.0
 PART_BYTES = 6000
 BYTES_PER_S = 500_000
+SLOW_BYTES_PER_S = 4000
+"""An answer takes seconds."""
+
 CHUNK_BYTES = 1000
 
 
@@ -44,7 +49,8 @@
 class NarrowStore:
     """Store whose answers share a link; each part has its own ended jobs."""
 
-    def __init__(self) -> None:
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
         self._link = asyncio.Lock()
         self.job_count = 0
         self.silent = False
@@ -86,15 +92,17 @@
             if self.silent and start:
                 await asyncio.Event().wait()
             async with self._link:
-                await asyncio.sleep(CHUNK_BYTES / BYTES_PER_S)
+                await asyncio.sleep(CHUNK_BYTES / self._bytes_per_s)
                 writer.write(data[start : start + CHUNK_BYTES])
                 await writer.drain()
 
 
 @contextlib.asynccontextmanager
-async def serving() -> AsyncIterator[tuple[NarrowStore, stores.Store]]:
+async def serving(
+    bytes_per_s: float = BYTES_PER_S,
+) -> AsyncIterator[tuple[NarrowStore, stores.Store]]:
     """Run a narrow store and return it with a client of it."""
-    narrow = NarrowStore()
+    narrow = NarrowStore(bytes_per_s)
     connections: set[asyncio.Task[None]] = set()
 
     async def serve(
@@ -121,6 +129,24 @@
         await asyncio.gather(*connections, return_exceptions=True)
 
 
+class ConcurrentReads(row_store.MemoryRowStore):
+    """Store that counts the reads in progress."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._active = 0
+        self.most = 0
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> ports.Page:
+        self._active += 1
+        self.most = max(self.most, self._active)
+        await asyncio.sleep(0)
+        self._active -= 1
+        return await super().read(table, first, end, part)
+
+
 class Registry:
     """Registry of a store without workers."""
 
@@ -130,7 +156,7 @@
 class TestNarrowLinks:
     """Guards against a term that goes round because no holder can load."""
 
-    async def test_all_jobs_are_loaded_although_no_part_arrives_in_time(
+    async def test_a_holder_loads_all_jobs_over_a_narrow_link(
         self,
     ) -> None:
         async with serving() as (narrow, store):
@@ -150,6 +176,46 @@
             jobs = holder.scheduler.jobs
             assert len(jobs.ended_by_id) == narrow.job_count
 
+    async def test_few_parts_are_read_at_once(self) -> None:
+        reads = ConcurrentReads()
+        context = worlds.make_context(reads)
+        context.registry = Registry()  # type: ignore[assignment]
+        holder = holders.Holder(
+            context,
+            terms.Term(model.VmId('vm'), 'life', 'address'),
+            worlds.make_configuration(),
+            lambda identity, one: None,
+        )
+        await holder._load()
+        assert 1 < reads.most <= len(records.all_job_parts()) // 4
+
+    async def test_an_answer_may_take_long_while_it_goes_on(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(stores, 'CALL_TIMEOUT_S', 0.5)
+        async with serving(SLOW_BYTES_PER_S) as (_, store):
+            part = records.all_job_parts()[0]
+            page = await store.read(records.JOBS_TABLE, part=part)
+            assert page.rows
+
+    async def test_an_answer_that_goes_on_too_long_is_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(stores, 'MAX_READ_S', 0.95)
+        async with serving(SLOW_BYTES_PER_S) as (_, store):
+            part = records.all_job_parts()[0]
+            with pytest.raises(errors.StoreUnavailable):
+                await store.read(records.JOBS_TABLE, part=part)
+
+    async def test_a_single_row_is_not_waited_for_any_longer(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(stores, 'CALL_TIMEOUT_S', 0.5)
+        async with serving(SLOW_BYTES_PER_S) as (_, store):
+            part = records.all_job_parts()[0]
+            with pytest.raises(errors.StoreUnavailable):
+                await store.read(records.JOBS_TABLE, 'key', 'key~', part)
+
     async def test_an_answer_that_stops_midway_is_given_up(self) -> None:
         async with serving() as (narrow, store):
             narrow.silent = True
