Take the state from whichever of holder and store tells it first

Change: once the holder is late, both are awaited together; unfinished queries and reads are cancelled and awaited. Evidence: test_a_late_answer_does_not_wait_for_the_store fails without the change (no reply in 10 s).

--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import re
+from typing import Any
 from typing import Protocol
 
 import msgspec
@@ -600,36 +601,39 @@
         return Reply(Outcome.OK, verdicts.Verdict.RAN)
 
     async def _state(self, call: Call) -> Reply:
-        """Return the state of a job by the holder, else by the store.
+        """Return the state of a job by the holder or the store.
 
-        A late answer of the holder still counts if the store fails.
+        The holder is asked first.  If it is late, whichever tells the state
+        first counts.
         """
         query = asyncio.create_task(
             self._holder.state_of(call.job_id, LATE_ANSWER_S)
         )
+        tasks: list[asyncio.Task[Any]] = [query]
         try:
             await asyncio.wait([query], timeout=QUERY_TIMEOUT_S)
             if query.done():
                 reply = self._held_state(call, query.result())
                 if reply is not None:
                     return reply
-            failure: errors.StoreUnavailable | None = None
-            if not self._is_store_unreachable():
-                try:
-                    return await self._state_in_store(call)
-                except errors.StoreUnavailable as error:
-                    failure = error
-            reply = self._held_state(call, await query)
+            if self._is_store_unreachable():
+                reply = self._held_state(call, await query)
+                return reply or self._unavailable(
+                    'the state is unknown while the store is unreachable',
+                    Cause.STORE_UNREACHABLE,
+                )
+            read = asyncio.create_task(self._state_in_store(call))
+            tasks.append(read)
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if not read.done() or read.exception() is not None:
+                reply = self._held_state(call, await query)
+                if reply is not None:
+                    return reply
+            return await read
         finally:
-            query.cancel()
-        if reply is not None:
-            return reply
-        if failure is not None:
-            raise failure
-        return self._unavailable(
-            'the state is unknown while the store is unreachable',
-            Cause.STORE_UNREACHABLE,
-        )
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     def _held_state(
         self, call: Call, answer: messages.StateReply | None
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -1,5 +1,6 @@
 """Replies to clients while the store or the holder is unreachable."""
 
+import asyncio
 from collections.abc import Sequence
 
 import pytest
@@ -18,6 +19,7 @@
 from samphirestackd.fleet import configuration_feed
 from samphirestackd.fleet import edge
 
+TIMEOUT_S = 10.0
 JOB = '5c0e7a21d94b36f8'
 
 
@@ -269,6 +271,17 @@
         )
 
 
+class StuckReads(FailingStore):
+    """Store whose reads never end."""
+
+    async def read(
+        self, table: str, first: str = '', end: str = '', part: str = ''
+    ) -> None:
+        del table, first, end, part
+        self.calls += 1
+        await asyncio.Event().wait()
+
+
 class TestLateAnswers:
     """Guards against states that are refused although the holder knows them.
 
@@ -284,6 +297,16 @@
         reply = await entry.handle(make_call('GET'))
         assert reply.state is specs.JobState.RUNNING
 
+    async def test_a_late_answer_does_not_wait_for_the_store(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(edge, 'QUERY_TIMEOUT_S', 0.0)
+        store = StuckReads(errors.StoreUnavailable)
+        entry, _ = make_edge(store, holder=LateHolder(store))
+        async with asyncio.timeout(TIMEOUT_S):
+            reply = await entry.handle(make_call('GET'))
+        assert reply.state is specs.JobState.RUNNING
+
 
 class TestCauses:
     """Guards against refusals that metrics and logs don't tell apart."""
