Bound the rows in a renewal of the term to what a narrow link carries

By reading (review): a write holds up to 500 kB of rows, 667 kB as sent, has 0.9 s in all and is repeated unchanged; over an uplink below 6 Mbit/s it never succeeds, and the term is lost with it. Cause: the renewal shares a transaction with rows whose size was bounded by what the store takes, not by the time for a renewal. Change: other rows wait for the next write from 64 kB on. Evidence: test_a_renewal_with_large_rows_passes_a_narrow_link fails without the change.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -18,9 +18,9 @@
 """Rows of jobs in one write.  A transaction holds 100 entries, of which the
 row of the term takes two and waves of upkeep a few."""
 
-MAX_BYTES = 500_000
+MAX_BYTES = 64_000
 """Size of the rows in one write from which the others wait for the next one.
-A transaction holds 1 MB in the encoding of the platform."""
+Each write renews the term, so it must also pass a narrow link in time."""
 
 
 class JobTracker:
--- a/tests/unit/fleet/test_progress_rows.py
+++ b/tests/unit/fleet/test_progress_rows.py
@@ -15,6 +15,9 @@
 INDEXES = strategies.integers(0, 9999)
 KEYS = strategies.builds('{}.{}'.format, STEPS, INDEXES)
 RUNS = strategies.integers(1, 5000)
+BASE64_FACTOR = 4 / 3
+NARROW_LINK_BYTES = 5_000_000 / 8 * 0.45
+"""What a link of 5 Mbit/s carries in half of the time for a write."""
 
 
 def as_sets(progress: records.JobProgress) -> tuple[object, ...]:
@@ -187,6 +190,21 @@
             stored.update(changes.job_ids)
         assert len(stored) == 60
 
+    def test_a_renewal_with_large_rows_passes_a_narrow_link(self) -> None:
+        workers = [
+            worlds.make_worker(f'worker-{number}', 300_000, 300_000)
+            for number in range(120)
+        ]
+        world = worlds.World(workers)
+        for number in range(60):
+            step = worlds.make_step(600, size=model.Resources(1000, 1))
+            world.accept(0.0, worlds.make_job(number + 1, [step]))
+        world.plan_starts(0.1)
+        while world.scheduler.jobs.has_changes:
+            changes = world.scheduler.collect_changes()
+            size = sum(len(put.value) for put in changes.puts)
+            assert size * BASE64_FACTOR <= NARROW_LINK_BYTES
+
     def test_a_takeover_knows_the_placements(self) -> None:
         workers = [
             worlds.make_worker(f'worker-of-the-fleet-{number}', 64_000)
