Refuse calls without trying only after the store gave no answer

What callers saw: after one call that the store refused, such as for one busy part of a table, an entry refused all submissions and all states that the holder doesn't tell, until its feed had the next answer (up to a second). Repeated queries of a few such jobs renew this. Cause: any failure of a call counted as a sign that calls would wait for their timeout in vain. A refusal comes at once, and says nothing of other calls.

--- a/packages/core/src/samphirestack/errors.py
+++ b/packages/core/src/samphirestack/errors.py
@@ -235,6 +235,13 @@
     hint = 'Send it again when the platform answers.'
 
 
+class StoreRefused(StoreUnavailable):
+    """The store answered that it did not execute this call.
+
+    It may still execute others, such as those on other parts of a table.
+    """
+
+
 class TransactionConflict(PlatformError):
     """A conditional write failed because a row has an unexpected version.
 
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -119,7 +119,7 @@
     NO_CONFIGURATION = 'no_configuration'
     OUTDATED_CONFIGURATION = 'outdated_configuration'
     STORE_UNREACHABLE = 'store_unreachable'
-    """An earlier call to the store failed, and it has not answered since."""
+    """An earlier call got no answer of the store, and none came since."""
     STORE_FAILED = 'store_failed'
     UNREADABLE_ROW = 'unreadable_row'
     HOLDER_REFUSED = 'holder_refused'
@@ -400,7 +400,8 @@
             if call.operation is Operation.STATE:
                 return await self._state(call)
         except errors.StoreUnavailable as error:
-            self._store_failed_at = clock.now()
+            if not isinstance(error, errors.StoreRefused):
+                self._store_failed_at = clock.now()
             return await self._hand_over(
                 call, error.message, Cause.STORE_FAILED
             )
@@ -484,7 +485,7 @@
         return self._unavailable(detail, cause)
 
     def _is_store_unreachable(self) -> bool:
-        """Return whether the store has not answered since a call to it failed.
+        """Return whether a call failed since the store last answered.
 
         While this holds, calls are refused at once instead of waiting for a
         timeout.  The feed of the configuration polls the store all the time
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -164,6 +164,16 @@
         reply = await entry.handle(make_call())
         assert reply.outcome is edge.Outcome.ACCEPTED
 
+    async def test_a_refused_call_does_not_refuse_others(self) -> None:
+        """Guards against refusals because of one busy part of the store."""
+        store = FailingStore(errors.StoreRefused)
+        entry, _ = make_edge(store)
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+        store.error = None
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.ACCEPTED
+
     async def test_a_refusal_after_an_unknown_outcome_may_have_run(
         self,
     ) -> None:
