--- a/packages/core/src/samphirestack/fleet/pacing.py
+++ b/packages/core/src/samphirestack/fleet/pacing.py
@@ -7,6 +7,11 @@
 
 import msgspec
 
+MIN_READS_AT_ONCE = 2
+MAX_READS_AT_ONCE = 64
+READS_AT_ONCE_PER_CORE = 32
+"""Reads of parts at once for each unit of strength, which 40 Mbit/s make."""
+
 MIN_PING_INTERVAL_S = 0.3
 MAX_PING_INTERVAL_S = 1.0
 """Range of the interval of an entry's pings.  The longest is below the age of
@@ -81,3 +86,17 @@
     return CHECK_INTERVAL_S * max(
         1.0, worker_count / WORKERS_PER_CHECK_INTERVAL
     )
+
+
+def reads_at_once(strength: float) -> int:
+    """Return how many parts of a table a new holder reads at once.
+
+    This answers a narrow link, on which large answers delay each other and
+    the renewals of the term.
+
+    :param strength: of the entry; see ``term.strength``.
+    """
+    return max(
+        MIN_READS_AT_ONCE,
+        min(MAX_READS_AT_ONCE, int(READS_AT_ONCE_PER_CORE * strength)),
+    )
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -56,10 +56,6 @@
 """Interval between writes of the learned run times; a holder that takes over
 lacks those of the last interval."""
 
-PARTS_AT_ONCE = 16
-"""Parts of the table of jobs that are read at once.  Over a narrow link, more
-would delay each other and the renewals of the term."""
-
 RETRY_AFTER_S = 0.15
 FAILURES_UNTIL_SILENT = 2
 """Consecutive failed calls after which a worker counts as silent; one lost
@@ -275,7 +271,9 @@
 
     async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
         """Return the rows of all jobs and a version that all rows reflect."""
-        reading = asyncio.Semaphore(PARTS_AT_ONCE)
+        reading = asyncio.Semaphore(
+            pacing.reads_at_once(self._context.strength)
+        )
 
         async def read(part: str) -> tuple[list[ports.StoredRow], int]:
             async with reading:
--- a/tests/integration/test_narrow_links.py
+++ b/tests/integration/test_narrow_links.py
@@ -162,6 +162,7 @@
         async with serving() as (narrow, store):
             context = worlds.make_context(store)
             context.registry = Registry()  # type: ignore[assignment]
+            context.strength = terms.strength(2.0, 5.0)
             term = terms.Term(model.VmId('vm'), 'life', 'address')
             record = records.TermRecord(1, model.VmId('vm'), 'life', 'address')
             term.record_write(clock.now(), record, 0)
@@ -176,10 +177,16 @@
             jobs = holder.scheduler.jobs
             assert len(jobs.ended_by_id) == narrow.job_count
 
-    async def test_few_parts_are_read_at_once(self) -> None:
+    @pytest.mark.parametrize(
+        ('link_mbps', 'most'), [(2.0, 2), (5.0, 4), (100.0, 64)]
+    )
+    async def test_the_link_bounds_how_many_parts_are_read_at_once(
+        self, link_mbps: float, most: int
+    ) -> None:
         reads = ConcurrentReads()
         context = worlds.make_context(reads)
         context.registry = Registry()  # type: ignore[assignment]
+        context.strength = terms.strength(2.0, link_mbps)
         holder = holders.Holder(
             context,
             terms.Term(model.VmId('vm'), 'life', 'address'),
@@ -187,7 +194,7 @@
             lambda identity, one: None,
         )
         await holder._load()
-        assert 1 < reads.most <= len(records.all_job_parts()) // 4
+        assert reads.most == most
 
     async def test_an_answer_may_take_long_while_it_goes_on(
         self, monkeypatch: pytest.MonkeyPatch
