Review: a lasting task crashes workers without end

Cause: the crashes of a lasting task are forgotten once its next run is listed 0.3 s after its start.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case cannot run.
+exec python3 -B "$(dirname "${BASH_SOURCE[0]}")/case.py"
