Review: done tasks of a job with too large a progress run again

Cause: a job whose row of progress would exceed the store's limit is set aside, its unstored changes are dropped, and the ends of runs in them are acknowledged all the same. The next holder starts these tasks again.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,84 +1,76 @@
-"""A task that lasts crashes one worker after the other without end."""
+"""A task that lasts ends by itself as done and is not started again."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / 'standin2'))
 import fleet as fleets  # noqa: E402
 
-WORKERS = 6
-CRASHES = 3
-MORE_STARTS = 3
-OBSERVED_S = 40.0
-LONG_MS = 12_000
+AFTER_LAST_RUN_S = 6.0
+IDLE_S = 3.0
+OBSERVED_S = 25.0
 
 
-def body(specification, count, **fields):
-    step = {
-        'count': count,
-        'cpu': 500,
-        'memory_request_mb': 64,
-        'estimated_ms': 1000,
+def lasting_job(count):
+    return {
+        'specification': 'lasts;startup_ms=300;run_ms=3000;how=done',
+        'steps': [
+            {
+                'count': count,
+                'cpu': 500,
+                'memory_request_mb': 64,
+                'estimated_ms': 1000,
+                'long_running': True,
+            }
+        ],
     }
-    return {'specification': specification, 'steps': [dict(step, **fields)]}
 
 
 async def case(record, trouble):
     async with fleets.Fleet(record, entries=3) as fleet:
         fleet.configure()
-        for number in range(WORKERS):
+        for number in range(4):
             await fleet.add_worker(number)
         await fleet.start_entries()
         await fleet.wait_holder()
-        deadly = fleets.job_id()
-        crash = ';crash_ms=1000' if trouble else ''
-        await fleet.submit(
-            deadly,
-            body(f'lasts;startup_ms=500{crash}', 1, long_running=True),
-            '/one/',
-            'key-1',
+        # The first run of task 0 of each job ends as done.
+        fleet.ends_by_itself = lambda run: (
+            trouble and run.number == 1 and run.task.endswith('.0')
         )
-        ordinary = fleets.job_id()
-        await fleet.submit(
-            ordinary,
-            body(f'run_ms={LONG_MS}', 12),
-            '/two/',
-            'key-2',
-        )
-        for _ in range(int(OBSERVED_S / 5)):
-            await asyncio.sleep(5)
-            for prefix, job_id, key in (
-                ('/one/', deadly, 'key-1'),
-                ('/two/', ordinary, 'key-2'),
-            ):
-                await fleet.call(
-                    fleet.entries[0], 'GET', f'{prefix}{job_id}', key=key
+        counts_by_id = {fleets.job_id(): 1, fleets.job_id(): 2}
+        for job_id, count in counts_by_id.items():
+            await fleet.submit(job_id, lasting_job(count))
+        states = {}
+        until = time.monotonic() + OBSERVED_S
+        while time.monotonic() < until:
+            await asyncio.sleep(2)
+            for job_id in counts_by_id:
+                status, content = await fleet.call(
+                    fleet.entries[0], 'GET', f'/one/{job_id}'
                 )
-        task = f'{deadly}.0.0.0'
-        crashes = [
-            at
-            for at, _, runs in fleet.crashes
-            if any(name == task for name, _ in runs)
-        ]
-        starts = [run.began for run in fleet.runs if run.task == task]
-        lost = sum(
-            run.how == 'gone'
-            for run in fleet.runs
-            if run.task.startswith(ordinary)
-        )
-        record.write(f'runs of the ordinary job lost by crashes: {lost}')
-        if len(crashes) < CRASHES:
-            return ''
-        later = sum(at > crashes[CRASHES - 1] for at in starts)
-        if later < MORE_STARTS:
-            return ''
-        return (
-            f'BUDGET: a task was started {later} times more after {CRASHES} '
-            f'workers had crashed under it; {len(crashes)} crashes in all, '
-            f'{lost} runs of another job were lost with them'
-        )
+                if status == 200:
+                    states[job_id] = content['state']
+        now = time.monotonic()
+        broken = []
+        for job_id, count in counts_by_id.items():
+            for index in range(count):
+                task = f'{job_id}.0.0.{index}'
+                runs = [run for run in fleet.runs if run.task == task]
+                if not runs or any(run.ended is None for run in runs):
+                    continue
+                last = max(runs, key=lambda run: run.ended)
+                idle_s = now - last.ended
+                if idle_s > AFTER_LAST_RUN_S + IDLE_S:
+                    broken.append(
+                        f'{task} has not run for {idle_s:.0f} s after its '
+                        f'run ended {last.how}, its job is shown as '
+                        f'{states.get(job_id)}'
+                    )
+        # 4 workers of 16 cores carry three tasks of half a core at most.
+        return 'LOST: ' + '; '.join(broken) if broken else ''
 
 
 fleets.main(HERE, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A service whose tasks fail keeps the whole fleet from starting work."""
+"""A job that was cancelled begins when a write is applied late."""
 
 import asyncio
 import pathlib
@@ -9,96 +9,107 @@
 sys.path.insert(0, str(HERE.parent / 'standin2'))
 import fleet as fleets  # noqa: E402
 
-WORKERS = 8
-SERVICES = 4
-TASKS = 2
-FINISH_S = 14.0
-AFTER_LAST_RUN_S = 6.0
-IDLE_S = 3.0
-ORDINARY_AT_S = 36.0
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+LATE_S = 6.0
+"""Time from a lost write until it is applied."""
+LOST_SHARE = 0.35
+OBSERVED_S = 14.0
 
-SERVICE = {
-    'specification': 'lasts;startup_ms=300;run_ms=150;how=failed',
+JOB = {
+    'specification': 'run_ms=3000',
     'steps': [
         {
-            'count': TASKS,
+            'count': 2,
             'cpu': 500,
             'memory_request_mb': 64,
-            'estimated_ms': 1000,
-            'long_running': True,
-        }
-    ],
-}
-ORDINARY = {
-    'specification': 'run_ms=100',
-    'steps': [
-        {
-            'count': 1,
-            'cpu': 500,
-            'memory_request_mb': 64,
-            'estimated_ms': 100,
+            'estimated_ms': 3000,
         }
     ],
 }
 
 
-def longest_idle(runs, until):
-    """Return the longest time without a run, between and after the runs."""
-    runs = sorted(runs, key=lambda run: run.began)
-    ends = [run.ended for run in runs]
-    begins = [run.began for run in runs[1:]] + [until]
-    return max(
-        (begin - end for end, begin in zip(ends, begins) if end is not None),
-        default=0.0,
-    )
+class LosingStore:
+    """Makes a store lose the answers of some writes and apply them late."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._handle = fleet.store.server._handle
+        fleet.store.server._handle = self.handle
+        self.job_id = ''
+        """The writes of this job are lost."""
+        self.writes = 0
+        self.lost = 0
+        self.ended_at = 0.0
+
+    async def handle(self, method, path, query, headers, body):
+        if not self.job_id or path != '/-/rows-tx':
+            return await self._handle(method, path, query, headers, body)
+        self.writes += 1
+        if all(one['key'] != self.job_id for one in body['puts']):
+            return await self._handle(method, path, query, headers, body)
+        self.lost += 1
+        self._fleet.record.write(f'store: a write of {self.job_id} is lost')
+        self._fleet.spawn(self._apply_late(self.job_id, body))
+        return fleets.NO_ANSWER
+
+    async def _apply_late(self, job_id, body):
+        await asyncio.sleep(LATE_S)
+        status, _ = self._fleet.store._transact(body)
+        self._fleet.record.write(
+            f'store: the write of {job_id} is carried out: {status}'
+        )
 
 
 async def case(record, trouble):
     async with fleets.Fleet(record, entries=3) as fleet:
         fleet.configure()
-        for number in range(WORKERS):
+        for number in range(4):
             await fleet.add_worker(number)
         await fleet.start_entries()
         await fleet.wait_holder()
-        fleet.ends_by_itself = lambda run: trouble
-        began = time.monotonic()
-        services = [fleets.job_id() for _ in range(SERVICES)]
-        for job_id in services:
-            await fleet.submit(job_id, SERVICE, '/one/', 'key-1')
-        await asyncio.sleep(began + ORDINARY_AT_S - time.monotonic())
-        ordinary = fleets.job_id()
-        await fleet.submit(ordinary, ORDINARY, '/two/', 'key-2')
-        record.write('the traffic ends')
-        await asyncio.sleep(FINISH_S)
-        await fleet.call(
-            fleet.entries[0], 'GET', f'/two/{ordinary}', key='key-2'
+        await asyncio.sleep(CONTACT_S)
+        store = LosingStore(fleet)
+        job_id = fleets.job_id()
+        if trouble:
+            store.job_id = job_id
+        status, _ = await fleet.call(
+            fleet.entries[0], 'POST', f'/one/{job_id}', JOB
+        )
+        # The disruption ends here; the client gives its job up.
+        store.job_id = ''
+        calm_since = time.monotonic()
+        record.write(
+            f'store: {store.lost} of {store.writes} writes were lost, no more'
         )
-        await asyncio.sleep(IDLE_S)
-        now = time.monotonic()
-        broken = []
-        if not any(run.task.startswith(ordinary) for run in fleet.runs):
-            broken.append(
-                f'the job {ordinary} of another tenant has not begun '
-                f'{FINISH_S + IDLE_S:.0f} s after the end of the traffic'
-            )
-        idle_s = max(
-            longest_idle(
-                [
-                    run
-                    for run in fleet.runs
-                    if run.task == f'{job_id}.0.0.{index}'
-                ],
-                now,
-            )
-            for job_id in services
-            for index in range(TASKS)
+        if trouble and store.lost > LOST_SHARE * store.writes:
+            raise fleets.CannotRun('too large a share of writes was lost')
+        acknowledged_at = None
+        for number in range(1, 9):
+            entry = fleet.entries[number % len(fleet.entries)]
+            status, _ = await fleet.call(entry, 'DELETE', f'/one/{job_id}')
+            if status in (200, 410):
+                acknowledged_at = time.monotonic()
+                break
+            await asyncio.sleep(0.2)
+        if acknowledged_at is None:
+            raise fleets.CannotRun('the cancellation was not acknowledged')
+        await asyncio.sleep(OBSERVED_S)
+        await fleet.call(fleet.entries[0], 'GET', f'/one/{job_id}')
+        late = [
+            run
+            for run in fleet.runs
+            if run.task.startswith(job_id)
+            and run.began - acknowledged_at > CANCEL_S
+            and run.began - calm_since > CONTACT_S
+        ]
+        if not late:
+            return ''
+        return (
+            f'UNASKED: {len(late)} tasks of a job began '
+            f'{late[0].began - acknowledged_at:.1f} s after its cancelling '
+            f'was acknowledged with {status}'
         )
-        if idle_s > AFTER_LAST_RUN_S + IDLE_S:
-            broken.append(
-                f'a task that lasts has not run for {idle_s:.0f} s after a run'
-            )
-        # All tasks together need 4.5 of 128 cores, and no tenant has a limit.
-        return 'LOST: ' + '; '.join(broken) if broken else ''
 
 
 fleets.main(HERE, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A task that lasts ends by itself as done and is not started again."""
+"""A service whose tasks fail keeps the whole fleet from starting work."""
 
 import asyncio
 import pathlib
@@ -9,67 +9,95 @@
 sys.path.insert(0, str(HERE.parent / 'standin2'))
 import fleet as fleets  # noqa: E402
 
+WORKERS = 8
+SERVICES = 4
+TASKS = 2
+FINISH_S = 14.0
 AFTER_LAST_RUN_S = 6.0
 IDLE_S = 3.0
-OBSERVED_S = 25.0
+ORDINARY_AT_S = 36.0
 
+SERVICE = {
+    'specification': 'lasts;startup_ms=300;run_ms=150;how=failed',
+    'steps': [
+        {
+            'count': TASKS,
+            'cpu': 500,
+            'memory_request_mb': 64,
+            'estimated_ms': 1000,
+            'long_running': True,
+        }
+    ],
+}
+ORDINARY = {
+    'specification': 'run_ms=100',
+    'steps': [
+        {
+            'count': 1,
+            'cpu': 500,
+            'memory_request_mb': 64,
+            'estimated_ms': 100,
+        }
+    ],
+}
 
-def lasting_job(count):
-    return {
-        'specification': 'lasts;startup_ms=300;run_ms=3000;how=done',
-        'steps': [
-            {
-                'count': count,
-                'cpu': 500,
-                'memory_request_mb': 64,
-                'estimated_ms': 1000,
-                'long_running': True,
-            }
-        ],
-    }
+
+def longest_idle(runs, until):
+    """Return the longest time without a run, between and after the runs."""
+    runs = sorted(runs, key=lambda run: run.began)
+    ends = [run.ended for run in runs]
+    begins = [run.began for run in runs[1:]] + [until]
+    return max(
+        (begin - end for end, begin in zip(ends, begins) if end is not None),
+        default=0.0,
+    )
 
 
 async def case(record, trouble):
     async with fleets.Fleet(record, entries=3) as fleet:
         fleet.configure()
-        for number in range(4):
+        for number in range(WORKERS):
             await fleet.add_worker(number)
         await fleet.start_entries()
         await fleet.wait_holder()
-        # The first run of task 0 of each job ends as done.
-        fleet.ends_by_itself = lambda run: (
-            trouble and run.number == 1 and run.task.endswith('.0')
+        fleet.ends_by_itself = lambda run: trouble
+        began = time.monotonic()
+        services = [fleets.job_id() for _ in range(SERVICES)]
+        for job_id in services:
+            await fleet.submit(job_id, SERVICE, '/one/', 'key-1')
+        await asyncio.sleep(began + ORDINARY_AT_S - time.monotonic())
+        ordinary = fleets.job_id()
+        await fleet.submit(ordinary, ORDINARY, '/two/', 'key-2')
+        record.write('the traffic ends')
+        await asyncio.sleep(FINISH_S)
+        await fleet.call(
+            fleet.entries[0], 'GET', f'/two/{ordinary}', key='key-2'
         )
-        counts_by_id = {fleets.job_id(): 1, fleets.job_id(): 2}
-        for job_id, count in counts_by_id.items():
-            await fleet.submit(job_id, lasting_job(count))
-        states = {}
-        until = time.monotonic() + OBSERVED_S
-        while time.monotonic() < until:
-            await asyncio.sleep(2)
-            for job_id in counts_by_id:
-                status, content = await fleet.call(
-                    fleet.entries[0], 'GET', f'/one/{job_id}'
-                )
-                if status == 200:
-                    states[job_id] = content['state']
+        await asyncio.sleep(IDLE_S)
         now = time.monotonic()
         broken = []
-        for job_id, count in counts_by_id.items():
-            for index in range(count):
-                task = f'{job_id}.0.0.{index}'
-                runs = [run for run in fleet.runs if run.task == task]
-                if not runs or any(run.ended is None for run in runs):
-                    continue
-                last = max(runs, key=lambda run: run.ended)
-                idle_s = now - last.ended
-                if idle_s > AFTER_LAST_RUN_S + IDLE_S:
-                    broken.append(
-                        f'{task} has not run for {idle_s:.0f} s after its '
-                        f'run ended {last.how}, its job is shown as '
-                        f'{states.get(job_id)}'
-                    )
-        # 4 workers of 16 cores carry three tasks of half a core at most.
+        if not any(run.task.startswith(ordinary) for run in fleet.runs):
+            broken.append(
+                f'the job {ordinary} of another tenant has not begun '
+                f'{FINISH_S + IDLE_S:.0f} s after the end of the traffic'
+            )
+        idle_s = max(
+            longest_idle(
+                [
+                    run
+                    for run in fleet.runs
+                    if run.task == f'{job_id}.0.0.{index}'
+                ],
+                now,
+            )
+            for job_id in services
+            for index in range(TASKS)
+        )
+        if idle_s > AFTER_LAST_RUN_S + IDLE_S:
+            broken.append(
+                f'a task that lasts has not run for {idle_s:.0f} s after a run'
+            )
+        # All tasks together need 4.5 of 128 cores, and no tenant has a limit.
         return 'LOST: ' + '; '.join(broken) if broken else ''
 
 
--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -262,6 +262,14 @@
         self.ended = None
         self.how = ''
         self.startup_s = 0.0
+        self.length_s = None
+        """Time until the run ends by itself; a task that lasts has none."""
+
+    def percent(self, now):
+        """Return the progress, which the worker lists."""
+        if self.length_s is None:
+            return 100 if self.is_at_work(now) else 50
+        return min(99, int(100 * (now - self.began) / self.length_s))
 
     def is_at_work(self, now):
         """Return whether a task that lasts serves its users."""
@@ -387,9 +395,14 @@
             )
             return 200, {'clock_ms': self.clock_ms}
         length_s = float(fields.get('run_ms', 100)) / 1000
+        how = fields.get('how', 'done')
+        if self.fleet.fate is not None:
+            length_s, how = self.fleet.fate(run)
+        if 'lasts' not in fields:
+            run.length_s = length_s
         if 'lasts' not in fields or self.fleet.ends_by_itself(run):
             self._timers[key] = asyncio.get_running_loop().call_later(
-                length_s, self._end, key, fields.get('how', 'done')
+                length_s, self._end, key, how
             )
         return 200, {'clock_ms': self.clock_ms}
 
@@ -438,9 +451,9 @@
     async def _hold(self, body):
         if 'deadline_ms' in body:
             self._extend(body['deadline_ms'])
-        self._ended = [
-            one for one in self._ended if one[0] > body['last_seen']
-        ]
+        seen = [one for one in self._ended if one[0] <= body['last_seen']]
+        self.fleet.note_acknowledged(seen)
+        self._ended = self._ended[len(seen) :]
         until = time.monotonic() + min(2000, body.get('wait_ms', 0)) / 1000
         while not self._ended and time.monotonic() < until:
             with contextlib.suppress(TimeoutError):
@@ -451,7 +464,7 @@
             'clock_ms': self.clock_ms,
             'born': self.born,
             'running': [
-                [*key, '', 100 if run.is_at_work(now) else 50, 0]
+                [*key, '', run.percent(now), 0]
                 for key, run in self.running.items()
             ],
             'ended': self._ended[:LISTED_ENDS],
@@ -635,6 +648,10 @@
         ]
         self.ends_by_itself = lambda run: False
         self.on_start = lambda run: None
+        self.fate = None
+        """Returns length and end of a run, in place of its job's text."""
+        self.note_acknowledged = lambda ends: None
+        """Called with the rows of ends that were taken note of."""
         self._tasks = set()
 
     def address(self, number):
