Review: a late order begins on a restarted worker beside another run

Cause: after a restart under the same id, a task is placed elsewhere before the repeated stop of its unanswered order is known to have taken effect.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A task that lasts ends by itself as done and is not started again."""
+"""A late order begins on a restarted worker, and its task runs elsewhere."""
 
 import asyncio
 import pathlib
@@ -9,68 +9,122 @@
 sys.path.insert(0, str(HERE.parent / 'standin2'))
 import fleet as fleets  # noqa: E402
 
-AFTER_LAST_RUN_S = 6.0
-IDLE_S = 3.0
-OBSERVED_S = 25.0
+WORKERS = 4
+CRASH_AFTER_S = 3.0
+DOWN_S = 0.2
+STOP_S = 0.3
+"""Time that a stop takes; stop_timeout_ms is 400."""
+RUN_MS = 8000
+OBSERVED_S = 15.0
 
+JOB = {
+    'specification': f'run_ms={RUN_MS}',
+    'steps': [
+        {
+            'count': 1,
+            'cpu': 1000,
+            'memory_request_mb': 64,
+            'estimated_ms': RUN_MS,
+        }
+    ],
+}
 
-def lasting_job(count):
-    return {
-        'specification': 'lasts;startup_ms=300;run_ms=3000;how=done',
-        'steps': [
-            {
-                'count': count,
-                'cpu': 500,
-                'memory_request_mb': 64,
-                'estimated_ms': 1000,
-                'long_running': True,
-            }
-        ],
-    }
+
+async def restart(fleet, worker):
+    """Crash a worker and start it again under its id and address."""
+    fleet.record.write(
+        f'{worker.worker_id}: crash under {sorted(worker.running)}'
+    )
+    worker.alive = False
+    worker._beat.cancel()
+    await worker.server.stop()
+    for key in list(worker.running):
+        worker._end(key, 'gone')
+    await asyncio.sleep(DOWN_S)
+    successor = fleets.Worker(
+        fleet, worker.worker_id, worker.machine, worker.cpu
+    )
+    successor.server.address = worker.server.address
+    fleet.workers[worker.worker_id] = successor
+    await successor.start()
+    fleet.record.write(f'{worker.worker_id}: started again')
+    return successor
+
+
+class LateOrder:
+    """Delays the first start order of a job until its worker is back."""
+
+    def __init__(self, fleet, job_id):
+        self._fleet = fleet
+        self._job_id = job_id
+        self._handlers_by_id = {}
+        self.delayed = False
+        for worker in fleet.workers.values():
+            self._handlers_by_id[worker.worker_id] = worker.server._handle
+            worker.server._handle = self._handler(worker)
+
+    def _handler(self, worker):
+        async def handle(method, path, query, headers, body):
+            if (
+                not self.delayed
+                and path == '/-/run-start'
+                and body['task'].startswith(self._job_id)
+            ):
+                self.delayed = True
+                self._fleet.record.write(
+                    f'{worker.worker_id}: the order of {body["task"]} run '
+                    f'{body["run"]} is delayed'
+                )
+                order = method, path, query, headers, body
+                self._fleet.spawn(self._carry_out_late(worker, order))
+                return fleets.NO_ANSWER
+            return await self._handlers_by_id[worker.worker_id](
+                method, path, query, headers, body
+            )
+
+        return handle
+
+    async def _carry_out_late(self, worker, order):
+        delayed_at = time.monotonic()
+        await asyncio.sleep(CRASH_AFTER_S)
+        successor = await restart(self._fleet, worker)
+        self._fleet.record.write(
+            f'{worker.worker_id}: the order is carried out '
+            f'{time.monotonic() - delayed_at:.1f} s late'
+        )
+        await successor._handle(*order)
 
 
 async def case(record, trouble):
+    fleets.STOP_S = STOP_S
     async with fleets.Fleet(record, entries=3) as fleet:
         fleet.configure()
-        for number in range(4):
+        for number in range(WORKERS):
             await fleet.add_worker(number)
         await fleet.start_entries()
         await fleet.wait_holder()
-        # The first run of task 0 of each job ends as done.
-        fleet.ends_by_itself = lambda run: (
-            trouble and run.number == 1 and run.task.endswith('.0')
-        )
-        counts_by_id = {fleets.job_id(): 1, fleets.job_id(): 2}
-        for job_id, count in counts_by_id.items():
-            await fleet.submit(job_id, lasting_job(count))
-        states = {}
-        until = time.monotonic() + OBSERVED_S
-        while time.monotonic() < until:
-            await asyncio.sleep(2)
-            for job_id in counts_by_id:
-                status, content = await fleet.call(
-                    fleet.entries[0], 'GET', f'/one/{job_id}'
-                )
-                if status == 200:
-                    states[job_id] = content['state']
-        now = time.monotonic()
-        broken = []
-        for job_id, count in counts_by_id.items():
-            for index in range(count):
-                task = f'{job_id}.0.0.{index}'
-                runs = [run for run in fleet.runs if run.task == task]
-                if not runs or any(run.ended is None for run in runs):
-                    continue
-                last = max(runs, key=lambda run: run.ended)
-                idle_s = now - last.ended
-                if idle_s > AFTER_LAST_RUN_S + IDLE_S:
-                    broken.append(
-                        f'{task} has not run for {idle_s:.0f} s after its '
-                        f'run ended {last.how}, its job is shown as '
-                        f'{states.get(job_id)}'
+        await asyncio.sleep(3)
+        job_id = fleets.job_id()
+        if trouble:
+            LateOrder(fleet, job_id)
+        await fleet.submit(job_id, JOB)
+        await asyncio.sleep(OBSERVED_S)
+        await fleet.call(fleet.entries[0], 'GET', f'/one/{job_id}')
+        for later in fleet.runs:
+            for earlier in fleet.runs:
+                ended = earlier.ended or time.monotonic()
+                if (
+                    earlier.task == later.task
+                    and earlier.began < later.began < ended
+                ):
+                    both_s = min(ended, later.ended or ended) - later.began
+                    return (
+                        f'TWICE: run {later.number} of {later.task} began '
+                        f'on {later.worker.machine} while run '
+                        f'{earlier.number} was at work on '
+                        f'{earlier.worker.machine}; both for {both_s:.2f} s'
                     )
-        # 4 workers of 16 cores carry three tasks of half a core at most.
-        return 'LOST: ' + '; '.join(broken) if broken else ''
+        return ''
 
 
 fleets.main(HERE, case)
