Review: a late acknowledgement makes a restarted worker forget ends

Cause: after a restart under the same id, an acknowledgement that was sent to the former process and not answered may still be carried out, and runs that a list then lacks are taken for lost.

Formatting of the other scripts.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A late order begins on a restarted worker, and its task runs elsewhere."""
+"""A late acknowledgement makes a restarted worker forget ends unread."""
 
 import asyncio
 import pathlib
@@ -9,94 +9,121 @@
 sys.path.insert(0, str(HERE.parent / 'standin2'))
 import fleet as fleets  # noqa: E402
 
-WORKERS = 4
-CRASH_AFTER_S = 3.0
+WORKERS = 2
+MIN_LAST_SEEN = 30
+CRASH_AFTER_S = 0.3
 DOWN_S = 0.2
-STOP_S = 0.3
-"""Time that a stop takes; stop_timeout_ms is 400."""
-RUN_MS = 8000
-OBSERVED_S = 15.0
+SILENT_FROM_S = 1.3
+"""Time after the restart from which hold calls get no answer."""
+LATE_S = 2.5
+BEFORE_S = 5.0
+AFTER_S = 15.0
+TASK_MS = 150
+SUBMIT_INTERVAL_S = 0.08
 
 JOB = {
-    'specification': f'run_ms={RUN_MS}',
+    'specification': f'run_ms={TASK_MS}',
     'steps': [
         {
-            'count': 1,
-            'cpu': 1000,
+            'count': 2,
+            'cpu': 8000,
             'memory_request_mb': 64,
-            'estimated_ms': RUN_MS,
+            'estimated_ms': TASK_MS,
         }
     ],
 }
 
 
-async def restart(fleet, worker):
-    """Crash a worker and start it again under its id and address."""
-    fleet.record.write(
-        f'{worker.worker_id}: crash under {sorted(worker.running)}'
-    )
-    worker.alive = False
-    worker._beat.cancel()
-    await worker.server.stop()
-    for key in list(worker.running):
-        worker._end(key, 'gone')
-    await asyncio.sleep(DOWN_S)
-    successor = fleets.Worker(
-        fleet, worker.worker_id, worker.machine, worker.cpu
-    )
-    successor.server.address = worker.server.address
-    fleet.workers[worker.worker_id] = successor
-    await successor.start()
-    fleet.record.write(f'{worker.worker_id}: started again')
-    return successor
-
-
-class LateOrder:
-    """Delays the first start order of a job until its worker is back."""
-
-    def __init__(self, fleet, job_id):
+class LateHold:
+    """Delays a hold call of a worker that restarts meanwhile.
+
+    Shortly before it is carried out, hold calls to the new process get no
+    answer either and are not carried out in the time of the script.
+    """
+
+    def __init__(self, fleet, worker):
         self._fleet = fleet
-        self._job_id = job_id
-        self._handlers_by_id = {}
-        self.delayed = False
-        for worker in fleet.workers.values():
-            self._handlers_by_id[worker.worker_id] = worker.server._handle
-            worker.server._handle = self._handler(worker)
-
-    def _handler(self, worker):
+        self._worker = worker
+        self._delayed = False
+        self._silent_from = float('inf')
+        self.armed = False
+        self.is_over = False
+        self.calls = 0
+        """Calls from the delayed one until it is carried out."""
+        self.unanswered = 0
+        self._wrap(worker)
+
+    def _wrap(self, worker):
+        real = worker.server._handle
+
         async def handle(method, path, query, headers, body):
+            during = self._delayed and not self.is_over
+            if path != '/-/hold':
+                self.calls += during
+                return await real(method, path, query, headers, body)
             if (
-                not self.delayed
-                and path == '/-/run-start'
-                and body['task'].startswith(self._job_id)
+                self.armed
+                and not self._delayed
+                and body['last_seen'] >= MIN_LAST_SEEN
             ):
-                self.delayed = True
+                self._delayed = True
+                self.calls += 1
+                self.unanswered += 1
                 self._fleet.record.write(
-                    f'{worker.worker_id}: the order of {body["task"]} run '
-                    f'{body["run"]} is delayed'
+                    f'{worker.worker_id}: a hold call with last_seen '
+                    f'{body["last_seen"]} is delayed'
                 )
-                order = method, path, query, headers, body
-                self._fleet.spawn(self._carry_out_late(worker, order))
+                self._fleet.spawn(self._carry_out_late(dict(body)))
                 return fleets.NO_ANSWER
-            return await self._handlers_by_id[worker.worker_id](
-                method, path, query, headers, body
-            )
+            self.calls += during
+            if during and time.monotonic() >= self._silent_from:
+                self.unanswered += 1
+                self._fleet.record.write(
+                    f'{worker.worker_id}: a hold call with last_seen '
+                    f'{body["last_seen"]} gets no answer'
+                )
+                return fleets.NO_ANSWER
+            return await real(method, path, query, headers, body)
 
-        return handle
+        worker.server._handle = handle
 
-    async def _carry_out_late(self, worker, order):
+    async def _carry_out_late(self, body):
         delayed_at = time.monotonic()
         await asyncio.sleep(CRASH_AFTER_S)
-        successor = await restart(self._fleet, worker)
+        successor = await self._restart()
+        self._silent_from = time.monotonic() + SILENT_FROM_S
+        await asyncio.sleep(delayed_at + LATE_S - time.monotonic())
         self._fleet.record.write(
-            f'{worker.worker_id}: the order is carried out '
-            f'{time.monotonic() - delayed_at:.1f} s late'
+            f'{successor.worker_id}: the hold call is carried out; ends '
+            f'listed from now on would be {successor._ended}'
         )
-        await successor._handle(*order)
+        await successor._handle(
+            'POST', '/-/hold', {}, {}, dict(body, wait_ms=0)
+        )
+        self.is_over = True
+
+    async def _restart(self):
+        """Crash the worker and start it again under its id and address."""
+        worker = self._worker
+        self._fleet.record.write(f'{worker.worker_id}: crash')
+        worker.alive = False
+        worker._beat.cancel()
+        await worker.server.stop()
+        for key in list(worker.running):
+            worker._end(key, 'gone')
+        await asyncio.sleep(DOWN_S)
+        successor = fleets.Worker(
+            self._fleet, worker.worker_id, worker.machine, worker.cpu
+        )
+        successor.server.address = worker.server.address
+        self._fleet.workers[worker.worker_id] = successor
+        self._wrap(successor)
+        await successor.start()
+        self._fleet.record.write(f'{worker.worker_id}: started again')
+        return successor
 
 
 async def case(record, trouble):
-    fleets.STOP_S = STOP_S
     async with fleets.Fleet(record, entries=3) as fleet:
         fleet.configure()
         for number in range(WORKERS):
@@ -104,27 +131,54 @@
         await fleet.start_entries()
         await fleet.wait_holder()
         await asyncio.sleep(3)
-        job_id = fleets.job_id()
-        if trouble:
-            LateOrder(fleet, job_id)
-        await fleet.submit(job_id, JOB)
-        await asyncio.sleep(OBSERVED_S)
-        await fleet.call(fleet.entries[0], 'GET', f'/one/{job_id}')
-        for later in fleet.runs:
-            for earlier in fleet.runs:
-                ended = earlier.ended or time.monotonic()
-                if (
-                    earlier.task == later.task
-                    and earlier.began < later.began < ended
-                ):
-                    both_s = min(ended, later.ended or ended) - later.began
-                    return (
-                        f'TWICE: run {later.number} of {later.task} began '
-                        f'on {later.worker.machine} while run '
-                        f'{earlier.number} was at work on '
-                        f'{earlier.worker.machine}; both for {both_s:.2f} s'
-                    )
-        return ''
+        noted_at = {}
+        """When the end as done of each task was taken note of."""
+        again = []
+        note_start = fleet.note_start
+
+        def note(run, body):
+            note_start(run, body)
+            if run.task in noted_at:
+                again.append(run)
+                record.write(
+                    f'{run.task} starts again; an earlier run had ended '
+                    'done, which was taken note of '
+                    f'{run.began - noted_at[run.task]:.1f} s before'
+                )
+
+        def note_acknowledged(ends):
+            for _, task, _, how, _ in ends:
+                if how == 'done':
+                    noted_at.setdefault(task, time.monotonic())
+
+        fleet.note_start = note
+        fleet.note_acknowledged = note_acknowledged
+        late = LateHold(fleet, next(iter(fleet.workers.values())))
+        end_at = time.monotonic() + BEFORE_S + AFTER_S
+        arm_at = time.monotonic() + BEFORE_S
+        number = 0
+        # The jobs fill the workers until the disruption is over.
+        while not late.is_over and time.monotonic() < end_at - AFTER_S / 2:
+            late.armed = trouble and time.monotonic() >= arm_at
+            number += 1
+            await fleet.call(
+                fleet.entries[number % len(fleet.entries)],
+                'POST',
+                f'/one/{fleets.job_id()}',
+                JOB,
+                quiet=True,
+            )
+            await asyncio.sleep(SUBMIT_INTERVAL_S)
+        record.write(f'of {late.calls} calls {late.unanswered} got no answer')
+        if trouble and not late.is_over:
+            raise fleets.CannotRun('no hold call was delayed')
+        await asyncio.sleep(end_at - time.monotonic())
+        if not again:
+            return ''
+        return (
+            f'TWICE: {len(again)} tasks were started again after their runs '
+            'had ended done, which had been taken note of'
+        )
 
 
 fleets.main(HERE, case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,11 +20,12 @@
 def memory_mb(pid):
     """Return the resident memory of a process; 0 if it has ended."""
     try:
-        for line in open(f'/proc/{pid}/status'):
-            if line.startswith('VmRSS'):
-                return int(line.split()[1]) / 1024
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
     except OSError:
-        pass
+        return 0.0
+    for line in status.splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1024
     return 0.0
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -48,7 +48,11 @@
     ends = [run.ended for run in runs]
     begins = [run.began for run in runs[1:]] + [until]
     return max(
-        (begin - end for end, begin in zip(ends, begins) if end is not None),
+        (
+            begin - end
+            for end, begin in zip(ends, begins, strict=True)
+            if end is not None
+        ),
         default=0.0,
     )
 
--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -2,8 +2,8 @@
 
 They follow the users' pages (PROTOCOL and DEPLOY) and use the standard library
 only.  The stand-ins run in this process; the entries are started as separate
-processes with the command of ``deploy/system.toml``.  Each entry has a loopback
-address of its own, since all of them use the same port for metrics.
+processes with the command of ``deploy/system.toml``.  Each entry has a
+loopback address of its own, since all of them use the same port for metrics.
 """
 
 import asyncio
@@ -720,7 +720,9 @@
 
     async def add_worker(self, number, cpu=16000):
         machine = f'm-{number}'
-        worker = Worker(self, f'w-{number}-{os.urandom(3).hex()}', machine, cpu)
+        worker = Worker(
+            self, f'w-{number}-{os.urandom(3).hex()}', machine, cpu
+        )
         self.workers[worker.worker_id] = worker
         self.machines.states[machine] = 'up'
         await worker.start()
@@ -813,7 +815,9 @@
             await asyncio.sleep(0.1)
         raise CannotRun('no entry holds the term')
 
-    async def http(self, address, method, path, body=None, headers=(), limit_s=4):
+    async def http(
+        self, address, method, path, body=None, headers=(), limit_s=4
+    ):
         """Return status and decoded body; status 0 without an answer."""
         host, _, port = address.rpartition(':')
         data = b'' if body is None else json.dumps(body).encode()
@@ -841,7 +845,14 @@
                 writer.close()
 
     async def call(
-        self, entry, method, path, body=None, key='key-1', limit_s=4, quiet=False
+        self,
+        entry,
+        method,
+        path,
+        body=None,
+        key='key-1',
+        limit_s=4,
+        quiet=False,
     ):
         """Call an entry as a client."""
         status, content = await self.http(
