--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 CONTACT_S = 3.0
 LATE_S = 6.0
 """Time from a lost write until it is applied."""
-LOST_SHARE = 0.35
+LOST_SHARE = 0.3
 OBSERVED_S = 14.0
 
 JOB = {
