Bound the memory of jobs and runs in the holder

Cause: all tasks of all jobs were objects, 16.6 MB for such a job, and nothing bounded their sum, neither at the entries nor when a new holder reads the store.

A task is an object only while something is known of it (56 KB for such a job). The holder counts the memory of jobs, ended jobs and runs by customer; a customer may occupy as much as is free, and is refused beyond. What is in the store already waits there until it fits; pages of it are applied as they come.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -6,6 +6,7 @@
 
 from samphirestack.fleet import archive as archives
 from samphirestack.fleet import crashes
+from samphirestack.fleet import memory
 from samphirestack.fleet import occurrences
 from samphirestack.fleet import ports
 from samphirestack.fleet import progress_rows
@@ -23,14 +24,34 @@
 Each write renews the term, so it must also pass a narrow link in time."""
 
 
+MAX_LOADED_AT_ONCE = 20
+"""Jobs that waited for memory and are read from the store at once."""
+
+
+class DeferredJob(msgspec.Struct):
+    """A job that is left in the store until there is memory for it."""
+
+    customer_id: model.TeamId
+    queue_id: model.QueueId
+    size: int
+    """Estimate of its memory in bytes."""
+    is_cancelled: bool = False
+
+
 class JobTracker:
     """Active and ended jobs.
 
     :param first_run: bound above which all run numbers of this term are.
+    :param budget: counts the memory of the jobs; unlimited by default.
     """
 
-    def __init__(self, first_run: int) -> None:
+    def __init__(
+        self, first_run: int, budget: memory.Budget | None = None
+    ) -> None:
         self._first_run = first_run
+        self.budget = budget or memory.Budget(float('inf'))
+        self._deferred_by_id: dict[model.JobId, DeferredJob] = {}
+        """Accepted jobs that have not begun, oldest first."""
         self.active_by_id: dict[model.JobId, work.Job] = {}
         self.ended_by_id: dict[model.JobId, records.JobRecord] = {}
         """Ended jobs whose end is stored."""
@@ -71,6 +92,7 @@
         return not (
             self.is_known(job_id)
             or job_id in self._set_aside_ids
+            or job_id in self._deferred_by_id
             or job_id in self._expired_ids
             or job_id in self._removal_versions_by_id
         )
@@ -102,11 +124,83 @@
             if job.state is specs.JobState.QUEUED:
                 queue_id = job.queue.queue_id
                 counts[queue_id] = counts.get(queue_id, 0) + 1
+        for deferred in self._deferred_by_id.values():
+            counts[deferred.queue_id] = counts.get(deferred.queue_id, 0) + 1
         return counts
 
+    # Jobs without memory
+
+    def may_load(self, record: records.JobRecord) -> bool:
+        """Return whether there is memory for a job that has not begun."""
+        return record.spec is None or self.budget.may_add(
+            record.customer_id, memory.job_bytes(record.spec)
+        )
+
+    def defer(self, record: records.JobRecord) -> None:
+        """Leave a job in the store until there is memory for it."""
+        assert record.spec is not None
+        self._deferred_by_id[record.job_id] = DeferredJob(
+            record.customer_id,
+            record.queue.queue_id,
+            memory.job_bytes(record.spec),
+        )
+        self.budget.change(record.customer_id, memory.DEFERRED_JOB_BYTES)
+
+    def cancel_deferred(self, job_id: model.JobId) -> bool:
+        """Record the cancellation of a job; return whether it is deferred."""
+        deferred = self._deferred_by_id.get(job_id)
+        if deferred is None:
+            return False
+        deferred.is_cancelled = True
+        return True
+
+    def take_deferred(self, job_id: model.JobId) -> DeferredJob | None:
+        """Remove a job that is about to be loaded."""
+        deferred = self._deferred_by_id.pop(job_id, None)
+        if deferred is not None:
+            self.budget.change(
+                deferred.customer_id, -memory.DEFERRED_JOB_BYTES
+            )
+        return deferred
+
+    def next_deferred(self) -> list[model.JobId]:
+        """Return the jobs to load now, in the order in which they came.
+
+        One that was cancelled needs no room.  Of each customer only the first
+        few are considered, as later ones would overtake them.
+        """
+        result = []
+        added_by_customer: dict[model.TeamId, int] = {}
+        waiting: set[model.TeamId] = set()
+        for job_id, deferred in self._deferred_by_id.items():
+            customer_id = deferred.customer_id
+            if not deferred.is_cancelled:
+                size = added_by_customer.get(customer_id, 0) + deferred.size
+                if customer_id in waiting or not self.budget.may_add(
+                    customer_id, size
+                ):
+                    waiting.add(customer_id)
+                    continue
+                added_by_customer[customer_id] = size
+            result.append(job_id)
+            if len(result) >= MAX_LOADED_AT_ONCE:
+                break
+        return result
+
+    def deferred_count(self) -> int:
+        """Return how many jobs wait for memory."""
+        return len(self._deferred_by_id)
+
+    def deferring_customers(self) -> frozenset[model.TeamId]:
+        """Return the customers with jobs that wait for memory."""
+        return frozenset(
+            deferred.customer_id for deferred in self._deferred_by_id.values()
+        )
+
     def add_job(self, now: float, job: work.Job) -> None:
         """Add an accepted job and begin what is due of it."""
         self.active_by_id[job.job_id] = job
+        self.budget.change(job.customer_id, memory.job_bytes(job.spec))
         if job.spec.repetitions:
             self._scheduled[job.job_id] = job
             self.begin_due_occurrences(now)
@@ -119,16 +213,20 @@
         :param in_progress: whether there also is a row of its progress,
             which is to be deleted.
         """
-        self.ended_by_id[record.job_id] = record
+        self._add_ended_record(record)
         self._archived_ids.add(record.job_id)
         if in_progress:
             self.delete_progress(record.job_id)
 
     def add_unarchived(self, now: float, record: records.JobRecord) -> None:
         """Add a job whose end is stored only in the row of its progress."""
-        self.ended_by_id[record.job_id] = record
+        self._add_ended_record(record)
         self.archive.add_ended(now, record)
 
+    def _add_ended_record(self, record: records.JobRecord) -> None:
+        self.ended_by_id[record.job_id] = record
+        self.budget.change(record.customer_id, memory.ENDED_JOB_BYTES)
+
     def delete_progress(self, job_id: model.JobId) -> None:
         """Schedule the deletion of the row of a job's progress."""
         self._archived_ids.add(job_id)
@@ -324,7 +422,8 @@
         step.job.progress.placed_by_task.pop(_task_key(task), None)
         step.job.progress.copies_by_task.pop(_task_key(task), None)
         step.waiting.discard(task.index)
-        step.done_count += 1
+        step.done.add(task.index)
+        step.tasks.forget(task)
         if not step.waiting:
             self.ready_steps.pop(step.id, None)
         if step.is_done:
@@ -361,7 +460,7 @@
         if not step.spec.gang:
             return len(task.failed_runs)
         failed: set[int] = set()
-        for member in step.tasks:
+        for member in step.tasks.known():
             failed |= member.failed_runs
         return len(failed)
 
@@ -450,7 +549,8 @@
         self._dirty.pop(job_id, None)
 
     def _deactivate(self, job: work.Job) -> None:
-        self.active_by_id.pop(job.job_id, None)
+        if self.active_by_id.pop(job.job_id, None) is not None:
+            self.budget.change(job.customer_id, -memory.job_bytes(job.spec))
         self._scheduled.pop(job.job_id, None)
         for step in job.steps_by_key.values():
             self.ready_steps.pop(step.id, None)
@@ -475,6 +575,7 @@
             if job_id in self._archived_ids and job_id not in self._dirty:
                 self._archived_ids.discard(job_id)
                 del self.ended_by_id[job_id]
+                self.budget.change(record.customer_id, -memory.ENDED_JOB_BYTES)
                 self._expired_ids.add(job_id)
                 self.archive.add_expired(now, job_id)
 
@@ -563,7 +664,7 @@
                 continue
             ending = self._ending_by_id.pop(job_id, None)
             if ending is not None:
-                self.ended_by_id[job_id] = ending
+                self._add_ended_record(ending)
                 self.archive.add_ended(now, ending)
 
 
--- a/packages/core/src/samphirestack/fleet/messages.py
+++ b/packages/core/src/samphirestack/fleet/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from samphirestack.fleet import memory
 from samphirestack.fleet import pacing
 from samphirestack.fleet import specs
 from samphirestack.internal import decoding
@@ -43,6 +44,8 @@
     write_s: float | None = None
     """How long the holder's last write to the store took.  Absent if it takes
     no ``SubmissionRequest``, as former holders."""
+    room: memory.Room | None = None
+    """Memory for further jobs; absent until the holder has read all jobs."""
 
 
 class JobStored(msgspec.Struct, tag='job_stored', frozen=True):
--- a/packages/core/src/samphirestack/fleet/pacing.py
+++ b/packages/core/src/samphirestack/fleet/pacing.py
@@ -12,6 +12,12 @@
 READS_AT_ONCE_PER_CORE = 32
 """Reads of parts at once for each unit of strength, which 40 Mbit/s make."""
 
+PAGE_MEMORY_BYTES = 4_000_000
+"""Memory for a page of a table of 1 MB, with its encoded form."""
+
+READS_MEMORY_SHARE = 0.2
+"""Share of a VM's memory for pages that are read at once."""
+
 MIN_PING_INTERVAL_S = 0.3
 MAX_PING_INTERVAL_S = 1.0
 """Range of the interval of an entry's pings.  The longest is below the age of
@@ -88,15 +94,18 @@
     )
 
 
-def reads_at_once(strength: float) -> int:
+def reads_at_once(strength: float, memory_bytes: float = float('inf')) -> int:
     """Return how many parts of a table a new holder reads at once.
 
     This answers a narrow link, on which large answers delay each other and
     the renewals of the term.
 
     :param strength: of the entry; see ``term.strength``.
+    :param memory_bytes: of its VM.
     """
-    return max(
-        MIN_READS_AT_ONCE,
-        min(MAX_READS_AT_ONCE, int(READS_AT_ONCE_PER_CORE * strength)),
+    most = min(
+        MAX_READS_AT_ONCE,
+        READS_AT_ONCE_PER_CORE * strength,
+        READS_MEMORY_SHARE * memory_bytes / PAGE_MEMORY_BYTES,
     )
+    return max(MIN_READS_AT_ONCE, int(most))
--- a/packages/core/src/samphirestack/fleet/planner.py
+++ b/packages/core/src/samphirestack/fleet/planner.py
@@ -230,8 +230,11 @@
                 continue
             self._place(step, self._with_valid_ticket(step))
             self._make_room(step)
-            if step.waiting - step.suspect_indexes or (
-                step.waiting and not step.suspects_must_wait
+            if step.waiting and (
+                not step.suspects_must_wait
+                or any(
+                    True for _ in step.waiting.without(step.suspect_indexes)
+                )
             ):
                 self._request_advice(step)
         return self._result
@@ -838,7 +841,11 @@
         headroom = self._fleet.usage.headroom(
             customers.get(customer_id), step.spec.size, customer_id
         )
-        return min(headroom, progress_rows.placeable(step.job.progress))
+        return min(
+            headroom,
+            progress_rows.placeable(step.job.progress),
+            self._fleet.jobs.budget.runs_left(step.job.customer_id),
+        )
 
     def _place_gang(
         self, step: work.StepRun, candidates: list[packing.Candidate]
@@ -864,7 +871,11 @@
         step.probation_wanted_at = None
         run_number = self._fleet.jobs.next_run_number(step.tasks)
         checkpoint = next(
-            (task.checkpoint for task in step.tasks if task.checkpoint),
+            (
+                task.checkpoint
+                for task in step.tasks.known()
+                if task.checkpoint
+            ),
             specs.NO_CHECKPOINT,
         )
         for task, candidate in zip(step.tasks, chosen, strict=True):
@@ -928,7 +939,7 @@
             headroom = self._place_suspects(step, candidates, headroom)
         separation = self._separation(step)
         penalty = self._penalty(step)
-        for index in sorted(step.waiting - step.suspect_indexes):
+        for index in step.waiting.without(step.suspect_indexes):
             if headroom <= 0:
                 return
             task = step.tasks[index]
@@ -1013,7 +1024,10 @@
         )
         if not step.has_cleared_suspect:
             del fit[1:]
-        indexes = sorted(step.waiting & step.suspect_indexes, reverse=True)
+        indexes = sorted(
+            (i for i in step.suspect_indexes if i in step.waiting),
+            reverse=True,
+        )
         for candidate in fit:
             limit = min(headroom, _limit_per_worker(candidate, step))
             count = min(len(indexes), candidate.count(spec, limit))
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -18,6 +18,7 @@
 from samphirestack.fleet import interference
 from samphirestack.fleet import job_tracker
 from samphirestack.fleet import losses
+from samphirestack.fleet import memory
 from samphirestack.fleet import pacing
 from samphirestack.fleet import planner
 from samphirestack.fleet import ports
@@ -77,6 +78,7 @@
     :param max_lease_s: longest lease that workers accept.
     :param earlier_renewal_before: when the earlier holder had sent its last
         renewal, up to which it may have extended leases; now by default.
+    :param memory_bytes: for jobs and runs; unlimited by default.
     """
 
     def __init__(
@@ -86,13 +88,16 @@
         configuration: specs.FleetConfiguration,
         max_lease_s: float,
         earlier_renewal_before: float | None = None,
+        memory_bytes: float = float('inf'),
     ) -> None:
         self.term = term
         self.configuration = configuration
         self.workers_by_id: dict[model.WorkerId, tracking.TrackedWorker] = {}
         self.usage = shares.Usage()
         self.run_times = run_times.RunTimes()
-        self.jobs = job_tracker.JobTracker(RUNS_PER_TERM * (term - 1))
+        self.jobs = job_tracker.JobTracker(
+            RUNS_PER_TERM * (term - 1), memory.Budget(memory_bytes)
+        )
         self.quarantine = quarantine.Quarantine()
         self.suitable_shares = advising.SuitableShares()
         self.interference = interference.Interference()
@@ -150,6 +155,9 @@
         if progress is not None and progress.ended is not None:
             self.jobs.add_unarchived(now, progress.ended)
             return
+        if progress is None and not self.jobs.may_load(record):
+            self.jobs.defer(record)
+            return
         job = self._add_job(now, unix_now, record)
         if job is None:
             return
@@ -211,6 +219,9 @@
         """Add a job that was stored in this term; return whether it is new."""
         if record.spec is None or not self.jobs.may_accept(record.job_id):
             return False
+        if not self.jobs.may_load(record):
+            self.jobs.defer(record)
+            return False
         job = self._add_job(now, unix_now, record)
         if job is None:
             return False
@@ -219,6 +230,17 @@
         )
         return True
 
+    def load_deferred(
+        self, now: float, unix_now: float, record: records.JobRecord
+    ) -> None:
+        """Load a job that waited for memory."""
+        deferred = self.jobs.take_deferred(record.job_id)
+        if deferred is None or record.spec is None:
+            return
+        self._add_job(now, unix_now, record)
+        if deferred.is_cancelled:
+            self.cancel(now, record.job_id)
+
     def preview_job(
         self, now: float, unix_now: float, record: records.JobRecord
     ) -> work.Job:
@@ -1044,6 +1066,7 @@
         job = run.task.step.job
         run.on_probation = run.task.index in run.task.step.suspect_indexes
         worker.add_run(run)
+        self.jobs.budget.change(job.customer_id, memory.RUN_BYTES)
         self.usage.add(job.customer_id, run.task.step.spec.size)
         self._runs_by_job.setdefault(job.job_id, {})[
             run.task.id, run.number
@@ -1066,6 +1089,9 @@
         if not runs:
             self._runs_by_job.pop(job_id, None)
         worker.remove_run(run)
+        self.jobs.budget.change(
+            run.task.step.job.customer_id, -memory.RUN_BYTES
+        )
         if run.is_copy and run.task.copy_run_number == run.number:
             self.jobs.forget_copy(run.task)
         self.quarantine.clear_probe(worker.entry.worker_id, run.task.id)
--- a/packages/core/src/samphirestack/fleet/speculation.py
+++ b/packages/core/src/samphirestack/fleet/speculation.py
@@ -143,7 +143,7 @@
 
 def step_has_budget(step: work.StepRun) -> bool:
     """Return whether one more task of a step may have a copy."""
-    copies = sum(1 for task in step.tasks if task.copy_run_number)
+    copies = sum(1 for task in step.tasks.known() if task.copy_run_number)
     return copies < max(1, int(MAX_STEP_SHARE * step.spec.count))
 
 
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -1,7 +1,10 @@
 """In-memory state of accepted jobs, their steps and tasks."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import enum
 
+from samphirestack.fleet import indexes
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -65,6 +68,45 @@
         return sum(crash.suspected for crash in self.crashes_by_run.values())
 
 
+class Tasks:
+    """Tasks of a step, each of which exists only while something is known.
+
+    A task that never started and one that is done are made when they are
+    asked for.  This answers jobs of very many tasks, most of which wait or are
+    done.
+    """
+
+    __slots__ = ('_by_index', '_step')
+
+    def __init__(self, step: 'StepRun') -> None:
+        self._step = step
+        self._by_index: dict[int, Task] = {}
+
+    def __len__(self) -> int:
+        return self._step.spec.count
+
+    def __getitem__(self, index: int) -> Task:
+        task = self._by_index.get(index)
+        if task is None:
+            task = Task(self._step, index)
+            if index in self._step.done:
+                task.state = TaskState.DONE
+            else:
+                self._by_index[index] = task
+        return task
+
+    def __iter__(self) -> Iterator[Task]:
+        return (self[index] for index in range(len(self)))
+
+    def known(self) -> Iterable[Task]:
+        """Return the tasks about which anything is known but their state."""
+        return self._by_index.values()
+
+    def forget(self, task: Task) -> None:
+        """Forget all about a task that is done."""
+        self._by_index.pop(task.index, None)
+
+
 class Tickets:
     """Advice about a step: suitable workers and their tickets."""
 
@@ -128,7 +170,7 @@
 
     __slots__ = (
         'blocked_until',
-        'done_count',
+        'done',
         'has_cleared_suspect',
         'job',
         'number',
@@ -155,10 +197,11 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
-        self.tasks = [Task(self, index) for index in range(spec.count)]
-        self.waiting = set(range(spec.count))
+        self.tasks = Tasks(self)
+        self.waiting = indexes.IndexSet(spec.count, full=True)
         """Indexes of tasks that wait for a worker."""
-        self.done_count = 0
+        self.done = indexes.IndexSet(spec.count)
+        """Indexes of tasks that succeeded."""
         self.pending_dependencies = set(spec.after)
         """Numbers of the steps that must be done first."""
         self.ready_at: float | None = None
@@ -193,7 +236,7 @@
     @property
     def is_done(self) -> bool:
         """Return whether all tasks succeeded."""
-        return self.done_count == self.spec.count
+        return len(self.done) == self.spec.count
 
     @property
     def suspects_must_wait(self) -> bool:
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from samphirestack import errors
+from samphirestack.fleet import memory
 from samphirestack.fleet import messages
 from samphirestack.fleet import ordering
 from samphirestack.fleet import ports
@@ -36,6 +37,10 @@
 """Retry-After while the holder reaches the store and this entry does not:
 clients retry at another entry, which serves them at once."""
 
+RETRY_NO_MEMORY_S = 5.0
+"""Retry-After of a customer whose jobs occupy too much memory; in this time
+some of them end."""
+
 MAX_UNKNOWN_JOBS = 1000
 """Limit of remembered jobs whose storing has an unknown outcome; more than an
 entry receives during an outage that clients wait out."""
@@ -124,6 +129,8 @@
     UNREADABLE_ROW = 'unreadable_row'
     HOLDER_REFUSED = 'holder_refused'
     NO_COUNT = 'no_count'
+    NO_MEMORY = 'no_memory'
+    """The customer's jobs occupy too much of the holder's memory."""
     UNEXPECTED_ERROR = 'unexpected_error'
 
 
@@ -183,6 +190,12 @@
     def takes_submissions(self, now: float) -> bool:
         """Return whether submissions may be handed over to the holder."""
 
+    def admit_job(self, customer_id: model.TeamId, size: int) -> bool:
+        """Return whether the holder has memory for a further job.
+
+        :param size: see ``memory.job_bytes``.
+        """
+
     async def submit(self, call: Call) -> Reply | None:
         """Hand a submission over to the holder.
 
@@ -520,6 +533,10 @@
                 f'the job takes {len(row)} bytes in the store, but may take '
                 f'{records.MAX_ROW_BYTES} at most',
             )
+        if not self._holder.admit_job(
+            call.customer_id, memory.job_bytes(spec)
+        ):
+            return await self._refuse_without_memory(call)
         try:
             version = await self._insert(call, row)
         except errors.TransactionConflict:
@@ -531,6 +548,31 @@
         self._holder.announce_job(row, version)
         return Reply(Outcome.ACCEPTED, verdicts.Verdict.RAN)
 
+    async def _refuse_without_memory(self, call: Call) -> Reply:
+        """Refuse a job, unless an earlier call has stored it."""
+        try:
+            found = await self._read_job(call.job_id)
+        except errors.PlatformError as error:
+            return self._unknown_outcome(
+                call, error.message, Cause.STORE_FAILED
+            )
+        if found is not None:
+            return Reply(
+                Outcome.ACCEPTED,
+                verdicts.Verdict.RAN,
+                'the job was accepted by an earlier call',
+            )
+        detail = "the customer's jobs occupy too much memory"
+        if call.job_id in self._unknown_job_ids:
+            return _unknown(detail, Cause.NO_MEMORY)
+        return Reply(
+            Outcome.UNAVAILABLE,
+            verdicts.Verdict.NOT_RUN,
+            detail,
+            retry_after_s=RETRY_NO_MEMORY_S,
+            cause=Cause.NO_MEMORY,
+        )
+
     async def _insert(self, call: Call, row: bytes) -> int:
         """Store a job, with one retry if the outcome is unknown.
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -8,6 +8,7 @@
 
 from samphirestack import errors
 from samphirestack.fleet import actions
+from samphirestack.fleet import memory
 from samphirestack.fleet import messages
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
@@ -94,6 +95,7 @@
             configuration,
             context.bounds.max_lease_s,
             earlier_renewal_before,
+            memory.MEMORY_SHARE * context.memory_bytes,
         )
         self.scheduler.jobs.unix_offset_s = clock.unix_now() - now
         self.scheduler.evacuations = context.evacuations()
@@ -192,38 +194,28 @@
         stopped if its job is unknown.
         """
         self._workers_version = await self._read_workers()
-        progress_by_id: dict[str, records.JobProgress] = {}
+        # Progress stays encoded until its job is loaded.
         rows, _ = await self._read_table(records.PROGRESS_TABLE)
-        unreadable_ids = {row.key for row in rows}
-        for row in rows:
-            with self._logging_bad_row(row):
-                progress_by_id[row.key] = progress_rows.decode(row.value)
-                unreadable_ids.discard(row.key)
-        rows, self._jobs_version = await self._read_jobs()
-        now = clock.now()
-        unix_now = clock.unix_now()
-        self.scheduler.set_workers(now, self._worker_entries_by_id.values())
+        progress_rows_by_id = {row.key: row for row in rows}
+        del rows
+        self.scheduler.set_workers(
+            clock.now(), self._worker_entries_by_id.values()
+        )
         cancelled = []
-        for row in rows:
+
+        def load(row: ports.StoredRow) -> None:
             if row.key.endswith(records.CANCEL_SUFFIX):
                 cancelled.append(
                     model.JobId(row.key.removesuffix(records.CANCEL_SUFFIX))
                 )
-                continue
-            if row.key in unreadable_ids:
-                # Without its progress, its finished tasks would run again.
-                self.scheduler.jobs.set_aside(model.JobId(row.key))
-                continue
-            with self._logging_bad_row(row):
-                self.scheduler.load_job(
-                    now,
-                    unix_now,
-                    records.decode_stored_job(row.key, row.value),
-                    progress_by_id.get(row.key),
-                )
+            else:
+                self._load_job(row, progress_rows_by_id.pop(row.key, None))
+
+        self._jobs_version = await self._read_jobs(load)
         for job_id in cancelled:
-            self.scheduler.cancel(now, job_id)
-        for key in progress_by_id.keys() - {row.key for row in rows}:
+            if not self.scheduler.jobs.cancel_deferred(job_id):
+                self.scheduler.cancel(clock.now(), job_id)
+        for key in progress_rows_by_id:
             self.scheduler.jobs.delete_progress(model.JobId(key))
         self.loaded = True
         self._context.log.write(
@@ -231,9 +223,55 @@
             term=self._term.number,
             active=len(self.scheduler.jobs.active_by_id),
             ended=len(self.scheduler.jobs.ended_by_id),
+            deferred=self.scheduler.jobs.deferred_count(),
             workers=len(self.scheduler.workers_by_id),
         )
 
+    def _load_job(
+        self, row: ports.StoredRow, progress_row: ports.StoredRow | None
+    ) -> None:
+        progress = None
+        if progress_row is not None:
+            try:
+                progress = progress_rows.decode(progress_row.value)
+            except Exception as error:
+                # Without its progress, its finished tasks would run again.
+                self._log_bad_row(progress_row, error)
+                self.scheduler.jobs.set_aside(model.JobId(row.key))
+                return
+        with self._logging_bad_row(row):
+            self.scheduler.load_job(
+                clock.now(),
+                clock.unix_now(),
+                records.decode_stored_job(row.key, row.value),
+                progress,
+            )
+
+    async def _load_deferred_jobs(self) -> None:
+        """Load jobs that waited in the store for memory."""
+        jobs = self.scheduler.jobs
+        for job_id in jobs.next_deferred():
+            try:
+                page = await self._context.store.read(
+                    records.JOBS_TABLE,
+                    job_id,
+                    job_id + '\x00',
+                    records.job_part(job_id),
+                )
+            except errors.PlatformError as error:
+                logs.limited_warning('jobs.read_failed', '', error.message)
+                return
+            if not page.rows:
+                jobs.take_deferred(job_id)
+            for row in page.rows:
+                with self._logging_bad_row(row):
+                    self.scheduler.load_deferred(
+                        clock.now(),
+                        clock.unix_now(),
+                        records.decode_stored_job(row.key, row.value),
+                    )
+            self._plan_requested.set()
+
     async def _keep_run_times(self) -> None:
         """Load the run times that earlier holders learned and store new ones.
 
@@ -266,33 +304,53 @@
             yield
         except Exception as error:
             # One row must not keep every holder from loading the others.
-            self._context.metrics.set_aside.inc({'source': 'row'})
-            logs.limited_warning('store.bad_row', row.key, error)
+            self._log_bad_row(row, error)
+
+    def _log_bad_row(self, row: ports.StoredRow, error: Exception) -> None:
+        self._context.metrics.set_aside.inc({'source': 'row'})
+        logs.limited_warning('store.bad_row', row.key, error)
 
-    async def _read_jobs(self) -> tuple[list[ports.StoredRow], int]:
-        """Return the rows of all jobs and a version that all rows reflect."""
+    async def _read_jobs(
+        self, apply: Callable[[ports.StoredRow], None]
+    ) -> int:
+        """Apply the rows of all jobs, each as soon as it is read.
+
+        :return: a version that all rows reflect.
+        """
         reading = asyncio.Semaphore(
-            pacing.reads_at_once(self._context.strength)
+            pacing.reads_at_once(
+                self._context.strength, self._context.memory_bytes
+            )
         )
 
-        async def read(part: str) -> tuple[list[ports.StoredRow], int]:
+        async def read(part: str) -> int:
             async with reading:
-                return await self._read_table(records.JOBS_TABLE, part)
+                return await self._read_pages(records.JOBS_TABLE, part, apply)
 
-        found = await asyncio.gather(
-            *(read(part) for part in records.all_job_parts())
+        return min(
+            await asyncio.gather(
+                *(read(part) for part in records.all_job_parts())
+            )
         )
-        rows = [row for part_rows, _ in found for row in part_rows]
-        return rows, min(version for _, version in found)
 
     async def _read_table(
         self, table: str, part: str = records.HOLDER_PART
     ) -> tuple[list[ports.StoredRow], int]:
-        """Return all rows of a part and the version of the first page.
+        """Return all rows of a part and the version of the first page."""
+        rows: list[ports.StoredRow] = []
+        version = await self._read_pages(table, part, rows.append)
+        return rows, version
+
+    async def _read_pages(
+        self,
+        table: str,
+        part: str,
+        apply: Callable[[ports.StoredRow], None],
+    ) -> int:
+        """Apply all rows of a part; return the version of the first page.
 
         A page without an answer is read again.
         """
-        rows: list[ports.StoredRow] = []
         first = ''
         version: int | None = None
         while True:
@@ -306,9 +364,10 @@
                 continue
             if version is None:
                 version = page.version
-            rows.extend(page.rows)
+            for row in page.rows:
+                apply(row)
             if not page.more:
-                return rows, version
+                return version
             first = table_reader.following_key(page)
 
     # Workers
@@ -592,6 +651,9 @@
         """
         if not self.loaded:
             return
+        if self.scheduler.jobs.cancel_deferred(job_id):
+            self._jobs_read_requested.set()
+            return
         if not self.scheduler.jobs.is_known(job_id):
             if version > self._jobs_version:
                 self._early_cancellations[job_id] = version
@@ -616,26 +678,25 @@
                 logs.limited_warning('jobs.feed_failed', '', error.message)
                 continue
             if page is None:
-                rows, version = await self._read_jobs()
+                version = await self._read_jobs(self._apply_job_row)
             else:
-                rows = page.rows
                 version = table_reader.next_feed_version(page, version)
-            for row in rows:
-                if row.removed:
-                    continue
-                if row.key.endswith(records.CANCEL_SUFFIX):
-                    self.cancel_job(
-                        model.JobId(
-                            row.key.removesuffix(records.CANCEL_SUFFIX)
-                        ),
-                        row.version,
-                    )
-                else:
-                    with self._logging_bad_row(row):
-                        self._accept_job(
-                            records.decode_stored_job(row.key, row.value)
-                        )
+                for row in page.rows:
+                    self._apply_job_row(row)
             self._mark_jobs_read(version)
+            await self._load_deferred_jobs()
+
+    def _apply_job_row(self, row: ports.StoredRow) -> None:
+        if row.removed:
+            return
+        if row.key.endswith(records.CANCEL_SUFFIX):
+            self.cancel_job(
+                model.JobId(row.key.removesuffix(records.CANCEL_SUFFIX)),
+                row.version,
+            )
+            return
+        with self._logging_bad_row(row):
+            self._accept_job(records.decode_stored_job(row.key, row.value))
 
     def _mark_jobs_read(self, version: int) -> None:
         """Record that all changes of jobs up to a version were applied."""
@@ -761,6 +822,9 @@
         metrics.image_pairs.set({'apart': 'yes'}, apart)
         metrics.image_pairs.set({'apart': 'no'}, learned.pair_count - apart)
         metrics.slow_workers.set({}, self.scheduler.worker_speeds.slow_count)
+        jobs = self.scheduler.jobs
+        metrics.deferred_jobs.set({}, jobs.deferred_count())
+        metrics.free_job_memory.set({}, jobs.budget.free_bytes)
 
     def _execute(self, action: actions.Action) -> None:
         if isinstance(action, actions.Start):
--- a/packages/daemon/src/samphirestackd/fleet/metrics.py
+++ b/packages/daemon/src/samphirestackd/fleet/metrics.py
@@ -107,6 +107,16 @@
             'Workers that the holder of the term found slower than others.',
             registry=self._registry,
         )
+        self.deferred_jobs = collectors.Gauge(
+            'samphirestack_fleet_deferred_jobs',
+            'Accepted jobs that wait in the store for memory of the holder.',
+            registry=self._registry,
+        )
+        self.free_job_memory = collectors.Gauge(
+            'samphirestack_fleet_free_job_memory_bytes',
+            'Memory that the holder of the term has left for jobs and runs.',
+            registry=self._registry,
+        )
         self.wait_time = self._histogram(
             'samphirestack_fleet_wait_seconds',
             'Time from the readiness of a step to the order of a task.',
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -11,6 +11,7 @@
 import zmq.asyncio
 
 from samphirestack import errors
+from samphirestack.fleet import memory
 from samphirestack.fleet import messages
 from samphirestack.fleet import pacing
 from samphirestack.fleet import ports
@@ -127,6 +128,7 @@
         """How long the last write of a holder elsewhere took."""
         self._submissions: handover.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
+        self._admission = memory.Admission()
 
     @property
     def is_ready(self) -> bool:
@@ -491,6 +493,7 @@
                     self.term.renewal_age(clock.now()),
                     pacing.ping_interval_s(len(self._pings_by_identity)),
                     holder.writer.last_write_s if self._submissions else None,
+                    self._room_for_entries(holder),
                 ),
             )
         elif isinstance(message, messages.SubmissionRequest):
@@ -528,6 +531,8 @@
             record = self.term.record
             if record is not None:
                 self._last_reply = (record.life, clock.now())
+            if message.room is not None:
+                self._admission.update(message.room)
             if message.waiting_by_queue is not None:
                 self._waiting_counts = message.waiting_by_queue
                 self._waiting_counts_at = clock.now()
@@ -575,8 +580,24 @@
             self._pong_counts_at = now
         return counts
 
+    def _room_for_entries(self, holder: holders.Holder) -> memory.Room | None:
+        jobs = holder.scheduler.jobs
+        if not holder.loaded:
+            return None
+        return jobs.budget.room(
+            len(self._pings_by_identity) + 1, jobs.deferring_customers()
+        )
+
     # edge.HolderAccess
 
+    def admit_job(self, customer_id: model.TeamId, size: int) -> bool:
+        """Return whether the holder has memory for a further job."""
+        if self._holder is not None:
+            room = self._room_for_entries(self._holder)
+            if room is not None:
+                self._admission.update(room)
+        return self._admission.admit(customer_id, size)
+
     def announce_job(self, row: bytes, version: int) -> None:
         """Tell the holder that a job was stored."""
         if self._holder is not None:
--- a/packages/daemon/src/samphirestackd/fleet/node_context.py
+++ b/packages/daemon/src/samphirestackd/fleet/node_context.py
@@ -76,6 +76,8 @@
     metrics: metrics.Metrics
     configuration: Callable[[], specs.FleetConfiguration | None]
     waves: Callable[[], dict[int, upkeep.ReceivedWave]]
+    memory_bytes: float = float('inf')
+    """Memory that the VM gives this process."""
     evacuations: Callable[[], evacuation.Evacuations] = evacuation.Evacuations
     refresh_evacuations: Callable[[], None] = lambda: None
     """Reads the evacuations without waiting for their feed."""
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -59,6 +59,7 @@
 
     def __init__(self, has_store: bool = False) -> None:
         self.has_store = has_store
+        self.has_memory = True
         self.job_versions: list[int] = []
         self.cancellation_versions: list[int] = []
 
@@ -83,6 +84,10 @@
         del now
         return self.has_store
 
+    def admit_job(self, customer_id: model.TeamId, size: int) -> bool:
+        del customer_id, size
+        return self.has_memory
+
     def takes_submissions(self, now: float) -> bool:
         del now
         return False
@@ -262,6 +267,31 @@
         }
 
 
+class TestMemory:
+    """Guards against jobs that end every process that schedules."""
+
+    async def test_a_job_without_room_is_refused_and_not_stored(self) -> None:
+        store = row_store.MemoryRowStore()
+        holder = NoHolder()
+        holder.has_memory = False
+        entry, _ = make_edge(store, holder=holder)
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+        assert reply.verdict is verdicts.Verdict.NOT_RUN
+        assert reply.retry_after_s
+        assert store.rows_by_key == {}
+
+    async def test_a_job_that_was_accepted_before_is_not_refused(self) -> None:
+        # The refusal would say that the job never runs.
+        store = row_store.MemoryRowStore()
+        holder = NoHolder()
+        entry, _ = make_edge(store, holder=holder)
+        await entry.handle(make_call())
+        holder.has_memory = False
+        reply = await entry.handle(make_call())
+        assert reply.outcome is edge.Outcome.ACCEPTED
+
+
 class LateHolder(NoHolder):
     """Holder that answers once the store was tried."""
 
--- a/tests/unit/fleet/test_handover.py
+++ b/tests/unit/fleet/test_handover.py
@@ -62,6 +62,7 @@
         self.reply: edge.Reply | None = None
         """Reply to pass on in place of that of the entry."""
         self.announced = 0
+        self.has_memory = True
 
     def announce_job(self, row: bytes, version: int) -> None:
         del row, version
@@ -83,6 +84,10 @@
         del now
         return self.entry is not None
 
+    def admit_job(self, customer_id: model.TeamId, size: int) -> bool:
+        del customer_id, size
+        return self.has_memory
+
     def takes_submissions(self, now: float) -> bool:
         return self.reaches_store(now)
 
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -10,6 +10,7 @@
 from samphirestack.fleet import actions
 from samphirestack.fleet import evacuation
 from samphirestack.fleet import interference
+from samphirestack.fleet import memory
 from samphirestack.fleet import messages
 from samphirestack.fleet import ports
 from samphirestack.fleet import records
@@ -118,6 +119,38 @@
         await store.transact([], puts, (), part)
 
 
+class TestMemory:
+    """Guards against a store that holds more jobs than fit into memory."""
+
+    async def test_jobs_wait_in_the_store_until_others_have_ended(
+        self,
+    ) -> None:
+        store = row_store.MemoryRowStore()
+        for number in range(1, 61):
+            job = worlds.make_job(number)
+            await put_rows(
+                store,
+                records.JOBS_TABLE,
+                {job.job_id: records.encode(job)},
+                [records.job_part(job.job_id)],
+            )
+        holder = make_holder(store)
+        holder.scheduler.jobs.budget = memory.Budget(40 * memory.JOB_BYTES)
+        jobs = holder.scheduler.jobs
+        await holder._load()
+        assert 0 < len(jobs.active_by_id) < 60
+        (last,) = list(jobs._deferred_by_id)[-1:]
+        holder.cancel_job(last, store.version + 1)
+        await holder._load_deferred_jobs()
+        assert jobs.record_of(last) is not None
+        assert last not in jobs.active_by_id
+        while jobs.deferred_count():
+            for job_id in list(jobs.active_by_id):
+                holder.scheduler.cancel(clock.now(), job_id)
+            await holder._load_deferred_jobs()
+        assert len(jobs.active_by_id) + len(jobs._ending_by_id) == 60
+
+
 class TestReports:
     """Guards against a worker that is given up after an unexpected error.
 
