Store the progress of a job in several rows

Cause: a job that was set aside counted as stored, so that ends were acknowledged that no row held; and the row was bounded for placed tasks only.

Each row holds a fixed range of a job's tasks, so narrow that it fits whatever happens to them. The row is the unit of what is stored; the main one is written before or with the others. An end of a job that can't be stored is not acknowledged.

Tests that read the single row now read all rows, with the same bounds.

--- a/packages/bench/src/samphirestack_bench/fleet_model.py
+++ b/packages/bench/src/samphirestack_bench/fleet_model.py
@@ -240,7 +240,7 @@
         while self.scheduler.jobs.has_changes:
             changes = self.scheduler.collect_changes()
             self.scheduler.mark_stored(self._now, changes)
-            for job_id in changes.job_ids:
+            for job_id, _ in changes.row_keys:
                 if job_id in self.scheduler.jobs.ended_by_id:
                     outcome = self.outcomes_by_id[job_id]
                     if outcome.ended_at is None:
--- a/packages/core/src/samphirestack/fleet/actions.py
+++ b/packages/core/src/samphirestack/fleet/actions.py
@@ -6,6 +6,7 @@
 
 from samphirestack.fleet import interference
 from samphirestack.fleet import ports
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import specs
 from samphirestack.fleet import tracking
 from samphirestack import model
@@ -237,12 +238,12 @@
 class Changes(msgspec.Struct, frozen=True):
     """Changes that have to be stored before they take effect.
 
-    Once they are stored, the starts of these jobs with numbers up to
-    ``starts_until`` may be sent, and workers may forget their ends up to
+    Once they are stored, the starts of the tasks in these rows with numbers up
+    to ``starts_until`` may be sent, and workers may forget their ends up to
     ``ends_by_worker_id``.
     """
 
-    job_ids: tuple[model.JobId, ...]
+    row_keys: frozenset[progress_rows.RowKey]
     starts_until: int
     puts: tuple[ports.Put, ...]
     removals: tuple[ports.Removal, ...]
--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -1,6 +1,8 @@
 """Jobs of one term and their changes that have to be stored."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import msgspec
 
@@ -28,6 +30,10 @@
 """Jobs that waited for memory and are read from the store at once."""
 
 
+class RowTooLarge(Exception):
+    """A row of progress exceeds the store's limit."""
+
+
 class DeferredJob(msgspec.Struct):
     """A job that is left in the store until there is memory for it."""
 
@@ -70,8 +76,10 @@
         reader that has not seen it may still deliver an older row."""
         self._ending_by_id: dict[model.JobId, records.JobRecord] = {}
         """Ended jobs whose end is not stored yet."""
-        self._dirty: dict[model.JobId, None] = {}
-        """Jobs with changes to store, in the order of the changes."""
+        self._dirty: dict[progress_rows.RowKey, None] = {}
+        """Rows of progress to store or remove, in the order of the changes."""
+        self._unstorable_ids: set[model.JobId] = set()
+        """Jobs of which a change couldn't be stored."""
         self.ready_steps: dict[str, work.StepRun] = {}
         """Steps with tasks that wait for a worker, by id of the step."""
         self._scheduled: dict[model.JobId, work.Job] = {}
@@ -230,7 +238,29 @@
     def delete_progress(self, job_id: model.JobId) -> None:
         """Schedule the deletion of the row of a job's progress."""
         self._archived_ids.add(job_id)
-        self._dirty[job_id] = None
+        self._dirty[progress_rows.RowKey(job_id, progress_rows.MAIN_ROW)] = (
+            None
+        )
+
+    def delete_further_rows(
+        self, job_id: model.JobId, numbers: Iterable[int]
+    ) -> None:
+        """Schedule the deletion of rows of an ended or unknown job."""
+        for number in numbers:
+            self._dirty[progress_rows.RowKey(job_id, number)] = None
+
+    def _mark_changed(self, job: work.Job, number: int) -> None:
+        """Store a row of a job, and the main one if it doesn't exist."""
+        if not job.progress.has_main_row:
+            job.progress.has_main_row = True
+            job.progress.row(progress_rows.MAIN_ROW)
+            self._dirty[
+                progress_rows.RowKey(job.job_id, progress_rows.MAIN_ROW)
+            ] = None
+        self._dirty[progress_rows.RowKey(job.job_id, number)] = None
+
+    def _mark_task_changed(self, task: work.Task) -> None:
+        self._mark_changed(task.step.job, task.row_number)
 
     def begin_due_occurrences(self, now: float) -> None:
         """Begin the occurrences of scheduled jobs that are due."""
@@ -254,10 +284,19 @@
             self._complete_step(now, step)
 
     def restore_progress(
-        self, now: float, job: work.Job, progress: records.JobProgress
+        self,
+        now: float,
+        job: work.Job,
+        main: records.JobProgress,
+        others: Mapping[int, records.JobProgress] = MappingProxyType({}),
     ) -> None:
-        """Apply progress that an earlier holder of the term stored."""
-        job.progress = progress
+        """Apply progress that an earlier holder of the term stored.
+
+        :param main: the job's main row.
+        :param others: its further rows, by number.
+        """
+        for number in job.progress.restore(main, others):
+            self._mark_changed(job, number)
         for completed in occurrences.skip_completed(job):
             self.ready_steps.pop(completed.id, None)
         while job.next_occurrence <= occurrences.last_begun(job):
@@ -265,6 +304,13 @@
         # The completed occurrences that were begun first took the places of
         # those that are due.
         self.begin_due_occurrences(now)
+        # Steps are done in their order only if their rows are.
+        for _, row in sorted(job.progress.by_number.items()):
+            self._restore_row(now, job, row)
+
+    def _restore_row(
+        self, now: float, job: work.Job, progress: records.JobProgress
+    ) -> None:
         if progress.done_by_step or progress.placed_by_task:
             job.state = specs.JobState.RUNNING
         for key, numbers in progress.failed_runs_by_task.items():
@@ -329,19 +375,19 @@
         :return: task, run number and worker of each; the run may be active.
         """
         result = []
-        for key, (run, worker_id) in job.progress.placed_by_task.items():
-            task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
-            if task is not None and task.state is work.TaskState.WAITING:
-                result.append((task, run, model.WorkerId(worker_id)))
+        for row in job.progress.by_number.values():
+            for key, (run, worker_id) in row.placed_by_task.items():
+                task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
+                if task is not None and task.state is work.TaskState.WAITING:
+                    result.append((task, run, model.WorkerId(worker_id)))
         return result
 
     def mark_placed(
         self, task: work.Task, run_number: int, worker_id: model.WorkerId
     ) -> None:
         """Record that a run of a task is, or may be, on a worker."""
-        job = task.step.job
-        job.progress.placed_by_task[_task_key(task)] = (run_number, worker_id)
-        self._dirty[job.job_id] = None
+        task.progress.placed_by_task[_task_key(task)] = (run_number, worker_id)
+        self._mark_task_changed(task)
         task.state = work.TaskState.PLACED
         task.placed_run_number = run_number
         task.last_run_number = max(task.last_run_number, run_number)
@@ -355,30 +401,29 @@
     ) -> list[tuple[work.Task, int, model.WorkerId]]:
         """Return stored copies of tasks that are not done, as placements."""
         result = []
-        for key, (run, worker_id) in job.progress.copies_by_task.items():
-            task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
-            if task is not None and task.state is not work.TaskState.DONE:
-                result.append((task, run, model.WorkerId(worker_id)))
+        for row in job.progress.by_number.values():
+            for key, (run, worker_id) in row.copies_by_task.items():
+                task = self.find_task(model.TaskId(f'{job.job_id}.{key}'))
+                if task is not None and task.state is not work.TaskState.DONE:
+                    result.append((task, run, model.WorkerId(worker_id)))
         return result
 
     def mark_copied(
         self, task: work.Task, run_number: int, worker_id: model.WorkerId
     ) -> None:
         """Record that a copy of a placed task is, or may be, on a worker."""
-        job = task.step.job
-        job.progress.copies_by_task[_task_key(task)] = (run_number, worker_id)
-        self._dirty[job.job_id] = None
+        task.progress.copies_by_task[_task_key(task)] = (run_number, worker_id)
+        self._mark_task_changed(task)
         task.copy_run_number = run_number
         task.last_run_number = max(task.last_run_number, run_number)
 
     def forget_copy(self, task: work.Task) -> None:
         """Record that the copy of a task is over."""
         task.copy_run_number = 0
-        job = task.step.job
-        if job.progress.copies_by_task.pop(_task_key(task), None) is None:
+        if task.progress.copies_by_task.pop(_task_key(task), None) is None:
             return
-        if job.job_id in self.active_by_id:
-            self._dirty[job.job_id] = None
+        if task.step.job.job_id in self.active_by_id:
+            self._mark_task_changed(task)
 
     def mark_running(self, job: work.Job) -> None:
         """Set a queued job to running after a task of it started."""
@@ -392,13 +437,13 @@
         task.state = work.TaskState.WAITING
         task.placed_run_number = 0
         step = task.step
-        step.job.progress.placed_by_task.pop(_task_key(task), None)
+        task.progress.placed_by_task.pop(_task_key(task), None)
         step.waiting.add(task.index)
         if step.job.job_id not in self.active_by_id:
             return
         # After a takeover, a stale placement on a worker that has left would
         # delay the task until all leases of the earlier holder have expired.
-        self._dirty[step.job.job_id] = None
+        self._mark_task_changed(task)
         if not step.pending_dependencies:
             self.ready_steps[step.id] = step
 
@@ -409,8 +454,8 @@
         job = task.step.job
         step = task.step
         key = f'{step.occurrence}.{step.number}'
-        job.progress.done_by_step.setdefault(key, []).append(task.index)
-        self._dirty[job.job_id] = None
+        task.progress.done_by_step.setdefault(key, []).append(task.index)
+        self._mark_task_changed(task)
         self.mark_running(job)
         self._mark_done(now, task)
 
@@ -419,8 +464,8 @@
             return
         step = task.step
         task.state = work.TaskState.DONE
-        step.job.progress.placed_by_task.pop(_task_key(task), None)
-        step.job.progress.copies_by_task.pop(_task_key(task), None)
+        task.progress.placed_by_task.pop(_task_key(task), None)
+        task.progress.copies_by_task.pop(_task_key(task), None)
         step.waiting.discard(task.index)
         step.done.add(task.index)
         step.tasks.forget(task)
@@ -441,7 +486,8 @@
                 if not other.pending_dependencies:
                     self._make_ready(now, other)
         if all(other.is_done for other in others):
-            occurrences.record_completed(job, step.occurrence)
+            for number in occurrences.record_completed(job, step.occurrence):
+                self._mark_changed(job, number)
 
     def record_failure(self, task: work.Task, run_number: int) -> int:
         """Record a failed run; return the number of failed attempts so far.
@@ -450,13 +496,12 @@
         counted over all its members.
         """
         step = task.step
-        job = step.job
         if run_number not in task.failed_runs:
             task.failed_runs.add(run_number)
-            job.progress.failed_runs_by_task.setdefault(
+            task.progress.failed_runs_by_task.setdefault(
                 _task_key(task), []
             ).append(run_number)
-            self._dirty[job.job_id] = None
+            self._mark_task_changed(task)
         if not step.spec.gang:
             return len(task.failed_runs)
         failed: set[int] = set()
@@ -504,12 +549,11 @@
         self._store_crashes(task)
 
     def _store_crashes(self, task: work.Task) -> None:
-        job = task.step.job
-        job.progress.crashes_by_task[_task_key(task)] = dict(
+        task.progress.crashes_by_task[_task_key(task)] = dict(
             task.crashes_by_run
         )
-        if job.job_id in self.active_by_id:
-            self._dirty[job.job_id] = None
+        if task.step.job.job_id in self.active_by_id:
+            self._mark_task_changed(task)
 
     def is_complete(self, job: work.Job) -> bool:
         """Return whether all tasks of all occurrences succeeded."""
@@ -538,7 +582,8 @@
             state,
             now + self.unix_offset_s,
         )
-        self._dirty[job.job_id] = None
+        for number in (progress_rows.MAIN_ROW, *job.progress.by_number):
+            self._dirty[progress_rows.RowKey(job.job_id, number)] = None
 
     def set_aside(self, job_id: model.JobId) -> None:
         """Do not run a job in this term and leave its rows as they are."""
@@ -546,7 +591,8 @@
         job = self.active_by_id.get(job_id)
         if job is not None:
             self._deactivate(job)
-        self._dirty.pop(job_id, None)
+        for key in [key for key in self._dirty if key.job_id == job_id]:
+            del self._dirty[key]
 
     def _deactivate(self, job: work.Job) -> None:
         if self.active_by_id.pop(job.job_id, None) is not None:
@@ -572,7 +618,8 @@
         for job_id, record in list(self.ended_by_id.items()):
             if record.ended_unix_s >= unix_before:
                 break
-            if job_id in self._archived_ids and job_id not in self._dirty:
+            main = progress_rows.RowKey(job_id, progress_rows.MAIN_ROW)
+            if job_id in self._archived_ids and main not in self._dirty:
                 self._archived_ids.discard(job_id)
                 del self.ended_by_id[job_id]
                 self.budget.change(record.customer_id, -memory.ENDED_JOB_BYTES)
@@ -605,64 +652,105 @@
     ) -> tuple[
         tuple[ports.Put, ...],
         tuple[ports.Removal, ...],
-        tuple[model.JobId, ...],
+        frozenset[progress_rows.RowKey],
     ]:
         """Return changes for one transaction and mark them as collected.
 
-        :return: rows to write, rows to remove and the jobs concerned.
+        :return: rows to write, rows to remove and the keys of both.
         """
         puts: list[ports.Put] = []
         removals: list[ports.Removal] = []
-        job_ids = []
+        collected: set[progress_rows.RowKey] = set()
         size = 0
-        for job_id in list(self._dirty):
+        for changed in list(self._dirty):
             if len(puts) + len(removals) >= MAX_ENTRIES - 2:
                 break
             if size >= MAX_BYTES:
                 break
-            del self._dirty[job_id]
-            job_ids.append(job_id)
-            ending = self._ending_by_id.get(job_id)
-            if ending is not None:
-                puts.append(
-                    ports.Put(
-                        records.PROGRESS_TABLE,
-                        job_id,
-                        records.encode(records.JobProgress(ended=ending)),
-                    )
-                )
-                continue
-            job = self.active_by_id.get(job_id)
-            if job is not None:
-                row = progress_rows.encode(job.progress)
-                if len(row) > records.MAX_ROW_BYTES:
+            # Other rows say nothing any more of what the main one counts as
+            # complete or ended.
+            main = progress_rows.RowKey(changed.job_id, progress_rows.MAIN_ROW)
+            for key in (main, changed):
+                if key not in self._dirty:
+                    continue
+                try:
+                    change = self._change_of_row(key)
+                except RowTooLarge:
                     # The store would refuse the whole transaction, over and
                     # over; the job's rows stay as they are.
-                    self.oversized_ids.append(job_id)
-                    self.set_aside(job_id)
-                    continue
-                size += len(row)
-                puts.append(ports.Put(records.PROGRESS_TABLE, job_id, row))
-            elif job_id in self._archived_ids:
-                removals.append(ports.Removal(records.PROGRESS_TABLE, job_id))
-        return tuple(puts), tuple(removals), tuple(job_ids)
+                    self.oversized_ids.append(key.job_id)
+                    self._unstorable_ids.add(key.job_id)
+                    self.set_aside(key.job_id)
+                    break
+                del self._dirty[key]
+                collected.add(key)
+                if isinstance(change, ports.Put):
+                    size += len(change.value)
+                    puts.append(change)
+                elif change is not None:
+                    removals.append(change)
+        return tuple(puts), tuple(removals), frozenset(collected)
+
+    def _change_of_row(
+        self, key: progress_rows.RowKey
+    ) -> ports.Put | ports.Removal | None:
+        """Return how to store a row; ``None`` if it stays as it is.
+
+        :raises RowTooLarge: the store can't hold it.
+        """
+        job = self.active_by_id.get(key.job_id)
+        ending = self._ending_by_id.get(key.job_id)
+        is_main = key.number == progress_rows.MAIN_ROW
+        if is_main and ending is not None:
+            value = records.encode(records.JobProgress(ended=ending))
+        elif job is not None and key.number in job.progress.by_number:
+            value = progress_rows.encode(job.progress.by_number[key.number])
+            if len(value) > records.MAX_ROW_BYTES:
+                raise RowTooLarge
+        elif is_main and key.job_id not in self._archived_ids:
+            return None
+        else:
+            return ports.Removal(records.PROGRESS_TABLE, key.text)
+        return ports.Put(records.PROGRESS_TABLE, key.text, value)
 
-    def has_uncollected_changes(self, task_id: model.TaskId) -> bool:
-        """Return whether a task's job has changes to be collected."""
+    def row_of_task(self, task_id: model.TaskId) -> progress_rows.RowKey:
+        """Return the row of progress that says of a task.
+
+        Of a job that is not active it is the main one, which says how it
+        ended.
+        """
         parts = specs.split_task_id(task_id)
-        return parts is not None and parts[0] in self._dirty
+        if parts is None:
+            return progress_rows.RowKey(model.JobId(''), 0)
+        job_id, occurrence, number, index = parts
+        job = self.active_by_id.get(job_id)
+        if job is None or number >= len(job.spec.steps):
+            return progress_rows.RowKey(job_id, progress_rows.MAIN_ROW)
+        return progress_rows.RowKey(
+            job_id, job.progress.number_of(occurrence, number, index)
+        )
+
+    def has_uncollected_changes(self, task_id: model.TaskId) -> bool:
+        """Return whether what is known of a task is not collected yet.
+
+        That of a job of which a change couldn't be stored never is.
+        """
+        key = self.row_of_task(task_id)
+        return key in self._dirty or key.job_id in self._unstorable_ids
 
     @property
     def has_changes(self) -> bool:
         """Return whether any job has changes to be collected."""
         return bool(self._dirty)
 
-    def mark_stored(self, now: float, job_ids: Iterable[model.JobId]) -> None:
-        """Record that the collected changes of jobs are stored."""
-        for job_id in job_ids:
-            if job_id in self._dirty:
+    def mark_stored(
+        self, now: float, keys: Iterable[progress_rows.RowKey]
+    ) -> None:
+        """Record that the collected rows are stored."""
+        for key in keys:
+            if key.number != progress_rows.MAIN_ROW or key in self._dirty:
                 continue
-            ending = self._ending_by_id.pop(job_id, None)
+            ending = self._ending_by_id.pop(key.job_id, None)
             if ending is not None:
                 self._add_ended_record(ending)
                 self.archive.add_ended(now, ending)
--- a/packages/core/src/samphirestack/fleet/occurrences.py
+++ b/packages/core/src/samphirestack/fleet/occurrences.py
@@ -5,6 +5,8 @@
 """
 
 from samphirestack.fleet import job_limits
+from samphirestack.fleet import progress_rows
+from samphirestack.fleet import records
 from samphirestack.fleet import work
 
 MAX_OPEN = 1000
@@ -35,21 +37,27 @@
     )
 
 
-def record_completed(job: work.Job, occurrence: int) -> None:
+def record_completed(job: work.Job, occurrence: int) -> set[int]:
     """Record that all tasks of an occurrence succeeded.
 
     Of the oldest complete ones only the number is kept.
+
+    :return: the rows of progress that change by that.
     """
-    progress = job.progress
+    changed: set[int] = set()
+    progress = job.progress.main
     job.completed_occurrences.add(occurrence)
     kept = min(MAX_KEPT, MAX_KEPT_STEPS // len(job.spec.steps))
     while (
         len(job.completed_occurrences) > kept
         and progress.completed_before in job.completed_occurrences
     ):
-        _forget(job, progress.completed_before)
+        changed |= _forget(job, progress.completed_before)
         job.completed_occurrences.discard(progress.completed_before)
         progress.completed_before += 1
+    if changed:
+        changed.add(progress_rows.MAIN_ROW)
+    return changed
 
 
 def skip_completed(job: work.Job) -> list[work.StepRun]:
@@ -57,7 +65,7 @@
 
     :return: the dropped steps.
     """
-    first = job.progress.completed_before
+    first = job.progress.main.completed_before
     dropped = [
         job.steps_by_key.pop(key)
         for key in list(job.steps_by_key)
@@ -69,23 +77,40 @@
 
 def last_begun(job: work.Job) -> int:
     """Return the last occurrence that the progress names; -1 for none."""
-    progress = job.progress
-    named = [
-        *progress.done_by_step,
-        *progress.placed_by_task,
-        *progress.failed_runs_by_task,
-        *progress.crashes_by_task,
-    ]
-    last = max((int(key.split('.')[0]) for key in named), default=-1)
+    last = max(job.progress.named_occurrences(), default=-1)
     return min(last, job.occurrence_count - 1)
 
 
-def _forget(job: work.Job, occurrence: int) -> None:
-    progress = job.progress
+def _forget(job: work.Job, occurrence: int) -> set[int]:
+    """Remove what is said of an occurrence; return the rows that said it."""
+    rows = job.progress
+    changed = set()
     for number, spec in enumerate(job.spec.steps):
         key = f'{occurrence}.{number}'
         job.steps_by_key.pop((occurrence, number), None)
-        progress.done_by_step.pop(key, None)
+        first = rows.number_of(occurrence, number, 0)
+        last = rows.number_of(occurrence, number, spec.count - 1)
+        for row_number in range(first, last + 1):
+            row = rows.row(row_number)
+            row.done_by_step.pop(key, None)
+            changed.add(row_number)
         for index in range(spec.count):
-            progress.failed_runs_by_task.pop(f'{key}.{index}', None)
-            progress.crashes_by_task.pop(f'{key}.{index}', None)
+            row = rows.row(rows.number_of(occurrence, number, index))
+            row.failed_runs_by_task.pop(f'{key}.{index}', None)
+            row.crashes_by_task.pop(f'{key}.{index}', None)
+    for row_number in changed:
+        if row_number != progress_rows.MAIN_ROW and _is_empty(
+            rows.by_number[row_number]
+        ):
+            del rows.by_number[row_number]
+    return changed
+
+
+def _is_empty(row: records.JobProgress) -> bool:
+    return not (
+        row.done_by_step
+        or row.failed_runs_by_task
+        or row.crashes_by_task
+        or row.placed_by_task
+        or row.copies_by_task
+    )
--- a/packages/core/src/samphirestack/fleet/progress_rows.py
+++ b/packages/core/src/samphirestack/fleet/progress_rows.py
@@ -1,16 +1,21 @@
 """Rows of progress within the store's limit for rows.
 
-Progress is written out task by task, which older entries also read.  This
-answers jobs of thousands of tasks, whose progress would exceed the limit that
-way: they are grouped by step, run and worker, as ranges of indexes.
+Each row holds the progress of a fixed range of a job's tasks, so narrow that
+it fits whatever happens to them: this answers jobs of thousands of tasks, and
+scheduled ones with many open occurrences.  Progress is written out task by
+task, or grouped by step, run and worker, as ranges of indexes.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import NamedTuple
 
 import msgspec
 
 from samphirestack.fleet import records
+from samphirestack.fleet import specs
+from samphirestack import model
 
 MAX_PLAIN_BYTES = records.MAX_ROW_BYTES // 2
 """Size from which progress is grouped."""
@@ -18,18 +23,165 @@
 MAX_PLACED_TASKS = 10_000
 """Tasks of a job that may be on workers at once."""
 
-FEW_PLACED_TASKS = 3000
-"""As many fit into a row whatever their steps and workers are."""
+TASK_BYTES = 530
+"""Largest size of a task in a row without its failed runs: its number, and
+twice its name, a run and a worker, whose id is a key of the store."""
 
-TASK_BYTES = 4
-GROUP_BYTES = 12
-"""Size of a placed task, and of each group of a step and a worker in a row."""
+RUN_BYTES = 6
+"""Largest size of a failed run."""
 
-MAX_PLACED_BYTES = MAX_PLAIN_BYTES * 3 // 2
+KEY_SEPARATOR = '/'
+
+MAIN_ROW = 0
+"""The row whose key is the job's id.  It exists if any row does, and says what
+concerns the whole job."""
+
+
+class RowKey(NamedTuple):
+    """A row of a job's progress."""
+
+    job_id: model.JobId
+    number: int
+
+    @property
+    def text(self) -> str:
+        """Return the key of the row in the store."""
+        if self.number == MAIN_ROW:
+            return self.job_id
+        return f'{self.job_id}{KEY_SEPARATOR}{self.number}'
+
+
+def parse_key(text: str) -> RowKey:
+    """Return which row has a key.
+
+    :raises ValueError: the key is not that of a row of progress.
+    """
+    job_id, separator, number = text.partition(KEY_SEPARATOR)
+    return RowKey(model.JobId(job_id), int(number) if separator else MAIN_ROW)
+
+
+class Rows:
+    """Progress of a job, by rows.
+
+    The tasks are numbered over steps and occurrences, and each row has as
+    many of them as fit in the worst case.
+    """
+
+    def __init__(self, spec: specs.JobSpec, max_attempts: int) -> None:
+        self.by_number: dict[int, records.JobProgress] = {}
+        self.has_main_row = False
+        """Whether the main row is stored or about to be."""
+        self._first_tasks: list[int] = []
+        self._tasks_per_occurrence = 0
+        for step in spec.steps:
+            self._first_tasks.append(self._tasks_per_occurrence)
+            self._tasks_per_occurrence += step.count
+        self._tasks_per_row = max(
+            1,
+            records.MAX_ROW_BYTES // (TASK_BYTES + RUN_BYTES * max_attempts),
+        )
+
+    @property
+    def main(self) -> records.JobProgress:
+        """Return the row on the whole job."""
+        return self.row(MAIN_ROW)
+
+    def row(self, number: int) -> records.JobProgress:
+        """Return a row, which is made if it doesn't exist."""
+        found = self.by_number.get(number)
+        if found is None:
+            found = self.by_number[number] = records.JobProgress()
+        return found
+
+    def number_of(self, occurrence: int, step: int, index: int) -> int:
+        """Return the row of a task."""
+        task = (
+            occurrence * self._tasks_per_occurrence
+            + self._first_tasks[step]
+            + index
+        )
+        return task // self._tasks_per_row
+
+    def placed_count(self) -> int:
+        """Return how many runs are, or may be, on workers."""
+        return sum(
+            len(row.placed_by_task) + len(row.copies_by_task)
+            for row in self.by_number.values()
+        )
+
+    def named_occurrences(self) -> Iterator[int]:
+        """Yield the occurrences of the tasks about which anything is said."""
+        for row in self.by_number.values():
+            for by_key in (
+                row.done_by_step,
+                row.placed_by_task,
+                row.failed_runs_by_task,
+                row.crashes_by_task,
+            ):
+                for key in by_key:
+                    yield int(key.split('.')[0])
+
+    def restore(
+        self,
+        main: records.JobProgress,
+        others: Mapping[int, records.JobProgress],
+    ) -> set[int]:
+        """Apply stored rows.
+
+        Earlier versions stored all tasks in the main row.  What it says about
+        a task of another row counts only while that row doesn't exist.
+
+        :return: rows that have to be stored anew.
+        """
+        self.has_main_row = True
+        self.by_number = dict(others)
+        self.by_number[MAIN_ROW] = records.JobProgress(
+            completed_before=main.completed_before
+        )
+        moved: set[int] = set()
+        for name in (
+            'done_by_step',
+            'failed_runs_by_task',
+            'crashes_by_task',
+            'placed_by_task',
+            'copies_by_task',
+        ):
+            for key, value in getattr(main, name).items():
+                if name == 'done_by_step':
+                    self._restore_done(key, value, others, moved)
+                    continue
+                number = self._number_of_key(key)
+                if number != MAIN_ROW:
+                    moved.update((MAIN_ROW, number))
+                    if number in others:
+                        continue
+                getattr(self.row(number), name)[key] = value
+        return moved
+
+    def _restore_done(
+        self,
+        key: str,
+        indexes: list[int],
+        others: Mapping[int, records.JobProgress],
+        moved: set[int],
+    ) -> None:
+        for index in indexes:
+            number = self._number_of_key(f'{key}.{index}')
+            if number != MAIN_ROW:
+                moved.update((MAIN_ROW, number))
+                if number in others:
+                    continue
+            self.row(number).done_by_step.setdefault(key, []).append(index)
+
+    def _number_of_key(self, key: str) -> int:
+        occurrence, step, index = map(int, key.split('.'))
+        if step >= len(self._first_tasks):
+            return MAIN_ROW
+        return self.number_of(occurrence, step, index)
 
 
 def encode(progress: records.JobProgress) -> bytes:
-    """Return the row of a job's progress.
+    """Return the bytes of a row of progress.
 
     Crashes of workers are left out of a row that would exceed the limit: it
     is better to find a task that crashes them anew than to store nothing.
@@ -45,18 +197,9 @@
     return row
 
 
-def placeable(progress: records.JobProgress) -> int:
+def placeable(rows: Rows) -> int:
     """Return how many more tasks of a job may be placed."""
-    count = len(progress.placed_by_task) + len(progress.copies_by_task)
-    if count <= FEW_PLACED_TASKS:
-        return MAX_PLACED_TASKS - count
-    groups = {
-        (key.rpartition('.')[0], worker_id)
-        for runs_by_task in (progress.placed_by_task, progress.copies_by_task)
-        for key, (_, worker_id) in runs_by_task.items()
-    }
-    free = MAX_PLACED_BYTES - TASK_BYTES * count - GROUP_BYTES * len(groups)
-    return min(MAX_PLACED_TASKS - count, free // (TASK_BYTES + GROUP_BYTES))
+    return MAX_PLACED_TASKS - rows.placed_count()
 
 
 def decode(data: bytes) -> records.JobProgress:
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from samphirestack.fleet import actions
 from samphirestack.fleet import advising
@@ -144,16 +146,21 @@
         unix_now: float,
         record: records.JobRecord,
         progress: records.JobProgress | None,
+        further: Mapping[int, records.JobProgress] = MappingProxyType({}),
     ) -> None:
         """Load a stored job that was accepted before this term.
 
-        :param progress: stored progress, or ``None`` if there is none.
+        :param progress: main row of its progress, or ``None`` if there is
+            none.
+        :param further: the other rows, by number.
         """
         if record.spec is None:
             self.jobs.add_ended(record, progress is not None)
+            self.jobs.delete_further_rows(record.job_id, further)
             return
         if progress is not None and progress.ended is not None:
             self.jobs.add_unarchived(now, progress.ended)
+            self.jobs.delete_further_rows(record.job_id, further)
             return
         if progress is None and not self.jobs.may_load(record):
             self.jobs.defer(record)
@@ -164,7 +171,7 @@
         if progress is None:
             return
         try:
-            self.jobs.restore_progress(now, job, progress)
+            self.jobs.restore_progress(now, job, progress, further)
         except Exception:
             # Without its progress, its finished tasks would run again.
             self.jobs.set_aside(job.job_id)
@@ -1676,9 +1683,9 @@
 
     def collect_changes(self) -> actions.Changes:
         """Return the changes to store and mark them as collected."""
-        puts, removals, job_ids = self.jobs.collect_changes()
+        puts, removals, row_keys = self.jobs.collect_changes()
         return actions.Changes(
-            job_ids,
+            row_keys,
             self._start_count,
             puts,
             removals,
@@ -1713,7 +1720,7 @@
 
         :return: workers that may forget more ends than before.
         """
-        self.jobs.mark_stored(now, changes.job_ids)
+        self.jobs.mark_stored(now, changes.row_keys)
         advanced = []
         for worker_id, (
             started_unix_ms,
--- a/packages/core/src/samphirestack/fleet/work.py
+++ b/packages/core/src/samphirestack/fleet/work.py
@@ -5,6 +5,7 @@
 import enum
 
 from samphirestack.fleet import indexes
+from samphirestack.fleet import progress_rows
 from samphirestack.fleet import records
 from samphirestack.fleet import specs
 from samphirestack import model
@@ -62,6 +63,18 @@
         self.crashes_by_run: dict[int, records.TaskCrash] = {}
         """Crashes of workers under runs of the task, by run number."""
 
+    @property
+    def progress(self) -> records.JobProgress:
+        """Return the row of its job's progress that says of it."""
+        return self.step.job.progress.row(self.row_number)
+
+    @property
+    def row_number(self) -> int:
+        """Return the number of that row."""
+        return self.step.job.progress.number_of(
+            self.step.occurrence, self.step.number, self.index
+        )
+
     @property
     def suspected_crashes(self) -> int:
         """Return how many crashes of workers the task may have caused."""
@@ -275,7 +288,7 @@
         self.accepted_at = accepted_at
         self.first_due_at = first_due_at
         self.state = specs.JobState.QUEUED
-        self.progress = records.JobProgress()
+        self.progress = progress_rows.Rows(self.spec, self.queue.max_attempts)
         self.steps_by_key: dict[tuple[int, int], StepRun] = {}
         self.next_occurrence = 0
         self.completed_occurrences: set[int] = set()
@@ -301,7 +314,9 @@
     @property
     def occurrences_done(self) -> int:
         """Return how many occurrences are complete."""
-        return self.progress.completed_before + len(self.completed_occurrences)
+        return self.progress.main.completed_before + len(
+            self.completed_occurrences
+        )
 
     @property
     def is_long_running(self) -> bool:
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -195,9 +195,16 @@
         """
         self._workers_version = await self._read_workers()
         # Progress stays encoded until its job is loaded.
-        rows, _ = await self._read_table(records.PROGRESS_TABLE)
-        progress_rows_by_id = {row.key: row for row in rows}
-        del rows
+        progress_by_id: dict[str, dict[int, ports.StoredRow]] = {}
+
+        def keep(row: ports.StoredRow) -> None:
+            with self._logging_bad_row(row):
+                key = progress_rows.parse_key(row.key)
+                progress_by_id.setdefault(key.job_id, {})[key.number] = row
+
+        await self._read_pages(
+            records.PROGRESS_TABLE, records.HOLDER_PART, keep
+        )
         self.scheduler.set_workers(
             clock.now(), self._worker_entries_by_id.values()
         )
@@ -209,14 +216,15 @@
                     model.JobId(row.key.removesuffix(records.CANCEL_SUFFIX))
                 )
             else:
-                self._load_job(row, progress_rows_by_id.pop(row.key, None))
+                self._load_job(row, progress_by_id.pop(row.key, {}))
 
         self._jobs_version = await self._read_jobs(load)
         for job_id in cancelled:
             if not self.scheduler.jobs.cancel_deferred(job_id):
                 self.scheduler.cancel(clock.now(), job_id)
-        for key in progress_rows_by_id:
+        for key, rows in progress_by_id.items():
             self.scheduler.jobs.delete_progress(model.JobId(key))
+            self.scheduler.jobs.delete_further_rows(model.JobId(key), rows)
         self.loaded = True
         self._context.log.write(
             'term.loaded',
@@ -228,22 +236,26 @@
         )
 
     def _load_job(
-        self, row: ports.StoredRow, progress_row: ports.StoredRow | None
+        self,
+        row: ports.StoredRow,
+        progress_rows_by_number: dict[int, ports.StoredRow],
     ) -> None:
-        progress = None
-        if progress_row is not None:
+        progress: dict[int, records.JobProgress] = {}
+        for number, progress_row in progress_rows_by_number.items():
             try:
-                progress = progress_rows.decode(progress_row.value)
+                progress[number] = progress_rows.decode(progress_row.value)
             except Exception as error:
                 # Without its progress, its finished tasks would run again.
                 self._log_bad_row(progress_row, error)
                 self.scheduler.jobs.set_aside(model.JobId(row.key))
                 return
+        main = progress.pop(progress_rows.MAIN_ROW, None)
         with self._logging_bad_row(row):
             self.scheduler.load_job(
                 clock.now(),
                 clock.unix_now(),
                 records.decode_stored_job(row.key, row.value),
+                main,
                 progress,
             )
 
@@ -711,18 +723,17 @@
 
     def _send_starts(self, changes: actions.Changes) -> None:
         """Send the starts whose placement is stored now."""
-        job_ids = set(changes.job_ids)
         unstored = []
         for start in self._unstored_starts:
-            id_parts = specs.split_task_id(start.order.task_id)
+            key = self.scheduler.jobs.row_of_task(start.order.task_id)
             stored = (
-                id_parts is not None
-                and id_parts[0] in job_ids
+                key in changes.row_keys
                 and start.number <= changes.starts_until
             )
-            if not stored:
+            is_active = key.job_id in self.scheduler.jobs.active_by_id
+            if is_active and not stored:
                 unstored.append(start)
-            elif self._may_send_start(start):
+            elif is_active and self._may_send_start(start):
                 self._spawn(self._start(start))
             else:
                 self.scheduler.handle_start_result(
@@ -749,7 +760,9 @@
             event = self._stored_events.get(worker_id)
             if event is not None:
                 event.set()
-        for job_id in changes.job_ids:
+        for job_id, number in changes.row_keys:
+            if number != progress_rows.MAIN_ROW:
+                continue
             ended = self.scheduler.jobs.ended_by_id.get(job_id)
             if ended is not None and ended.ended_as is not None:
                 self._context.metrics.jobs_ended.inc(
--- a/packages/testing/src/samphirestack_testing/fake_fleet.py
+++ b/packages/testing/src/samphirestack_testing/fake_fleet.py
@@ -504,7 +504,8 @@
         starts, self._unsent_starts = self._unsent_starts, []
         for start in starts:
             if (
-                start.order.task_id.split('.')[0] in changes.job_ids
+                self.scheduler.jobs.row_of_task(start.order.task_id)
+                in changes.row_keys
                 and start.number <= changes.starts_until
             ):
                 self._order_start(start)
--- a/tests/unit/fleet/test_holder.py
+++ b/tests/unit/fleet/test_holder.py
@@ -1058,7 +1058,7 @@
         holder = make_holder(row_store.MemoryRowStore(), workers)
         plan_start(holder)
         (job,) = holder.scheduler.jobs.active_by_id.values()
-        job.progress.done_by_step = {
+        job.progress.main.done_by_step = {
             f'{number}.0': [0] for number in range(9000)
         }
         holder._on_changes_stored(holder.scheduler.collect_changes())
--- a/tests/unit/fleet/test_occurrences.py
+++ b/tests/unit/fleet/test_occurrences.py
@@ -89,9 +89,14 @@
         world = worlds.World([worlds.make_worker('w', 10**6, 10**6)])
         world.accept(0.0, make_overdue_job(2500))
         done = complete(world, 1.0, 1)
-        progress = world.scheduler.jobs.active_by_id[JOB_ID].progress
-        assert progress.completed_before == done - occurrences.MAX_KEPT
-        assert len(progress.done_by_step) == occurrences.MAX_KEPT
+        rows = world.scheduler.jobs.active_by_id[JOB_ID].progress
+        assert rows.main.completed_before == done - occurrences.MAX_KEPT
+        listed = [
+            step
+            for row in rows.by_number.values()
+            for step in row.done_by_step
+        ]
+        assert len(listed) == occurrences.MAX_KEPT
 
     def test_a_takeover_goes_on_after_the_completed_ones(self) -> None:
         world = worlds.World([worlds.make_worker('w', 10**6, 10**6)])
@@ -99,10 +104,13 @@
         world.accept(0.0, record)
         done = complete(world, 1.0, 1)
         job = world.scheduler.jobs.active_by_id[JOB_ID]
-        stored = records.decode_progress(records.encode(job.progress))
+        rows = {
+            number: records.decode_progress(records.encode(row))
+            for number, row in job.progress.by_number.items()
+        }
         successor = worlds.World([worlds.make_worker('w', 10**6, 10**6)])
         successor.scheduler.load_job(
-            2.0, worlds.UNIX_AT_ZERO_S, record, stored
+            2.0, worlds.UNIX_AT_ZERO_S, record, rows.pop(0), rows
         )
         restored = successor.scheduler.jobs.active_by_id[JOB_ID]
         assert restored.occurrences_done == done
--- a/tests/unit/fleet/test_shrinking_workers.py
+++ b/tests/unit/fleet/test_shrinking_workers.py
@@ -363,7 +363,7 @@
         record = worlds.make_job(1, [worlds.make_step(2)])
         job_id = first.accept(0.0, record)
         starts = first.start_all(0.1)
-        progress = first.scheduler.jobs.active_by_id[job_id].progress
+        progress = first.scheduler.jobs.active_by_id[job_id].progress.main
         first.store_changes()
         second = worlds.World([], term=2)
         second.scheduler.load_job(
--- a/tests/unit/fleet/test_speculation.py
+++ b/tests/unit/fleet/test_speculation.py
@@ -345,10 +345,10 @@
         progress = self._progress(slow)
         progress.placed_by_task = {}
         world = self._next_holder(slow, progress)
-        scheduler = world.scheduler
-        step = scheduler.jobs.active_by_id[slow.job_id].steps_by_key[0, 0]
+        job = world.scheduler.jobs.active_by_id[slow.job_id]
+        step = job.steps_by_key[0, 0]
         assert step.tasks[0].placed_run_number == copy.order.run
-        assert not progress.copies_by_task
+        assert not job.progress.main.copies_by_task
         assert not world.start_all(3.2)
 
     def test_a_copy_is_stored_before_its_order(self) -> None:
