--- a/packages/core/src/samphirestack/fleet/memory.py
+++ b/packages/core/src/samphirestack/fleet/memory.py
@@ -22,7 +22,7 @@
 TASK_BYTES = 40
 """A task that waits or is done; see ``indexes``."""
 
-RUN_BYTES = 1500
+RUN_BYTES = 1800
 """A run with its task, and its entry in the job's progress."""
 
 ENDED_JOB_BYTES = 700
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -115,6 +115,8 @@
         self._runs_by_job: dict[
             model.JobId, dict[tuple[model.TaskId, int], tracking.Run]
         ] = {}
+        self._runs_by_task: dict[model.TaskId, dict[int, tracking.Run]] = {}
+        """Tracked runs of each task, by their number."""
         self._job_rates = shares.JobRates()
         self._max_lease_s = max_lease_s
         self._start_count = 0
@@ -728,8 +730,8 @@
 
         Otherwise nothing would clear the task.
         """
-        for worker, run in self._runs_of_job(task.step.job):
-            if run.task is task and run.number == task.placed_run_number:
+        for worker, run in self._runs_of_task(task):
+            if run.number == task.placed_run_number:
                 worker.begin_probation(run)
 
     def _apply_running_row(
@@ -975,16 +977,16 @@
 
         The members of a gang with the same run number succeed together.
         """
-        gang = task.step.spec.gang
-        for worker, run in self._runs_of_job(task.step.job):
-            if gang:
-                is_other = (
-                    run.task.step is task.step and run.number != run_number
-                )
-            else:
-                is_other = run.task is task
-            if is_other:
-                self._stop_run(worker, run, now, 'another run succeeded')
+        if task.step.spec.gang:
+            others = [
+                (worker, run)
+                for worker, run in self._runs_of_job(task.step.job)
+                if run.task.step is task.step and run.number != run_number
+            ]
+        else:
+            others = self._runs_of_task(task)
+        for worker, run in others:
+            self._stop_run(worker, run, now, 'another run succeeded')
 
     def _record_task_failure(
         self,
@@ -1058,8 +1060,8 @@
         """Let the copy of a task be its run; return whether there is one."""
         if not task.copy_run_number:
             return False
-        for worker, run in self._runs_of_job(task.step.job):
-            if run.task is task and run.is_copy and run.stop is None:
+        for worker, run in self._runs_of_task(task):
+            if run.is_copy and run.stop is None:
                 run.is_copy = False
                 run.is_primary = True
                 self.jobs.forget_copy(task)
@@ -1078,6 +1080,15 @@
         self._runs_by_job.setdefault(job.job_id, {})[
             run.task.id, run.number
         ] = run
+        self._runs_by_task.setdefault(run.task.id, {})[run.number] = run
+
+    def _runs_of_task(
+        self, task: work.Task
+    ) -> list[tuple[tracking.TrackedWorker, tracking.Run]]:
+        return [
+            (self.workers_by_id[run.worker_id], run)
+            for run in self._runs_by_task.get(task.id, {}).values()
+        ]
 
     def _runs_of_job(
         self, job: work.Job
@@ -1095,6 +1106,10 @@
         runs.pop((run.task.id, run.number), None)
         if not runs:
             self._runs_by_job.pop(job_id, None)
+        runs_of_task = self._runs_by_task.get(run.task.id, {})
+        runs_of_task.pop(run.number, None)
+        if not runs_of_task:
+            self._runs_by_task.pop(run.task.id, None)
         worker.remove_run(run)
         self.jobs.budget.change(
             run.task.step.job.customer_id, -memory.RUN_BYTES
