Store the cancellation of a job that isn't stored yet

Cause: a DELETE that found no row left nothing behind, so that the write of the job's submission, which had got no answer, still took effect when the store applied it.

Such a DELETE now writes a row under the job's key on the condition that there is none; the late write fails whoever sent it. The row counts as no job. A POST whose row exists is answered by what the row says, so that the id of another customer's job is refused.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -112,7 +112,7 @@
         """
         ended = self.ended_by_id.get(job_id)
         if ended is not None:
-            return ended.ended_as
+            return None if ended.withdrawn else ended.ended_as
         if job_id in self._ending_by_id:
             return specs.JobState.RUNNING
         job = self.active_by_id.get(job_id)
--- a/packages/core/src/samphirestack/fleet/records.py
+++ b/packages/core/src/samphirestack/fleet/records.py
@@ -49,6 +49,9 @@
     """Absent once the job has ended."""
     ended_as: specs.JobState | None = None
     ended_unix_s: decoding.Amount = 0.0
+    withdrawn: bool = False
+    """Whether the job was cancelled before it was stored.  Its row keeps a
+    late write of the job from taking effect, and counts as no job."""
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -226,7 +226,11 @@
         self, now: float, unix_now: float, record: records.JobRecord
     ) -> bool:
         """Add a job that was stored in this term; return whether it is new."""
-        if record.spec is None or not self.jobs.may_accept(record.job_id):
+        if not self.jobs.may_accept(record.job_id):
+            return False
+        if record.spec is None:
+            # Nobody else removes the row after the time for queries.
+            self.jobs.add_ended(record, False)
             return False
         if not self.jobs.may_load(record):
             self.jobs.defer(record)
--- a/packages/daemon/src/samphirestackd/fleet/edge.py
+++ b/packages/daemon/src/samphirestackd/fleet/edge.py
@@ -110,6 +110,7 @@
     UNAUTHORIZED = 'unauthorized'
     NO_QUEUE = 'no_queue'
     NO_JOB = 'no_job'
+    ID_TAKEN = 'id_taken'
     NOT_ALLOWED = 'not_allowed'
     TOO_LARGE = 'too_large'
     UNAVAILABLE = 'unavailable'
@@ -207,6 +208,14 @@
     return Reply(outcome, verdicts.Verdict.NOT_RUN, detail)
 
 
+def _accepted_earlier() -> Reply:
+    return Reply(
+        Outcome.ACCEPTED,
+        verdicts.Verdict.RAN,
+        'the job was accepted by an earlier call',
+    )
+
+
 def _unknown(detail: str, cause: Cause) -> Reply:
     return Reply(
         Outcome.UNKNOWN,
@@ -540,14 +549,34 @@
         try:
             version = await self._insert(call, row)
         except errors.TransactionConflict:
-            return Reply(
-                Outcome.ACCEPTED,
-                verdicts.Verdict.RAN,
-                'the job was accepted by an earlier call',
-            )
+            return await self._reply_to_repeated(call)
         self._holder.announce_job(row, version)
         return Reply(Outcome.ACCEPTED, verdicts.Verdict.RAN)
 
+    async def _reply_to_repeated(self, call: Call) -> Reply:
+        """Reply to the submission of a job whose row exists."""
+        try:
+            found = await self._read_job(call.job_id)
+        except errors.PlatformError as error:
+            return self._unknown_outcome(
+                call, error.message, Cause.STORE_FAILED
+            )
+        if found is None:
+            # It has ended, and its row was removed just now.
+            return _accepted_earlier()
+        return self._reply_by_row(call, found[0])
+
+    def _reply_by_row(self, call: Call, record: records.JobRecord) -> Reply:
+        if record.withdrawn:
+            return _not_run(
+                Outcome.NO_JOB, 'the job was cancelled before it was stored'
+            )
+        if not _may_access_record(call, record):
+            return _not_run(
+                Outcome.ID_TAKEN, 'another customer has a job with this id'
+            )
+        return _accepted_earlier()
+
     async def _refuse_without_memory(self, call: Call) -> Reply:
         """Refuse a job, unless an earlier call has stored it."""
         try:
@@ -557,11 +586,7 @@
                 call, error.message, Cause.STORE_FAILED
             )
         if found is not None:
-            return Reply(
-                Outcome.ACCEPTED,
-                verdicts.Verdict.RAN,
-                'the job was accepted by an earlier call',
-            )
+            return self._reply_by_row(call, found[0])
         detail = "the customer's jobs occupy too much memory"
         if call.job_id in self._unknown_job_ids:
             return _unknown(detail, Cause.NO_MEMORY)
@@ -621,7 +646,17 @@
 
     async def _cancel(self, call: Call) -> Reply:
         found = await self._read_job(call.job_id)
-        if found is None or not _may_access_record(call, found[0]):
+        if found is None:
+            try:
+                return await self._withdraw(call)
+            except errors.TransactionConflict:
+                # The job was stored meanwhile.
+                found = await self._read_job(call.job_id)
+        if (
+            found is None
+            or found[0].withdrawn
+            or not _may_access_record(call, found[0])
+        ):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
         if found[0].ended_as is not None:
             return Reply(
@@ -643,6 +678,42 @@
         self._holder.announce_cancellation(call.job_id, version)
         return Reply(Outcome.OK, verdicts.Verdict.RAN)
 
+    async def _withdraw(self, call: Call) -> Reply:
+        """Keep a job that isn't stored from being stored later.
+
+        A write of it that got no answer may still be applied, whichever entry
+        sent it.
+
+        :raises errors.TransactionConflict: it was stored meanwhile.
+        """
+        assert call.queue is not None
+        now = clock.unix_now()
+        record = records.JobRecord(
+            call.job_id,
+            specs.Queue(
+                call.queue.queue_id,
+                call.queue.service,
+                call.queue.host,
+                call.queue.prefix,
+            ),
+            call.customer_id,
+            now,
+            ended_as=specs.JobState.CANCELLED,
+            ended_unix_s=now,
+            withdrawn=True,
+        )
+        await self._context.store.transact(
+            [ports.Condition(records.JOBS_TABLE, call.job_id, 0)],
+            [
+                ports.Put(
+                    records.JOBS_TABLE, call.job_id, records.encode(record)
+                )
+            ],
+            (),
+            records.job_part(call.job_id),
+        )
+        return _not_run(Outcome.NO_JOB, 'there is no such job')
+
     async def _state(self, call: Call) -> Reply:
         """Return the state of a job by the holder or the store.
 
@@ -698,7 +769,11 @@
 
     async def _state_in_store(self, call: Call) -> Reply:
         found = await self._read_job(call.job_id)
-        if found is None or not _may_access_record(call, found[0]):
+        if (
+            found is None
+            or found[0].withdrawn
+            or not _may_access_record(call, found[0])
+        ):
             return _not_run(Outcome.NO_JOB, 'there is no such job')
         state = found[0].ended_as or await self._stored_state(call.job_id)
         return Reply(
--- a/packages/daemon/src/samphirestackd/fleet/node.py
+++ b/packages/daemon/src/samphirestackd/fleet/node.py
@@ -688,7 +688,7 @@
 ) -> messages.StateReply:
     jobs = holder.scheduler.jobs
     record = jobs.record_of(job_id)
-    if record is None:
+    if record is None or record.withdrawn:
         return messages.StateReply(number, None, None)
     return messages.StateReply(
         number,
--- a/tests/unit/fleet/test_edge.py
+++ b/tests/unit/fleet/test_edge.py
@@ -267,6 +267,107 @@
         }
 
 
+class LateInsert:
+    """A submission whose write gets no answer and may be applied later."""
+
+    def __init__(self) -> None:
+        self.store = row_store.MemoryRowStore()
+
+    def entry(self, customer: str = 'team') -> edge.Edge:
+        entry, feed = make_edge(self.store)
+        assert feed.configuration is not None
+        feed.configuration.customer_ids_by_key['key'] = model.TeamId(customer)
+        return entry
+
+    async def apply(self) -> None:
+        await self.store.transact(
+            [ports.Condition(records.JOBS_TABLE, JOB, 0)],
+            [ports.Put(records.JOBS_TABLE, JOB, b'the job')],
+            (),
+            records.job_part(JOB),
+        )
+
+
+class TestCancelledBeforeItIsStored:
+    """Guards against a job that begins after its cancelling was acknowledged.
+
+    The write of its submission had no answer and is applied late.
+    """
+
+    async def test_a_late_write_has_no_effect(self) -> None:
+        late = LateInsert()
+        reply = await late.entry().handle(make_call('DELETE'))
+        assert reply.outcome is edge.Outcome.NO_JOB
+        with pytest.raises(errors.TransactionConflict):
+            await late.apply()
+
+    @pytest.mark.parametrize('method', ['GET', 'DELETE', 'POST'])
+    async def test_there_is_no_such_job_afterwards(self, method: str) -> None:
+        late = LateInsert()
+        await late.entry().handle(make_call('DELETE'))
+        before = dict(late.store.rows_by_key)
+        reply = await late.entry().handle(make_call(method))
+        assert reply.outcome is edge.Outcome.NO_JOB
+        assert reply.verdict is verdicts.Verdict.NOT_RUN
+        assert late.store.rows_by_key == before
+
+    async def test_a_job_that_is_stored_meanwhile_is_cancelled(self) -> None:
+        late = LateInsert()
+        entry = late.entry()
+
+        class Overtaken(row_store.MemoryRowStore):
+            async def read(
+                self,
+                table: str,
+                first: str = '',
+                end: str = '',
+                part: str = '',
+            ) -> ports.Page:
+                page = await super().read(table, first, end, part)
+                if not self.rows_by_key:
+                    await late.entry().handle(make_call())
+                return page
+
+        store = Overtaken()
+        late.store = store
+        entry = late.entry()
+        reply = await entry.handle(make_call('DELETE'))
+        assert reply.outcome is edge.Outcome.OK
+        keys = {key for _, _, key in store.rows_by_key}
+        assert keys == {JOB, JOB + records.CANCEL_SUFFIX}
+
+    async def test_without_the_store_nothing_is_acknowledged(self) -> None:
+        late = LateInsert()
+        late.store.failure = errors.StoreUnavailable('down')
+        reply = await late.entry().handle(make_call('DELETE'))
+        assert reply.outcome is edge.Outcome.UNAVAILABLE
+
+    async def test_the_holder_removes_the_row_later(self) -> None:
+        late = LateInsert()
+        await late.entry().handle(make_call('DELETE'))
+        ((value, _),) = late.store.rows_by_key.values()
+        world = worlds.World([])
+        record = records.decode_stored_job(JOB, value)
+        jobs = world.scheduler.jobs
+        assert not world.scheduler.accept_job(1.0, 1.0, record)
+        assert jobs.state_of(record.job_id) is None
+        jobs.expire_ended(2.0, record.ended_unix_s + 1.0)
+        batch = jobs.archive.next_batch(1000.0)
+        assert batch is not None
+        assert batch.expired == (record.job_id,)
+
+
+class TestIdsOfOthers:
+    """Guards against a job that is taken for that of another customer."""
+
+    async def test_a_job_under_an_id_in_use_is_refused(self) -> None:
+        late = LateInsert()
+        await late.entry('first').handle(make_call())
+        reply = await late.entry('second').handle(make_call())
+        assert reply.outcome is edge.Outcome.ID_TAKEN
+        assert reply.verdict is verdicts.Verdict.NOT_RUN
+
+
 class TestMemory:
     """Guards against jobs that end every process that schedules."""
 
