Share the blame for a failure between task and worker

Cause: each failure was blamed on the worker alone, wherever else the same task had failed, and nothing bounded the share of workers in quarantine.

A task that fails on several workers is no evidence against them, until it succeeds on another one. At most half of the workers of a service and of a kind are in quarantine. Pauses after runs that stood still and after malformed orders are bounded as well.

--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -805,11 +805,44 @@
         if not stalls.is_still(now, run, members, usual_s):
             return
         run.task.stalls += 1
-        worker.avoid_until = max(worker.avoid_until, now + STALL_PAUSE_S)
+        if run.task.stalls == 1 and self._may_avoid(now, worker):
+            # A task that stood still before does so wherever it runs.
+            worker.avoid_until = max(worker.avoid_until, now + STALL_PAUSE_S)
         run.task.failed_worker_ids.add(worker.entry.worker_id)
         self._report_stalled(now, run, members)
         self._stop_run(worker, run, now, 'no progress')
 
+    def _may_avoid(self, now: float, worker: tracking.TrackedWorker) -> bool:
+        """Return whether enough workers like this one are in use."""
+        return all(
+            sum(self.workers_by_id[other].avoid_until > now for other in group)
+            < int(len(group) * quarantine.MAX_SHARE)
+            for group in self._groups_of_workers()
+            if worker.entry.worker_id in group
+        )
+
+    def _groups_of_workers(self) -> Collection[list[model.WorkerId]]:
+        """Return the workers in use of each service, and of each kind of it.
+
+        A kind has the same labels but for the rack.
+        """
+        groups: dict[
+            tuple[model.ServiceId, frozenset[str] | None],
+            list[model.WorkerId],
+        ] = {}
+        for worker_id, worker in self.workers_by_id.items():
+            entry = worker.entry
+            if (
+                not worker.registered
+                or worker.silent_since is not None
+                or _has_left(worker)
+            ):
+                continue
+            kind = frozenset(entry.labels) - {entry.rack}
+            groups.setdefault((entry.service, None), []).append(worker_id)
+            groups.setdefault((entry.service, kind), []).append(worker_id)
+        return groups.values()
+
     def _report_stalled(
         self, now: float, run: tracking.Run, members: list[tracking.Run]
     ) -> None:
@@ -913,7 +946,9 @@
             return
         task.last_run_number = max(task.last_run_number, row.run)
         if row.reason is specs.EndReason.DONE:
-            self.quarantine.record_success(worker.entry.worker_id)
+            self.quarantine.record_success(
+                worker.entry.worker_id, now, task.id
+            )
             if run is not None:
                 self._learn_run_time(now, worker, run)
             self._complete_task(now, task, row.run)
@@ -1007,10 +1042,8 @@
         """
         job = task.step.job
         worker_id = worker.entry.worker_id
-        if not had_served and self.quarantine.record_failure(
-            now, worker_id, job.job_id
-        ):
-            worker.avoid_until = now + quarantine.FIRST_PAUSE_S
+        if not had_served:
+            self.quarantine.record_failure(now, worker_id, job.job_id, task.id)
         task.failed_worker_ids.add(worker_id)
         if task.step.spec.long_running or task.state is work.TaskState.DONE:
             return
@@ -1264,6 +1297,8 @@
         if outcome in (
             specs.StartOutcome.NOT_SENT,
             specs.StartOutcome.FENCED,
+            # The order is at fault, not the worker.
+            specs.StartOutcome.MALFORMED,
         ):
             pass
         elif outcome is specs.StartOutcome.NO_TICKET:
@@ -1484,6 +1519,8 @@
 
     def _check_workers(self, now: float) -> None:
         self._crashes.forget_old_losses(now)
+        if self.quarantine.is_in_use:
+            self.quarantine.release_excess(self._groups_of_workers())
         self.runs_to_copy.clear()
         for worker_id, worker in list(self.workers_by_id.items()):
             silent = worker.silent_since is not None
--- a/packages/core/src/samphirestack/internal/leader/task_outcomes.py
+++ b/packages/core/src/samphirestack/internal/leader/task_outcomes.py
@@ -82,7 +82,7 @@
         if task.job is None:
             self.record_early_end(task.task_id, task.attempt, state, reason)
         if state is model.TaskState.SUCCEEDED:
-            self._pool.quarantine.record_success(worker_id)
+            self._pool.quarantine.record_success(worker_id, now, task.task_id)
             self._learn_run_time(now, task)
         elif state is model.TaskState.FAILED:
             self._record_worker_failure(now, task, worker_id)
@@ -389,7 +389,9 @@
     ) -> None:
         task.avoid.add(worker_id)
         job_id = model.JobId(task.task_id.rpartition('/')[0])
-        self._pool.quarantine.record_failure(now, worker_id, job_id)
+        self._pool.quarantine.record_failure(
+            now, worker_id, job_id, task.task_id
+        )
 
     def _learn_run_time(self, now: float, task: task_state.Task) -> None:
         if task.job is None or task.throttled:
--- a/packages/core/src/samphirestack/internal/leader/task_starts.py
+++ b/packages/core/src/samphirestack/internal/leader/task_starts.py
@@ -105,7 +105,9 @@
         task.sent_at = -task_state.NEVER_S
         self._pool.workers_by_id[worker_id].needs_query = True
         job_id = model.JobId(task.task_id.rpartition('/')[0])
-        self._pool.quarantine.record_failure(now, worker_id, job_id)
+        self._pool.quarantine.record_failure(
+            now, worker_id, job_id, task.task_id
+        )
         self._pool.refresh_usable(now, worker_id)
 
     def _find_starting(
--- a/tests/unit/core/test_task_decisions.py
+++ b/tests/unit/core/test_task_decisions.py
@@ -250,6 +250,61 @@
         assert not tracker.is_quarantined('w')
 
 
+class TestBlame:
+    """Guards against jobs that fail anywhere and take all workers out."""
+
+    def fail(
+        self, tracker: quarantine.Quarantine, worker: str, tasks: str
+    ) -> None:
+        for task in tasks:
+            tracker.record_failure(0.0, worker, f'job-{task}', task)
+
+    def test_a_task_that_fails_elsewhere_is_no_evidence(self) -> None:
+        tracker = quarantine.Quarantine()
+        self.fail(tracker, 'v', 'ab')
+        self.fail(tracker, 'w', 'abc')
+        assert tracker.accepts(1.0, 'v')
+        assert tracker.accepts(1.0, 'w')
+
+    def test_a_later_failure_elsewhere_ends_the_quarantine(self) -> None:
+        tracker = quarantine.Quarantine()
+        self.fail(tracker, 'w', 'abc')
+        assert tracker.is_quarantined('w')
+        self.fail(tracker, 'v', 'a')
+        assert not tracker.is_quarantined('w')
+
+    def test_a_failure_in_quarantine_clears_no_other_worker(self) -> None:
+        tracker = quarantine.Quarantine()
+        self.fail(tracker, 'v', 'xyz')
+        self.fail(tracker, 'v', 'abc')
+        self.fail(tracker, 'w', 'abc')
+        assert tracker.is_quarantined('w')
+
+    def test_the_success_of_a_task_shows_which_workers_failed_it(
+        self,
+    ) -> None:
+        tracker = quarantine.Quarantine()
+        for worker in 'vw':
+            self.fail(tracker, worker, 'abc')
+        assert not tracker.is_quarantined('v')
+        for task in 'abc':
+            tracker.record_success('sound', 1.0, task)
+        assert tracker.is_quarantined('v')
+        assert tracker.is_quarantined('w')
+
+    def test_half_of_a_group_stays_in_use(self) -> None:
+        tracker = quarantine.Quarantine()
+        group = [f'w{number}' for number in range(5)]
+        for worker in group:
+            for job in 'abc':
+                tracker.record_failure(0.0, worker, f'{worker}-{job}')
+        tracker.release_excess([group])
+        paused = [
+            worker for worker in group if not tracker.accepts(1.0, worker)
+        ]
+        assert len(paused) == 2
+
+
 class TestServices:
     """Failed replicas restart with an exponential delay."""
 
