Remove only rows of progress that were stored; bound what is remembered

From reading the change again: an ended job asked the store to remove rows that had never been stored; the last begun occurrence was searched anew for each occurrence of a loaded job; customers with deferred jobs were searched with each pong; and tasks whose failures count against a worker were kept without a bound.

--- a/packages/core/src/samphirestack/fleet/job_tracker.py
+++ b/packages/core/src/samphirestack/fleet/job_tracker.py
@@ -1,5 +1,6 @@
 """Jobs of one term and their changes that have to be stored."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -58,6 +59,9 @@
         self.budget = budget or memory.Budget(float('inf'))
         self._deferred_by_id: dict[model.JobId, DeferredJob] = {}
         """Accepted jobs that have not begun, oldest first."""
+        self._deferred_counts: collections.Counter[model.TeamId] = (
+            collections.Counter()
+        )
         self.active_by_id: dict[model.JobId, work.Job] = {}
         self.ended_by_id: dict[model.JobId, records.JobRecord] = {}
         """Ended jobs whose end is stored."""
@@ -152,6 +156,7 @@
             record.queue.queue_id,
             memory.job_bytes(record.spec),
         )
+        self._deferred_counts[record.customer_id] += 1
         self.budget.change(record.customer_id, memory.DEFERRED_JOB_BYTES)
 
     def cancel_deferred(self, job_id: model.JobId) -> bool:
@@ -166,6 +171,7 @@
         """Remove a job that is about to be loaded."""
         deferred = self._deferred_by_id.pop(job_id, None)
         if deferred is not None:
+            self._deferred_counts[deferred.customer_id] -= 1
             self.budget.change(
                 deferred.customer_id, -memory.DEFERRED_JOB_BYTES
             )
@@ -201,9 +207,7 @@
 
     def deferring_customers(self) -> frozenset[model.TeamId]:
         """Return the customers with jobs that wait for memory."""
-        return frozenset(
-            deferred.customer_id for deferred in self._deferred_by_id.values()
-        )
+        return frozenset(+self._deferred_counts)
 
     def add_job(self, now: float, job: work.Job) -> None:
         """Add an accepted job and begin what is due of it."""
@@ -242,10 +246,11 @@
             None
         )
 
-    def delete_further_rows(
-        self, job_id: model.JobId, numbers: Iterable[int]
-    ) -> None:
-        """Schedule the deletion of rows of an ended or unknown job."""
+    def clear_rows(self, job_id: model.JobId, numbers: Iterable[int]) -> None:
+        """Schedule what is to become of rows of an ended or unknown job.
+
+        The main row of an ended job says how it ended; others are deleted.
+        """
         for number in numbers:
             self._dirty[progress_rows.RowKey(job_id, number)] = None
 
@@ -299,7 +304,8 @@
             self._mark_changed(job, number)
         for completed in occurrences.skip_completed(job):
             self.ready_steps.pop(completed.id, None)
-        while job.next_occurrence <= occurrences.last_begun(job):
+        last_begun = occurrences.last_begun(job)
+        while job.next_occurrence <= last_begun:
             self._begin_occurrence(now, job)
         # The completed occurrences that were begun first took the places of
         # those that are due.
@@ -582,8 +588,10 @@
             state,
             now + self.unix_offset_s,
         )
-        for number in (progress_rows.MAIN_ROW, *job.progress.by_number):
-            self._dirty[progress_rows.RowKey(job.job_id, number)] = None
+        self.clear_rows(
+            job.job_id,
+            (progress_rows.MAIN_ROW, *job.progress.stored_numbers),
+        )
 
     def set_aside(self, job_id: model.JobId) -> None:
         """Do not run a job in this term and leave its rows as they are."""
@@ -707,12 +715,26 @@
             value = progress_rows.encode(job.progress.by_number[key.number])
             if len(value) > records.MAX_ROW_BYTES:
                 raise RowTooLarge
-        elif is_main and key.job_id not in self._archived_ids:
+            job.progress.stored_numbers.add(key.number)
+        elif self._has_nothing_stored(key):
             return None
         else:
             return ports.Removal(records.PROGRESS_TABLE, key.text)
         return ports.Put(records.PROGRESS_TABLE, key.text, value)
 
+    def _has_nothing_stored(self, key: progress_rows.RowKey) -> bool:
+        """Return whether a row of an ended job, or an empty one, isn't stored.
+
+        The main row of an ended job stays until the job is archived.
+        """
+        job = self.active_by_id.get(key.job_id)
+        if job is not None:
+            return key.number not in job.progress.stored_numbers
+        return (
+            key.number == progress_rows.MAIN_ROW
+            and key.job_id not in self._archived_ids
+        )
+
     def row_of_task(self, task_id: model.TaskId) -> progress_rows.RowKey:
         """Return the row of progress that says of a task.
 
--- a/packages/core/src/samphirestack/fleet/progress_rows.py
+++ b/packages/core/src/samphirestack/fleet/progress_rows.py
@@ -71,6 +71,8 @@
         self.by_number: dict[int, records.JobProgress] = {}
         self.has_main_row = False
         """Whether the main row is stored or about to be."""
+        self.stored_numbers: set[int] = set()
+        """Rows that were stored and may have to be removed."""
         self._first_tasks: list[int] = []
         self._tasks_per_occurrence = 0
         for step in spec.steps:
@@ -134,6 +136,7 @@
         :return: rows that have to be stored anew.
         """
         self.has_main_row = True
+        self.stored_numbers = {MAIN_ROW, *others}
         self.by_number = dict(others)
         self.by_number[MAIN_ROW] = records.JobProgress(
             completed_before=main.completed_before
--- a/packages/core/src/samphirestack/fleet/scheduler.py
+++ b/packages/core/src/samphirestack/fleet/scheduler.py
@@ -158,11 +158,11 @@
         """
         if record.spec is None:
             self.jobs.add_ended(record, progress is not None)
-            self.jobs.delete_further_rows(record.job_id, further)
+            self.jobs.clear_rows(record.job_id, further)
             return
         if progress is not None and progress.ended is not None:
             self.jobs.add_unarchived(now, progress.ended)
-            self.jobs.delete_further_rows(record.job_id, further)
+            self.jobs.clear_rows(record.job_id, further)
             return
         if progress is None and not self.jobs.may_load(record):
             self.jobs.defer(record)
@@ -1519,7 +1519,7 @@
 
     def _check_workers(self, now: float) -> None:
         self._crashes.forget_old_losses(now)
-        if self.quarantine.is_in_use:
+        if self.quarantine.is_active:
             self.quarantine.release_excess(self._groups_of_workers())
         self.runs_to_copy.clear()
         for worker_id, worker in list(self.workers_by_id.items()):
--- a/packages/core/src/samphirestack/internal/decisions/quarantine.py
+++ b/packages/core/src/samphirestack/internal/decisions/quarantine.py
@@ -14,6 +14,9 @@
 MAX_SHARE = 0.5
 """Largest share of a group of workers in quarantine."""
 
+MAX_EVIDENCE = 100
+"""Failed tasks that count against one worker."""
+
 MAX_FAILED_TASKS = 5000
 """Tasks whose failures are remembered, the newest ones."""
 
@@ -28,6 +31,12 @@
         self.paused_until = 0.0
         self.probe_task_id: model.TaskId | None = None
 
+    def add_evidence(self, task_id: model.TaskId, job_id: model.JobId) -> None:
+        """Count the failure of a task; the newest ones are kept."""
+        self.failed_tasks[task_id] = job_id
+        if len(self.failed_tasks) > MAX_EVIDENCE:
+            del self.failed_tasks[next(iter(self.failed_tasks))]
+
     @property
     def has_evidence(self) -> bool:
         """Return whether enough different jobs failed."""
@@ -79,7 +88,7 @@
                 self._clear_evidence(task_id)
         if failed_elsewhere:
             return False
-        health.failed_tasks[task_id] = job_id
+        health.add_evidence(task_id, job_id)
         return self._begin_pause(now, health)
 
     def _remember(
@@ -139,7 +148,7 @@
             health = self._health_by_id.get(other)
             # Without it, something has succeeded there since.
             if health is not None and health.pause_s == 0:
-                health.failed_tasks[task_id] = job_id
+                health.add_evidence(task_id, job_id)
                 self._begin_pause(now, health)
 
     def release_excess(self, groups: Collection[list[model.WorkerId]]) -> None:
@@ -167,7 +176,7 @@
         return health.pause_s, health.paused_until
 
     @property
-    def is_in_use(self) -> bool:
+    def is_active(self) -> bool:
         """Return whether any worker is quarantined."""
         return any(health.pause_s for health in self._health_by_id.values())
 
--- a/packages/daemon/src/samphirestackd/fleet/holder.py
+++ b/packages/daemon/src/samphirestackd/fleet/holder.py
@@ -224,7 +224,7 @@
                 self.scheduler.cancel(clock.now(), job_id)
         for key, rows in progress_by_id.items():
             self.scheduler.jobs.delete_progress(model.JobId(key))
-            self.scheduler.jobs.delete_further_rows(model.JobId(key), rows)
+            self.scheduler.jobs.clear_rows(model.JobId(key), rows)
         self.loaded = True
         self._context.log.write(
             'term.loaded',
